--- /dev/null
+++ b/crates/ffw-control/src/calls.rs
@@ -0,0 +1,100 @@
+//! What this daemon answers when a peer calls.
+
+use {
+    crate::{daemon::Daemon, owner},
+    ffw_decide::burn,
+    ffw_peer::{
+        handler::{Handlers, Reply},
+        service::{Burn, Roster, Status},
+    },
+    ffw_protocol::config::Version,
+    std::sync::{Arc, atomic::Ordering},
+};
+
+/// The handlers of all calls.
+pub fn handlers(daemon: &Arc<Daemon>) -> Handlers {
+    let shared = || daemon.clone();
+    let (for_admit, for_renew, for_disowned) = (shared(), shared(), shared());
+    let (for_config, for_offer, for_roster) = (shared(), shared(), shared());
+    let (for_hold, for_records, for_grants) = (shared(), shared(), shared());
+    let (for_burn, for_status) = (shared(), shared());
+    Handlers {
+        admit: Box::new(move |call| {
+            let daemon = for_admit.clone();
+            Box::pin(
+                async move { owner::admit(&daemon, &call.pool, &call.suspects, call.ask).await },
+            )
+        }),
+        renew: Box::new(move |renewal| ready(owner::renew(&for_renew, &renewal))),
+        disowned: Box::new(move |attempts| ready(for_disowned.desk.disowned(attempts))),
+        newer_config: Box::new(move |than| ready(newer_config(&for_config, than))),
+        offer_config: Box::new(move |version| ready(offer_config(&for_offer, version))),
+        newer_roster: Box::new(move |than| ready(newer_roster(&for_roster, than))),
+        hold_records: Box::new(move |held| {
+            for_hold.ledger.hold(held);
+            ready(true)
+        }),
+        records_of: Box::new(move |request| ready(for_records.ledger.records_of(&request))),
+        grants_of: Box::new(move |epoch| ready(for_grants.ledger.grants_of(epoch))),
+        burn: Box::new(move |()| ready(burn(&for_burn))),
+        status: Box::new(move |()| ready(status(&for_status))),
+    }
+}
+
+fn ready<T: Send + 'static>(value: T) -> Reply<T> {
+    Box::pin(std::future::ready(value))
+}
+
+fn newer_config(daemon: &Daemon, than: u64) -> Option<Version> {
+    let snapshot = daemon.register.config()?;
+    (snapshot.version.number > than).then(|| snapshot.version.clone())
+}
+
+fn offer_config(daemon: &Daemon, version: Version) -> u64 {
+    daemon.register.offer(version);
+    daemon.metrics.config_version.set(daemon.register.config_number() as i64);
+    daemon.register.config_number()
+}
+
+fn newer_roster(daemon: &Daemon, than: u64) -> Option<Roster> {
+    let roster = daemon.register.roster();
+    (roster.version > than).then(|| Roster::clone(&roster))
+}
+
+/// Service-level counts of this daemon.
+pub fn burn(daemon: &Daemon) -> Vec<Burn> {
+    let now = crate::identity::now();
+    let book = daemon.burn();
+    let mut rows = Vec::new();
+    for series in book.series() {
+        for window in burn::WINDOWS {
+            let counts = series.over(now, window);
+            rows.push(Burn {
+                service: series.service.clone(),
+                customer: series.customer.clone(),
+                window_s: window.as_secs(),
+                total: counts.total,
+                missed: counts.missed,
+                first_token: counts.first_token,
+                between_tokens: counts.between_tokens,
+                unavailable: counts.unavailable,
+            });
+        }
+    }
+    rows
+}
+
+/// State of this daemon.
+pub fn status(daemon: &Daemon) -> Status {
+    let snapshot = daemon.register.config();
+    Status {
+        instance: daemon.identity.instance.clone(),
+        incarnation: daemon.identity.incarnation,
+        config: daemon.register.config_number(),
+        config_hash: snapshot.map_or("".into(), |one| one.hash.clone()),
+        open: daemon.open.load(Ordering::SeqCst),
+        shards: daemon.host.status(),
+        unstored_records: daemon.ledger.unstored(),
+        is_draining: daemon.is_draining(),
+    }
+}
--- /dev/null
+++ b/crates/ffw-control/src/change.rs
@@ -0,0 +1,137 @@
+//! Carries out a change of configuration at the platform.
+
+use {
+    crate::daemon::Daemon,
+    ffw_decide::config::{Change, Event, Machine, Step, Stored},
+    ffw_platform::{
+        fault::{Fault, Result},
+        store::{Kind, Metadata, Object},
+    },
+    ffw_protocol::{
+        config::Version,
+        error::{Error, Kind as ErrorKind, Run},
+    },
+    ffw_runtime::timer,
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time that a change may take at the platform.
+const CHANGE_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// How a change ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Outcome {
+    /// It is in force as this version.
+    Accepted(Version),
+    /// Another change came first.
+    Conflict(Option<Version>),
+}
+
+/// Makes a change, or finds out that it was made or that another came first.
+///
+/// # Errors
+/// [`ErrorKind::StoreUnavailable`] if the platform did not answer in time; the error's run word
+/// says whether the change may be in force.
+pub async fn make(daemon: &Daemon, change: Change) -> std::result::Result<Outcome, Error> {
+    let began = Instant::now();
+    let (mut machine, mut step) = Machine::start(change);
+    loop {
+        let event = match step {
+            Step::Accepted(version) => return Ok(Outcome::Accepted(version)),
+            Step::Conflict(version) => return Ok(Outcome::Conflict(version)),
+            _ if began.elapsed() > CHANGE_TIMEOUT => return Err(unavailable(&machine)),
+            Step::Pause(span) => {
+                timer::sleep(span).await;
+                Event::Waited
+            }
+            Step::Read => read(daemon).await,
+            Step::ReadKept(number) => read_kept(daemon, number).await,
+            Step::Keep(version) => {
+                let name = kept_name(daemon, version.number);
+                written(daemon.store.create(Kind::Changes, &name, version).await)
+            }
+            Step::Create(version) => {
+                let name = &daemon.deployment;
+                written(daemon.store.create(Kind::Configurations, name, version).await)
+            }
+            Step::Replace(resource_version, version) => {
+                let metadata = Metadata { name: daemon.deployment.clone(), resource_version };
+                let object = Object { metadata, spec: version };
+                written(daemon.store.update(Kind::Configurations, &object).await)
+            }
+        };
+        step = machine.next(event);
+    }
+}
+
+fn unavailable(machine: &Machine) -> Error {
+    let run = if machine.is_unsure() { Run::Unknown } else { Run::Not };
+    let message =
+        "the platform's object API did not answer in time; apply the same change id again";
+    Error::new(ErrorKind::StoreUnavailable, message).run(run)
+}
+
+async fn read(daemon: &Daemon) -> Event {
+    let read: Result<Object<Version>> =
+        daemon.store.get(Kind::Configurations, &daemon.deployment).await;
+    match read {
+        Ok(object) => Event::Read(Some(Stored {
+            version: object.spec,
+            resource: object.metadata.resource_version,
+        })),
+        Err(Fault::NotFound) => Event::Read(None),
+        Err(_) => Event::Down,
+    }
+}
+
+async fn read_kept(daemon: &Daemon, number: u64) -> Event {
+    match daemon.store.get(Kind::Changes, &kept_name(daemon, number)).await {
+        Ok(object) => Event::Kept(Some(object.spec)),
+        Err(Fault::NotFound) => Event::Kept(None),
+        Err(_) => Event::Down,
+    }
+}
+
+fn written(result: Result<Object<Version>>) -> Event {
+    match result {
+        Ok(_) => Event::Written,
+        Err(Fault::Conflict | Fault::NotFound) => Event::Refused,
+        Err(Fault::Lost(_)) => Event::Lost,
+        Err(Fault::Gone | Fault::Down(_)) => Event::Down,
+    }
+}
+
+fn kept_name(daemon: &Daemon, number: u64) -> String {
+    format!("{}-{number:010}", daemon.deployment)
+}
+
+/// All versions, oldest first, the one in force last.
+///
+/// # Errors
+/// The platform does not answer.
+pub async fn history(daemon: &Daemon) -> std::result::Result<Vec<Version>, Error> {
+    let prefix = format!("{}-", daemon.deployment);
+    let kept = daemon.store.list::<Version>(Kind::Changes, &prefix).await;
+    let kept = kept.map_err(|fault| fault.to_error())?;
+    let mut versions: Vec<Version> = kept.items.into_iter().map(|object| object.spec).collect();
+    if let Event::Read(Some(stored)) = read(daemon).await {
+        versions.retain(|version| version.number < stored.version.number);
+        versions.push(stored.version);
+    }
+    versions.sort_by_key(|version| version.number);
+    Ok(versions)
+}
+
+/// The version in force at the platform.
+///
+/// # Errors
+/// The platform does not answer.
+pub async fn current(daemon: &Daemon) -> std::result::Result<Option<Arc<Version>>, Error> {
+    match read(daemon).await {
+        Event::Read(stored) => Ok(stored.map(|stored| Arc::new(stored.version))),
+        _ => Err(Error::new(ErrorKind::StoreUnavailable, "the object API does not answer")),
+    }
+}
--- /dev/null
+++ b/crates/ffw-control/src/daemon.rs
@@ -0,0 +1,123 @@
+//! The state that all parts of one daemon share.
+
+use {
+    crate::{
+        admission::Desk, identity::Identity, ledger::Ledger, metrics::Metrics, owner::Host,
+        snapshot::Register, suspect,
+    },
+    ffw_decide::{baseline::Policy, burn::Book},
+    ffw_peer::link::Pool,
+    ffw_platform::store::Store,
+    ffw_protocol::error::{Error, Kind, Result},
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+    },
+};
+
+/// State of one daemon.
+#[derive(Debug)]
+pub struct Daemon {
+    /// Who it is.
+    pub identity: Identity,
+    /// Name of the deployment, under which its configuration is stored.
+    pub deployment: Arc<str>,
+    /// The platform's object API.
+    pub store: Store,
+    /// Connections to other daemons.
+    pub peers: Pool,
+    /// Addresses of daemons to ask while the platform is out at start.
+    pub seeds: Vec<SocketAddr>,
+    /// Configuration and instance list.
+    pub register: Register,
+    /// Daemons that did not answer.
+    pub suspects: suspect::List,
+    /// Places of this entry's requests.
+    pub desk: Desk,
+    /// Shards that this daemon owns.
+    pub host: Host,
+    /// Records of decisions.
+    pub ledger: Ledger,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// How places are given.
+    pub policy: Policy,
+    /// Turns of the baselines.
+    pub turn: AtomicU64,
+    /// Requests in flight.
+    pub open: AtomicU64,
+    burn: Mutex<Book>,
+    draining: AtomicBool,
+}
+
+/// What a daemon is built from.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// Name of the instance.
+    pub instance: Arc<str>,
+    /// Data centre of the instance.
+    pub data_centre: Arc<str>,
+    /// Name of the deployment.
+    pub deployment: Arc<str>,
+    /// Address of the platform's object API.
+    pub platform: SocketAddr,
+    /// Connections to other daemons.
+    pub peers: Pool,
+    /// Addresses of daemons to ask while the platform is out at start.
+    pub seeds: Vec<SocketAddr>,
+    /// How places are given.
+    pub policy: Policy,
+}
+
+impl Daemon {
+    /// A daemon that knows nothing yet.
+    ///
+    /// # Errors
+    /// The metrics could not be registered.
+    pub fn new(setup: Setup) -> Result<Arc<Daemon>> {
+        let metrics =
+            Metrics::new().map_err(|err| Error::new(Kind::Internal, format!("metrics: {err}")))?;
+        let identity = Identity::new(setup.instance, setup.data_centre);
+        Ok(Arc::new(Daemon {
+            ledger: Ledger::new(&identity),
+            identity,
+            deployment: setup.deployment,
+            store: Store { address: setup.platform },
+            peers: setup.peers,
+            seeds: setup.seeds,
+            register: Register::default(),
+            suspects: suspect::List::default(),
+            desk: Desk::default(),
+            host: Host::default(),
+            metrics,
+            policy: setup.policy,
+            turn: AtomicU64::new(0),
+            open: AtomicU64::new(0),
+            burn: Mutex::default(),
+            draining: AtomicBool::new(false),
+        }))
+    }
+
+    /// Service-level counts.
+    pub fn burn(&self) -> MutexGuard<'_, Book> {
+        self.burn.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Whether the daemon is shutting down.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::SeqCst)
+    }
+
+    /// Starts to shut down: the daemon owns no shard and is not ready any more.
+    pub fn drain(&self) {
+        self.draining.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        !self.is_draining() && self.register.config_number() > 0
+    }
+}
--- /dev/null
+++ b/crates/ffw-control/src/ledger.rs
@@ -0,0 +1,493 @@
+//! The ledger: records of decisions in one hash chain for each process, copied to another daemon at
+//! once and written to the platform in segments.
+
+use {
+    crate::{
+        daemon::Daemon,
+        identity::{self, Identity},
+    },
+    ffw_decide::rendezvous,
+    ffw_peer::handler::Held,
+    ffw_platform::{
+        fault::Fault,
+        store::{Kind, Object},
+    },
+    ffw_protocol::{
+        admission::{Attempt, Grant},
+        error::{Error, Kind as ErrorKind, Result},
+        id,
+        instance::{Instance, Role},
+        ledger::{Event, Record, Segment},
+    },
+    ffw_runtime::timer,
+    log::{info, warn},
+    serde::{Deserialize, Serialize},
+    std::{
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::{Duration, Instant},
+    },
+};
+
+/// Period at which new records are copied to another daemon.
+const COPY_PERIOD: Duration = Duration::from_millis(50);
+
+/// Period at which a segment is written.
+const STORE_PERIOD: Duration = Duration::from_secs(10);
+
+/// Most records of one segment; far below a megabyte when compressed.
+const SEGMENT_RECORDS: usize = 5_000;
+
+/// Time for another daemon to take a copy.
+const COPY_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Most records of one copy message.
+const COPY_RECORDS: usize = 2_000;
+
+const COMPRESSION_LEVEL: i32 = 3;
+
+/// Largest segment when unpacked, in bytes.
+const MAX_UNPACKED: usize = 64 << 20;
+
+/// Records of this process and copies of others'.
+#[derive(Debug)]
+pub struct Ledger {
+    own: Mutex<Chain>,
+    copies: Mutex<Vec<Segment>>,
+}
+
+#[derive(Debug)]
+struct Chain {
+    instance: Arc<str>,
+    incarnation: u64,
+    last_hash: Arc<str>,
+    next: u64,
+    /// Hash before the first unstored record.
+    stored_hash: Arc<str>,
+    unstored: Vec<Record>,
+    copied: u64,
+}
+
+/// What a record is about.
+#[derive(Clone, Debug)]
+pub struct Subject {
+    /// Attempt; its number is 0 before the first.
+    pub attempt: Attempt,
+    /// Customer.
+    pub customer: Arc<str>,
+    /// Service.
+    pub service: Arc<str>,
+}
+
+/// A segment as stored: compressed and in hexadecimal.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Packed {
+    /// Instance that wrote the chain.
+    pub instance: Arc<str>,
+    /// Number of the first record.
+    pub first: u64,
+    /// Number of the last record.
+    pub last: u64,
+    /// Time of the first record, in milliseconds since the Unix epoch.
+    pub from_ms: u64,
+    /// The segment as JSON, zstd-compressed, in hexadecimal.
+    pub zstd: Arc<str>,
+}
+
+impl Packed {
+    fn new(segment: &Segment) -> Result<Packed> {
+        let json = serde_json::to_vec(segment).map_err(internal)?;
+        let packed = zstd::bulk::compress(&json, COMPRESSION_LEVEL).map_err(internal)?;
+        let (first, last) = (segment.records.first(), segment.records.last());
+        Ok(Packed {
+            instance: segment.instance.clone(),
+            first: first.map_or(0, |record| record.number),
+            last: last.map_or(0, |record| record.number),
+            from_ms: first.map_or(0, |record| record.at_ms),
+            zstd: hex::encode(packed).into(),
+        })
+    }
+
+    /// The segment.
+    ///
+    /// # Errors
+    /// The object is damaged.
+    pub fn unpack(&self) -> Result<Segment> {
+        let packed = hex::decode(self.zstd.as_bytes()).map_err(internal)?;
+        let json = zstd::bulk::decompress(&packed, MAX_UNPACKED).map_err(internal)?;
+        serde_json::from_slice(&json).map_err(internal)
+    }
+}
+
+fn internal(err: impl std::fmt::Display) -> Error {
+    Error::new(ErrorKind::Internal, format!("ledger segment: {err}"))
+}
+
+impl Ledger {
+    /// An empty chain.
+    pub fn new(identity: &Identity) -> Ledger {
+        let own = Mutex::new(Chain {
+            instance: identity.instance.clone(),
+            incarnation: identity.incarnation,
+            last_hash: "".into(),
+            next: 1,
+            stored_hash: "".into(),
+            unstored: Vec::new(),
+            copied: 0,
+        });
+        Ledger { own, copies: Mutex::default() }
+    }
+
+    /// Appends a record.
+    pub fn note(&self, subject: &Subject, event: Event) {
+        let mut chain = self.own();
+        let mut record = Record {
+            number: chain.next,
+            at_ms: identity::unix_ms(),
+            request: subject.attempt.request.to_string().into(),
+            attempt: subject.attempt.number,
+            customer: subject.customer.clone(),
+            service: subject.service.clone(),
+            event,
+            hash: "".into(),
+        };
+        record.hash = record.sealed_hash(&chain.last_hash);
+        chain.last_hash = record.hash.clone();
+        chain.next += 1;
+        chain.unstored.push(record);
+    }
+
+    /// Records that are not stored yet.
+    pub fn unstored(&self) -> u64 {
+        self.own().unstored.len() as u64
+    }
+
+    /// Records of one request that this daemon has, its own and copies of others'.
+    pub fn records_of(&self, request: &str) -> Vec<Record> {
+        let is_asked = |record: &&Record| &*record.request == request;
+        let own = self.own();
+        let copies = self.copies();
+        let copied = copies.iter().flat_map(|segment| &segment.records);
+        own.unstored.iter().chain(copied).filter(is_asked).cloned().collect()
+    }
+
+    /// Grants of one epoch that this daemon has, its own and copies of others'.
+    pub fn grants_of(&self, epoch: u64) -> Vec<Record> {
+        let is_asked = |record: &&Record| match &record.event {
+            Event::Granted(grant) => grant.epoch == epoch,
+            _ => false,
+        };
+        let own = self.own();
+        let copies = self.copies();
+        let copied = copies.iter().flat_map(|segment| &segment.records);
+        own.unstored.iter().chain(copied).filter(is_asked).cloned().collect()
+    }
+
+    /// Takes copies of another daemon's records, and forgets those that are stored.
+    pub fn hold(&self, held: Held) {
+        let Held { segment, stored } = held;
+        let mut copies = self.copies();
+        let found = copies
+            .iter_mut()
+            .find(|one| one.instance == segment.instance && one.incarnation == segment.incarnation);
+        match found {
+            Some(known) => merge(known, segment, stored),
+            None => copies.push(segment),
+        }
+    }
+
+    fn own(&self) -> MutexGuard<'_, Chain> {
+        self.own.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn copies(&self) -> MutexGuard<'_, Vec<Segment>> {
+        self.copies.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The next unstored records as a segment, if there are any.
+    fn next_segment(&self) -> Option<Segment> {
+        let chain = self.own();
+        let count = chain.unstored.len().min(SEGMENT_RECORDS);
+        (count > 0).then(|| Segment {
+            instance: chain.instance.clone(),
+            incarnation: chain.incarnation,
+            previous: chain.stored_hash.clone(),
+            records: chain.unstored[..count].to_vec(),
+        })
+    }
+
+    fn note_stored(&self, segment: &Segment) {
+        let Some(last) = segment.records.last() else { return };
+        let mut chain = self.own();
+        chain.unstored.retain(|record| record.number > last.number);
+        chain.stored_hash = last.hash.clone();
+        chain.copied = chain.copied.max(last.number);
+    }
+
+    /// Records that no other daemon has yet.
+    fn next_copy(&self) -> Option<Held> {
+        let chain = self.own();
+        let stored = chain.next - 1 - chain.unstored.len() as u64;
+        let start = chain.unstored.partition_point(|record| record.number <= chain.copied);
+        let new = &chain.unstored[start..];
+        if new.is_empty() {
+            return None;
+        }
+        let previous = match start {
+            0 => chain.stored_hash.clone(),
+            _ => chain.unstored[start - 1].hash.clone(),
+        };
+        let segment = Segment {
+            instance: chain.instance.clone(),
+            incarnation: chain.incarnation,
+            previous,
+            records: new.iter().take(COPY_RECORDS).cloned().collect(),
+        };
+        Some(Held { segment, stored })
+    }
+
+    fn note_copied(&self, last: u64) {
+        let mut chain = self.own();
+        chain.copied = chain.copied.max(last);
+    }
+
+    /// Forgets what was copied, after the daemon that held the copies has gone.
+    fn copy_again(&self) {
+        self.own().copied = 0;
+    }
+}
+
+/// Adds records that follow the known ones, and drops those that are stored.
+fn merge(known: &mut Segment, mut new: Segment, stored: u64) {
+    let last = known.records.last().map_or(0, |record| record.number);
+    new.records.retain(|record| record.number > last);
+    if known.records.is_empty() {
+        known.previous = new.previous;
+    }
+    known.records.append(&mut new.records);
+    let gone = known.records.partition_point(|record| record.number <= stored);
+    if gone > 0 {
+        known.previous = known.records[gone - 1].hash.clone();
+        known.records.drain(..gone);
+    }
+}
+
+/// Copies and stores records for as long as the daemon runs.
+pub async fn run(daemon: Arc<Daemon>) {
+    let mut stored_at = Instant::now();
+    let mut holder: Option<Instance> = None;
+    loop {
+        timer::sleep(COPY_PERIOD).await;
+        copy(&daemon, &mut holder).await;
+        daemon.metrics.unstored_records.set(daemon.ledger.unstored() as i64);
+        let is_due = stored_at.elapsed() >= STORE_PERIOD
+            || daemon.ledger.unstored() >= SEGMENT_RECORDS as u64;
+        if is_due {
+            stored_at = Instant::now();
+            store_all(&daemon).await;
+            store_orphans(&daemon).await;
+        }
+    }
+}
+
+/// Copies new records to the daemon that holds this one's copies.
+async fn copy(daemon: &Daemon, holder: &mut Option<Instance>) {
+    let chosen = choose_holder(daemon);
+    if chosen.as_ref().map(|one| &one.name) != holder.as_ref().map(|one| &one.name) {
+        daemon.ledger.copy_again();
+        *holder = chosen;
+    }
+    let Some(holder) = holder else { return };
+    let Some(Held { segment, stored }) = daemon.ledger.next_copy() else { return };
+    let last = segment.records.last().map_or(0, |record| record.number);
+    let held = daemon.peers.call(holder.address, COPY_TIMEOUT, async move |peer, context| {
+        peer.hold_records(context, segment, stored).await
+    });
+    if held.await.is_ok() {
+        daemon.ledger.note_copied(last);
+    }
+}
+
+fn choose_holder(daemon: &Daemon) -> Option<Instance> {
+    let own = &daemon.identity.instance;
+    let roster = daemon.register.roster();
+    let suspects = daemon.suspects.names();
+    let ranked = rendezvous::rank(own, &roster.instances);
+    let others = ranked.into_iter().filter(|one| one.name != *own);
+    others.into_iter().find(|one| !suspects.contains(&one.name)).cloned()
+}
+
+/// Writes all unstored records; answers whether none is left.
+pub async fn store_all(daemon: &Daemon) -> bool {
+    while let Some(segment) = daemon.ledger.next_segment() {
+        if let Err(err) = store(daemon, &segment).await {
+            warn!("event=ledger_store_failed error=\"{err}\"");
+            return false;
+        }
+        daemon.ledger.note_stored(&segment);
+    }
+    true
+}
+
+async fn store(daemon: &Daemon, segment: &Segment) -> Result<()> {
+    let Some(first) = segment.records.first() else { return Ok(()) };
+    let name = segment_name(&segment.instance, segment.incarnation, first.number);
+    let packed = Packed::new(segment)?;
+    match daemon.store.create(Kind::Segments, &name, packed.clone()).await {
+        Ok(_) => Ok(()),
+        Err(Fault::Conflict | Fault::Lost(_)) => settle(daemon, &name, &packed).await,
+        Err(fault) => Err(fault.to_error()),
+    }
+}
+
+/// Finds out whether a segment of this name holds what was to be written, and writes it if not.
+async fn settle(daemon: &Daemon, name: &str, packed: &Packed) -> Result<()> {
+    let found: std::result::Result<Object<Packed>, Fault> =
+        daemon.store.get(Kind::Segments, name).await;
+    match found {
+        Ok(object) if object.spec.last >= packed.last => Ok(()),
+        Ok(object) => {
+            // A shorter segment was written before, and its answer was lost.
+            let object = Object { metadata: object.metadata, spec: packed.clone() };
+            let updated = daemon.store.update(Kind::Segments, &object).await;
+            updated.map(drop).map_err(|fault| fault.to_error())
+        }
+        Err(fault) => Err(fault.to_error()),
+    }
+}
+
+fn segment_name(instance: &str, incarnation: u64, first: u64) -> String {
+    format!("{instance}.{incarnation:x}.{first:012}")
+}
+
+/// Writes the copies of processes that have gone without storing their records.
+async fn store_orphans(daemon: &Daemon) {
+    for segment in orphans(daemon).await {
+        match store(daemon, &segment).await {
+            Ok(()) => {
+                info!(
+                    "event=ledger_copy_stored instance={} records={}",
+                    segment.instance,
+                    segment.records.len()
+                );
+                daemon.ledger.copies().retain(|one| {
+                    (&one.instance, one.incarnation) != (&segment.instance, segment.incarnation)
+                });
+            }
+            Err(err) => warn!("event=ledger_store_failed error=\"{err}\""),
+        }
+    }
+}
+
+async fn orphans(daemon: &Daemon) -> Vec<Segment> {
+    let roster = daemon.register.roster();
+    let copies = daemon.ledger.copies().clone();
+    let mut found = Vec::new();
+    for segment in copies.into_iter().filter(|one| !one.records.is_empty()) {
+        let is_entry = |one: &&Instance| one.role == Role::Entry && one.name == segment.instance;
+        let is_orphan = match roster.instances.iter().find(is_entry) {
+            None => true,
+            Some(listed) => is_replaced(daemon, listed, &segment).await,
+        };
+        if is_orphan {
+            found.push(segment);
+        }
+    }
+    found
+}
+
+/// Whether the instance now runs a later process than the one that wrote the segment.
+async fn is_replaced(daemon: &Daemon, listed: &Instance, segment: &Segment) -> bool {
+    let status = daemon
+        .peers
+        .call(listed.address, COPY_TIMEOUT, async move |peer, context| peer.status(context).await);
+    status.await.is_ok_and(|status| status.incarnation > segment.incarnation)
+}
+
+/// Reads the stored segments whose names start with `prefix`: an instance, or one of its
+/// incarnations.
+///
+/// # Errors
+/// The platform does not answer, or an object is damaged.
+pub async fn read_stored(daemon: &Daemon, prefix: &str) -> Result<Vec<Segment>> {
+    let list = daemon.store.list::<Packed>(Kind::Segments, prefix).await;
+    let list = list.map_err(|fault| fault.to_error())?;
+    list.items.iter().map(|object| object.spec.unpack()).collect()
+}
+
+/// Records of one request from every daemon and from the platform, in order of time.
+///
+/// Where the platform does not answer, what the daemons hold is given all the same.
+pub async fn gather(daemon: &Daemon, request: &str) -> Vec<Record> {
+    let mut records = gather_held(daemon, request).await;
+    let Ok(id) = request.parse::<id::Request>() else { return records };
+    let entry_chain = format!("{}.{:x}.", id.instance, id.incarnation);
+    let mut segments = read_stored(daemon, &entry_chain).await.unwrap_or_default();
+    for owner in owners(&records, &segments, request) {
+        let prefix = format!("{owner}.");
+        segments.extend(read_stored(daemon, &prefix).await.unwrap_or_default());
+    }
+    let stored = segments.into_iter().flat_map(|segment| segment.records);
+    records.extend(stored.filter(|record| &*record.request == request));
+    in_order(records)
+}
+
+/// Records of one request that daemons hold in memory.
+async fn gather_held(daemon: &Daemon, request: &str) -> Vec<Record> {
+    let mut records = daemon.ledger.records_of(request);
+    for one in other_daemons(daemon) {
+        let name: Arc<str> = request.into();
+        let asked = daemon.peers.call(one.address, COPY_TIMEOUT, async move |peer, context| {
+            peer.records_of(context, name).await
+        });
+        records.extend(asked.await.unwrap_or_default());
+    }
+    records
+}
+
+fn other_daemons(daemon: &Daemon) -> Vec<Instance> {
+    let roster = daemon.register.roster();
+    let own = &daemon.identity.instance;
+    let others = roster.instances.iter();
+    others.filter(|one| one.role == Role::Entry && one.name != *own).cloned().collect()
+}
+
+/// Daemons that decided on a request.
+fn owners(held: &[Record], segments: &[Segment], request: &str) -> Vec<Arc<str>> {
+    let stored = segments.iter().flat_map(|segment| &segment.records);
+    let owner_of = |record: &Record| match &record.event {
+        Event::Granted(grant) if &*record.request == request => Some(grant.owner.clone()),
+        _ => None,
+    };
+    let mut owners: Vec<Arc<str>> = held.iter().chain(stored).filter_map(owner_of).collect();
+    owners.sort();
+    owners.dedup();
+    owners
+}
+
+fn in_order(mut records: Vec<Record>) -> Vec<Record> {
+    records.sort_by(|a, b| (a.at_ms, &a.hash).cmp(&(b.at_ms, &b.hash)));
+    records.dedup_by(|a, b| a.hash == b.hash);
+    records
+}
+
+/// Grants that an owner gave in one epoch up to a number, the last `count` of them.
+pub async fn grants_up_to(daemon: &Daemon, grant: &Grant, count: usize) -> Vec<Record> {
+    let mut records = daemon.ledger.grants_of(grant.epoch);
+    for one in other_daemons(daemon) {
+        let epoch = grant.epoch;
+        let asked = daemon.peers.call(one.address, COPY_TIMEOUT, async move |peer, context| {
+            peer.grants_of(context, epoch).await
+        });
+        records.extend(asked.await.unwrap_or_default());
+    }
+    let stored = read_stored(daemon, &format!("{}.", grant.owner)).await.unwrap_or_default();
+    records.extend(stored.into_iter().flat_map(|segment| segment.records));
+    let number = |record: &Record| match &record.event {
+        Event::Granted(one) if one.epoch == grant.epoch && one.number <= grant.number => one.number,
+        _ => 0,
+    };
+    records.retain(|record| number(record) > 0);
+    records.sort_by_key(number);
+    records.dedup_by_key(|record| number(record));
+    records.split_off(records.len().saturating_sub(count))
+}
--- /dev/null
+++ b/crates/ffw-control/src/lib.rs
@@ -0,0 +1,18 @@
+//! State of a daemon, and the controllers that keep it: membership, configuration, ownership of
+//! shards, sweeps of abandoned work, orders to engines, the ledger and service-level burn.
+
+pub mod admission;
+pub mod calls;
+pub mod change;
+pub mod claim;
+pub mod daemon;
+pub mod identity;
+pub mod ledger;
+pub mod metrics;
+pub mod order;
+pub mod owner;
+pub mod relay;
+pub mod report;
+pub mod snapshot;
+pub mod suspect;
+pub mod sweep;
--- /dev/null
+++ b/crates/ffw-control/src/metrics.rs
@@ -0,0 +1,126 @@
+//! Counters and gauges for prometheus.
+
+use {
+    prometheus::{
+        Encoder as _, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+        Registry, TextEncoder,
+    },
+    std::sync::Arc,
+};
+
+/// All metrics of a daemon.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    registry: Registry,
+    /// Requests that ended, by service and result code.
+    pub requests: IntCounterVec,
+    /// Time from arrival to the first token, in seconds, by service.
+    pub first_token: HistogramVec,
+    /// Mean time between tokens of an answer, in seconds, by service.
+    pub between_tokens: HistogramVec,
+    /// Prompt tokens whose prefill was thrown away, by service.
+    pub wasted_prefill: IntCounterVec,
+    /// Prompt tokens whose prefill was used, by service.
+    pub used_prefill: IntCounterVec,
+    /// Attempts that were started again after an engine failed, by service.
+    pub retries: IntCounterVec,
+    /// Requests in flight at this entry.
+    pub open: IntGauge,
+    /// Number of the configuration version in force.
+    pub config_version: IntGauge,
+    /// Requests in the queue of a shard that this daemon owns.
+    pub waiting: IntGaugeVec,
+    /// Places held of a shard that this daemon owns.
+    pub held: IntGaugeVec,
+    /// Ledger records that are not stored yet.
+    pub unstored_records: IntGauge,
+    /// Burn rate in thousandths, by service, customer and window.
+    pub burn_rate: IntGaugeVec,
+}
+
+impl Metrics {
+    /// Registers all metrics.
+    ///
+    /// # Errors
+    /// A name is taken or malformed.
+    pub fn new() -> Result<Metrics, prometheus::Error> {
+        let registry = Registry::new();
+        let counter = |name: &str, help: &str, labels: &[&str]| {
+            let made = IntCounterVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(made.clone()))?;
+            Ok::<_, prometheus::Error>(made)
+        };
+        let gauges = |name: &str, help: &str, labels: &[&str]| {
+            let made = IntGaugeVec::new(Opts::new(name, help), labels)?;
+            registry.register(Box::new(made.clone()))?;
+            Ok::<_, prometheus::Error>(made)
+        };
+        let gauge = |name: &str, help: &str| {
+            let made = IntGauge::new(name, help)?;
+            registry.register(Box::new(made.clone()))?;
+            Ok::<_, prometheus::Error>(made)
+        };
+        let histogram = |name: &str, help: &str, buckets: &[f64]| {
+            let options = HistogramOpts::new(name, help).buckets(buckets.to_vec());
+            let made = HistogramVec::new(options, &["service"])?;
+            registry.register(Box::new(made.clone()))?;
+            Ok::<_, prometheus::Error>(made)
+        };
+        Ok(Metrics {
+            requests: counter(
+                "fireflyworks_requests_total",
+                "Requests that ended",
+                &["service", "result"],
+            )?,
+            first_token: histogram(
+                "fireflyworks_first_token_seconds",
+                "Time from arrival to the first token",
+                &[0.05, 0.1, 0.2, 0.4, 0.71, 1.0, 2.0, 5.0, 15.0, 60.0],
+            )?,
+            between_tokens: histogram(
+                "fireflyworks_between_tokens_seconds",
+                "Mean time between tokens of an answer",
+                &[0.005, 0.01, 0.02, 0.04, 0.063, 0.1, 0.2, 0.5],
+            )?,
+            wasted_prefill: counter(
+                "fireflyworks_wasted_prefill_tokens_total",
+                "Prompt tokens whose prefill was thrown away",
+                &["service"],
+            )?,
+            used_prefill: counter(
+                "fireflyworks_used_prefill_tokens_total",
+                "Prompt tokens whose prefill was used",
+                &["service"],
+            )?,
+            retries: counter(
+                "fireflyworks_retries_total",
+                "Attempts started again after a backend server failed",
+                &["service"],
+            )?,
+            open: gauge("fireflyworks_open_requests", "Requests in flight at this entry")?,
+            config_version: gauge("fireflyworks_config_version", "Configuration in force")?,
+            waiting: gauges("fireflyworks_queue_waiting", "Requests in the queue", &["pool"])?,
+            held: gauges("fireflyworks_places_held", "Places held", &["pool"])?,
+            unstored_records: gauge(
+                "fireflyworks_ledger_unstored_records",
+                "Ledger records that are not stored yet",
+            )?,
+            burn_rate: gauges(
+                "fireflyworks_burn_rate_thousandths",
+                "Burn rate of the error budget, in thousandths",
+                &["service", "customer", "window"],
+            )?,
+            registry,
+        })
+    }
+
+    /// All metrics in prometheus's text format.
+    pub fn text(&self) -> Arc<str> {
+        let mut buffer = Vec::new();
+        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut buffer);
+        encoded.map_or_else(
+            |err| format!("# {err}\n").into(),
+            |()| String::from_utf8_lossy(&buffer).into(),
+        )
+    }
+}
--- /dev/null
+++ b/crates/ffw-control/src/order.rs
@@ -0,0 +1,185 @@
+//! Orders to engines: a leased controller makes each engine of a pool serve the declared model.
+//!
+//! The intent is written under the controller's fencing number before the order goes out, so that a
+//! holder that lost its lease is refused by the platform even where engines ignore the number. The
+//! wanted state is read back and asserted again, so that a late order of an old holder does not
+//! last.
+
+use {
+    crate::{daemon::Daemon, identity},
+    ffw_backend::engine::{self, Loaded, Order},
+    ffw_decide::lease::{self, Attempt, Lease, Seen, Tracker},
+    ffw_platform::{
+        fault::{Fault, Result},
+        store::{Kind, Metadata, Object},
+    },
+    ffw_protocol::{
+        declaration::{Model, Pool, PoolKind},
+        instance::{Instance, Role},
+    },
+    ffw_runtime::timer,
+    log::{info, warn},
+    serde::{Deserialize, Serialize},
+    std::sync::Arc,
+};
+
+/// Name of the lease object.
+const LEASE: &str = "orders";
+
+/// What an engine is to serve, written before it is told.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Intent {
+    /// Fencing number of the holder.
+    pub fence: u64,
+    /// Model.
+    pub model: Arc<str>,
+    /// Version of the model.
+    pub version: Arc<str>,
+    /// Whether the engine has confirmed.
+    pub is_confirmed: bool,
+}
+
+/// Holds the lease when it can, and gives orders while it does.
+pub async fn run(daemon: Arc<Daemon>) {
+    let identity = &daemon.identity;
+    let mut tracker = Tracker::new(identity.instance.clone(), identity.incarnation);
+    loop {
+        timer::sleep(lease::RENEW_PERIOD).await;
+        if daemon.is_draining() {
+            return;
+        }
+        if !daemon.is_ready() || !has_engines(&daemon) {
+            continue;
+        }
+        renew(&daemon, &mut tracker).await;
+        if tracker.fence(identity::now()).is_some() {
+            assert_orders(&daemon, &tracker).await;
+        }
+    }
+}
+
+fn has_engines(daemon: &Daemon) -> bool {
+    let snapshot = daemon.register.config();
+    snapshot.is_some_and(|one| one.deployment.pools.iter().any(|p| p.kind == PoolKind::Engines))
+}
+
+async fn renew(daemon: &Daemon, tracker: &mut Tracker) {
+    let began = identity::now();
+    let name = format!("{}-{LEASE}", daemon.deployment);
+    if tracker.fence(began).is_none() {
+        let read: Result<Object<Lease>> = daemon.store.get(Kind::Leases, &name).await;
+        match read {
+            Ok(object) => tracker.note_read(began, Some(seen(object))),
+            Err(Fault::NotFound) => tracker.note_read(began, None),
+            Err(_) => return,
+        }
+    }
+    let written = match tracker.attempt(began) {
+        None => return,
+        Some(Attempt::Create(lease)) => daemon.store.create(Kind::Leases, &name, lease).await,
+        Some(Attempt::Replace(resource_version, lease)) => {
+            let metadata = Metadata { name: name.into(), resource_version };
+            daemon.store.update(Kind::Leases, &Object { metadata, spec: lease }).await
+        }
+    };
+    match written {
+        Ok(object) => {
+            let is_new = tracker.fence(began).is_none();
+            tracker.note_written(began, seen(object));
+            if is_new {
+                info!("event=lease_acquired name={LEASE} fence={:?}", tracker.fence(began));
+            }
+        }
+        Err(fault) => {
+            // Whatever happened to the write, the next round reads the object again.
+            tracker.forget();
+            warn!("event=lease_not_renewed name={LEASE} error=\"{fault}\"");
+        }
+    }
+}
+
+fn seen(object: Object<Lease>) -> Seen {
+    Seen { lease: object.spec, resource: object.metadata.resource_version }
+}
+
+async fn assert_orders(daemon: &Daemon, tracker: &Tracker) {
+    let Some(snapshot) = daemon.register.config() else { return };
+    let roster = daemon.register.roster();
+    for engine in roster.instances.iter() {
+        if !matches!(engine.role, Role::Prefill | Role::Decode) || !engine.is_live() {
+            continue;
+        }
+        let pool = snapshot.deployment.pool(&engine.pool);
+        let model = pool.and_then(|pool| pool.model.as_ref());
+        let model = model.and_then(|name| snapshot.deployment.model(name));
+        let (Some(pool), Some(model)) = (pool, model) else { continue };
+        if let Err(err) = assert_one(daemon, tracker, engine, pool, model).await {
+            warn!("event=order_failed server={} error=\"{err}\"", engine.name);
+        }
+        if tracker.fence(identity::now()).is_none() {
+            return;
+        }
+    }
+}
+
+async fn assert_one(
+    daemon: &Daemon,
+    tracker: &Tracker,
+    server: &Instance,
+    pool: &Pool,
+    model: &Model,
+) -> std::result::Result<(), String> {
+    let Ok(loaded) = engine::loaded(server.address).await else {
+        return Err("the engine does not answer".into());
+    };
+    if is_wanted(&loaded, model) {
+        return Ok(());
+    }
+    let Some(fence) = tracker.fence(identity::now()) else { return Ok(()) };
+    let (name, version) = (model.name.clone(), model.version.clone());
+    let intent =
+        Intent { fence, model: name.clone(), version: version.clone(), is_confirmed: false };
+    let object = write_intent(daemon, &server.name, intent).await?;
+    // The last look at the clock before the order goes out.
+    if tracker.fence(identity::now()).is_none() {
+        return Ok(());
+    }
+    let ordered = engine::order(server.address, &Order { fence, model: name, version }).await;
+    ordered.map_err(|fault| fault.to_string())?;
+    let loaded = engine::loaded(server.address).await.map_err(|fault| fault.to_string())?;
+    if !is_wanted(&loaded, model) {
+        return Err("the engine serves something else after the order".into());
+    }
+    info!(
+        "event=order_confirmed server={} pool={} model={} version={} fence={fence}",
+        server.name, pool.name, model.name, model.version
+    );
+    let spec = Intent { is_confirmed: true, ..object.spec };
+    let confirmed = Object { metadata: object.metadata, spec };
+    daemon.store.update(Kind::Orders, &confirmed).await.map(drop).map_err(|err| err.to_string())
+}
+
+fn is_wanted(loaded: &Loaded, model: &Model) -> bool {
+    loaded.model == model.name && loaded.version == model.version
+}
+
+/// Writes an intent unless a later holder has written one.
+async fn write_intent(
+    daemon: &Daemon,
+    server: &str,
+    intent: Intent,
+) -> std::result::Result<Object<Intent>, String> {
+    let found: Result<Object<Intent>> = daemon.store.get(Kind::Orders, server).await;
+    let written = match found {
+        Ok(object) if object.spec.fence > intent.fence => {
+            return Err(format!("a later holder wrote fence {}", object.spec.fence));
+        }
+        Ok(object) => {
+            let object = Object { metadata: object.metadata, spec: intent };
+            daemon.store.update(Kind::Orders, &object).await
+        }
+        Err(Fault::NotFound) => daemon.store.create(Kind::Orders, server, intent).await,
+        Err(fault) => Err(fault),
+    };
+    written.map_err(|fault| fault.to_string())
+}
--- /dev/null
+++ b/crates/ffw-control/src/owner.rs
@@ -0,0 +1,417 @@
+//! Shards that this daemon owns: it runs their decisions and carries out what they order.
+
+use {
+    crate::{daemon::Daemon, identity, ledger::Subject},
+    ffw_backend::engine,
+    ffw_decide::{baseline::Policy, rendezvous, shard},
+    ffw_peer::service::{Renewed, ShardStatus},
+    ffw_protocol::{
+        admission::{Ask, Attempt, Basis, Cause, Refusal, Release, Renewal, Server, Verdict},
+        instance::{Instance, Role},
+        ledger::Event,
+        time::Moment,
+    },
+    ffw_runtime::{executor, timer},
+    log::{debug, error, info, warn},
+    smol::channel::{self, Receiver, Sender},
+    std::{
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+};
+
+/// Longest pause between two steps of a shard.
+const STEP_PERIOD: Duration = Duration::from_millis(100);
+
+/// Shortest pause between two steps of a shard.
+const STEP_MIN: Duration = Duration::from_millis(1);
+
+/// A gap between two steps above this means that the process was paused: others may have decided
+/// in the meantime.
+const PAUSE_LIMIT: Duration = Duration::from_millis(1_000);
+
+/// Time after the last renewal for which a daemon that is not the first choice keeps a shard.
+const LINGER_TIME: Duration = Duration::from_secs(2);
+
+/// Delay before a cancel is tried again: the first and the longest.
+const CANCEL_DELAY: Duration = Duration::from_millis(100);
+const CANCEL_DELAY_MAX: Duration = Duration::from_secs(2);
+
+/// Shards of this daemon, in order of pool.
+#[derive(Debug, Default)]
+pub struct Host {
+    hosted: Mutex<Vec<Arc<Hosted>>>,
+    own_words: Mutex<Vec<Arc<str>>>,
+}
+
+/// One shard that this daemon owns.
+#[derive(Debug)]
+pub struct Hosted {
+    /// Pool of the shard.
+    pub pool: Arc<str>,
+    state: Mutex<State>,
+    wake: Sender<()>,
+}
+
+#[derive(Debug)]
+struct State {
+    shard: shard::Shard,
+    waiters: Vec<Waiter>,
+    stepped_at: Moment,
+    renewed_at: Moment,
+}
+
+#[derive(Debug)]
+struct Waiter {
+    subject: Subject,
+    verdict: Sender<Verdict>,
+}
+
+impl Host {
+    /// Shards at this moment.
+    pub fn shards(&self) -> Vec<Arc<Hosted>> {
+        self.lock().clone()
+    }
+
+    /// State of each shard, for operators.
+    pub fn status(&self) -> Vec<ShardStatus> {
+        let of_shard = |hosted: &Arc<Hosted>| {
+            let state = hosted.lock();
+            ShardStatus {
+                pool: hosted.pool.clone(),
+                waiting: state.shard.waiting().len() as u32,
+                held: state.shard.held() as u32,
+            }
+        };
+        self.shards().iter().map(of_shard).collect()
+    }
+
+    /// Backend servers that have said themselves that they leave.
+    pub fn own_words(&self) -> Vec<Arc<str>> {
+        self.own_words.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Notes what a backend server says of itself.
+    pub fn note_own_word(&self, server: &Arc<str>, is_leaving: bool) {
+        let mut words = self.own_words.lock().unwrap_or_else(PoisonError::into_inner);
+        words.retain(|one| one != server);
+        if is_leaving {
+            words.push(server.clone());
+        }
+    }
+
+    fn find(&self, pool: &str) -> Option<Arc<Hosted>> {
+        let hosted = self.lock();
+        let at = hosted.binary_search_by(|one| (*one.pool).cmp(pool)).ok()?;
+        Some(hosted[at].clone())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<Arc<Hosted>>> {
+        self.hosted.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Hosted {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Changes the shard and lets it decide.
+    pub fn change(&self, change: impl FnOnce(&mut shard::Shard)) {
+        change(&mut self.lock().shard);
+        self.wake.try_send(()).ok();
+    }
+
+    /// Whether the shard knows the attempt.
+    pub fn holds(&self, attempt: &Attempt) -> bool {
+        self.lock().shard.holds(attempt)
+    }
+}
+
+/// Whether this daemon is the first choice for a pool's shard, passing over suspects.
+pub fn is_owner(daemon: &Daemon, pool: &str, suspects: &[Arc<str>]) -> bool {
+    if daemon.policy == Policy::FixedSplit {
+        return true;
+    }
+    let mut passed = passed_over(daemon);
+    passed.extend_from_slice(suspects);
+    target(daemon, pool, &passed).is_none_or(|one| one.name == daemon.identity.instance)
+}
+
+/// Daemons that this one passes over in the order of ownership.
+pub fn passed_over(daemon: &Daemon) -> Vec<Arc<str>> {
+    let mut names = daemon.suspects.names();
+    if daemon.is_draining() {
+        names.push(daemon.identity.instance.clone());
+    }
+    names
+}
+
+/// The owner of a pool's shard as this daemon sees it; none if no daemon is left.
+pub fn target(daemon: &Daemon, pool: &str, passed: &[Arc<str>]) -> Option<Instance> {
+    let roster = daemon.register.roster();
+    rendezvous::owner(pool, &roster.instances, passed).cloned()
+}
+
+/// Waits for the decision on an ask.
+pub async fn admit(
+    daemon: &Arc<Daemon>,
+    pool: &Arc<str>,
+    suspects: &[Arc<str>],
+    ask: Ask,
+) -> Verdict {
+    if !is_owner(daemon, pool, suspects) {
+        let cause = if daemon.is_draining() { Cause::Draining } else { Cause::NotOwner };
+        return refusal(cause);
+    }
+    let Some(hosted) = host(daemon, pool) else {
+        return refusal(Cause::NoBackend);
+    };
+    let attempt = ask.attempt.clone();
+    let receiver = hosted.enqueue(ask);
+    let _withdrawal = Withdrawal { hosted: hosted.clone(), attempt };
+    receiver.recv().await.unwrap_or_else(|_| refusal(Cause::NotOwner))
+}
+
+fn refusal(cause: Cause) -> Verdict {
+    let retry_after = Duration::from_millis(200);
+    Verdict::Refusal(Refusal { cause, retry_after, basis: Basis::default() })
+}
+
+impl Hosted {
+    fn enqueue(&self, ask: Ask) -> Receiver<Verdict> {
+        let (sender, receiver) = channel::bounded(1);
+        let mut state = self.lock();
+        let subject = Subject {
+            attempt: ask.attempt.clone(),
+            customer: ask.customer.clone(),
+            service: ask.service.clone(),
+        };
+        state.waiters.push(Waiter { subject, verdict: sender });
+        state.shard.ask(identity::now(), ask);
+        drop(state);
+        self.wake.try_send(()).ok();
+        receiver
+    }
+}
+
+/// Takes an ask out of the queue if its caller stops waiting.
+struct Withdrawal {
+    hosted: Arc<Hosted>,
+    attempt: Attempt,
+}
+
+impl Drop for Withdrawal {
+    fn drop(&mut self) {
+        let mut state = self.hosted.lock();
+        state.waiters.retain(|one| one.subject.attempt != self.attempt);
+        state.shard.withdraw(&self.attempt);
+    }
+}
+
+/// Takes an entry's renewal over.
+pub fn renew(daemon: &Arc<Daemon>, renewal: &Renewal) -> Renewed {
+    let config = daemon.register.config_number();
+    let is_draining = daemon.is_draining();
+    let refused = Renewed { is_owner: false, is_draining, config };
+    if !is_owner(daemon, &renewal.pool, &renewal.suspects) {
+        return refused;
+    }
+    let Some(hosted) = host(daemon, &renewal.pool) else {
+        return refused;
+    };
+    hosted.lock().renewed_at = identity::now();
+    hosted.change(|shard| shard.renew(identity::now(), renewal));
+    Renewed { is_owner: true, is_draining, config }
+}
+
+/// The shard of a pool; starts to own it if need be.
+fn host(daemon: &Arc<Daemon>, pool: &Arc<str>) -> Option<Arc<Hosted>> {
+    if let Some(hosted) = daemon.host.find(pool) {
+        return Some(hosted);
+    }
+    let settings = settings(daemon, pool)?;
+    let mut all = daemon.host.lock();
+    let at = match all.binary_search_by(|one| one.pool.cmp(pool)) {
+        Ok(at) => return Some(all[at].clone()),
+        Err(at) => at,
+    };
+    let now = identity::now();
+    let epoch = identity::unix_ms() * 1_000;
+    let mut shard = shard::Shard::new(now, daemon.identity.instance.clone(), epoch, settings);
+    shard.set_members(&members(daemon, pool));
+    let (wake, woken) = channel::bounded(1);
+    let state = Mutex::new(State { shard, waiters: Vec::new(), stepped_at: now, renewed_at: now });
+    let hosted = Arc::new(Hosted { pool: pool.clone(), state, wake });
+    all.insert(at, hosted.clone());
+    info!("event=shard_owned pool={pool} epoch={epoch}");
+    executor::detach(run(daemon.clone(), hosted.clone(), woken));
+    Some(hosted)
+}
+
+fn settings(daemon: &Daemon, pool: &str) -> Option<shard::Settings> {
+    let snapshot = daemon.register.config()?;
+    let declared = snapshot.deployment.pool(pool)?;
+    let mut settings = snapshot.shard_settings(declared);
+    if daemon.policy == Policy::FixedSplit {
+        split(daemon, &mut settings);
+    }
+    Some(settings)
+}
+
+/// Reduces the settings to this entry's fixed share, for the baseline.
+fn split(daemon: &Daemon, settings: &mut shard::Settings) {
+    let roster = daemon.register.roster();
+    let daemons = roster.instances.iter().filter(|one| one.role == Role::Entry && one.is_live());
+    let names: Vec<Arc<str>> = daemons.map(|one| one.name.clone()).collect();
+    let own = &daemon.identity.instance;
+    settings.slots = ffw_decide::baseline::share(settings.slots, &names, own);
+    let count = names.len().max(1) as u32;
+    settings.prefill_rate /= count;
+    settings.link_rate /= count;
+}
+
+fn members(daemon: &Daemon, pool: &str) -> shard::Members {
+    let words = daemon.host.own_words();
+    shard::Members {
+        prefills: daemon.register.members(pool, Role::Prefill, &words),
+        decodes: daemon.register.members(pool, Role::Decode, &words),
+    }
+}
+
+async fn run(daemon: Arc<Daemon>, hosted: Arc<Hosted>, woken: Receiver<()>) {
+    while is_owner(&daemon, &hosted.pool, &[]) || has_work(&hosted) {
+        refresh(&daemon, &hosted);
+        let wake_at = step(&daemon, &hosted);
+        let pause = wake_at.since(identity::now()).clamp(STEP_MIN, STEP_PERIOD);
+        let _ = timer::timeout(pause, woken.recv()).await;
+        if daemon.is_draining() && !is_owner(&daemon, &hosted.pool, &[]) {
+            break;
+        }
+    }
+    hand_over(&daemon, &hosted);
+}
+
+/// Whether somebody who can't reach the first choice still uses this daemon.
+fn has_work(hosted: &Hosted) -> bool {
+    let state = hosted.lock();
+    !state.waiters.is_empty() || identity::now().since(state.renewed_at) < LINGER_TIME
+}
+
+fn refresh(daemon: &Daemon, hosted: &Hosted) {
+    let Some(settings) = settings(daemon, &hosted.pool) else { return };
+    let members = members(daemon, &hosted.pool);
+    let roster = daemon.register.roster();
+    let daemons = roster.instances.iter().filter(|one| one.role == Role::Entry);
+    let names: Vec<Arc<str>> = daemons.map(|one| one.name.clone()).collect();
+    let mut state = hosted.lock();
+    state.shard.configure(settings);
+    state.shard.set_members(&members);
+    // An empty list is a list that was not read yet; a daemon may also not see itself listed yet.
+    if names.contains(&daemon.identity.instance) {
+        state.shard.retain_entries(&names);
+    }
+}
+
+fn step(daemon: &Arc<Daemon>, hosted: &Arc<Hosted>) -> Moment {
+    let now = identity::now();
+    let mut state = hosted.lock();
+    if now.since(state.stepped_at) > PAUSE_LIMIT {
+        warn!(
+            "event=pause_noticed pool={} ms={}",
+            hosted.pool,
+            now.since(state.stepped_at).as_millis()
+        );
+        state.shard.unsettle(now);
+    }
+    state.stepped_at = now;
+    let effects = state.shard.step(now);
+    if let Err(rule) = state.shard.check() {
+        error!("event=invariant_broken pool={} rule=\"{rule}\"", hosted.pool);
+        debug_assert!(false, "{rule}");
+    }
+    let wake_at = state.shard.wake_at();
+    daemon
+        .metrics
+        .waiting
+        .with_label_values(&[&*hosted.pool])
+        .set(state.shard.waiting().len() as i64);
+    daemon.metrics.held.with_label_values(&[&*hosted.pool]).set(state.shard.held() as i64);
+    for effect in effects {
+        carry_out(daemon, hosted, &mut state, effect);
+    }
+    wake_at
+}
+
+fn carry_out(daemon: &Arc<Daemon>, hosted: &Arc<Hosted>, state: &mut State, effect: shard::Effect) {
+    match effect {
+        shard::Effect::Answer(attempt, verdict) => answer(daemon, state, &attempt, verdict),
+        shard::Effect::Cancel(attempt, servers) => {
+            executor::detach(cancel(daemon.clone(), hosted.clone(), attempt, servers));
+        }
+    }
+}
+
+fn answer(daemon: &Daemon, state: &mut State, attempt: &Attempt, verdict: Verdict) {
+    let at = state.waiters.iter().position(|one| one.subject.attempt == *attempt);
+    let waiter = at.map(|at| state.waiters.swap_remove(at));
+    let subject = waiter.as_ref().map(|one| one.subject.clone());
+    let event = match &verdict {
+        Verdict::Grant(grant) => Event::Granted(grant.clone()),
+        Verdict::Refusal(refusal) => Event::Refused(refusal.clone()),
+    };
+    let is_grant = matches!(verdict, Verdict::Grant(_));
+    let delivered = waiter.is_some_and(|one| one.verdict.try_send(verdict).is_ok());
+    if let Some(subject) = subject.filter(|_| delivered) {
+        daemon.ledger.note(&subject, event);
+    } else if is_grant {
+        // Nobody waits any more, so nothing was started.
+        let release = Release { attempt: attempt.clone(), emitted: 0, confirmed: true };
+        let entry = attempt.request.instance.clone();
+        let renewal = Renewal { entry, releases: vec![release], ..Renewal::default() };
+        state.shard.renew(identity::now(), &renewal);
+    }
+}
+
+/// Cancels an abandoned attempt at its engines until each has confirmed or left the list.
+async fn cancel(daemon: Arc<Daemon>, hosted: Arc<Hosted>, attempt: Attempt, servers: Vec<Server>) {
+    for server in &servers {
+        cancel_at(&daemon, &attempt, server).await;
+    }
+    hosted.change(|shard| shard.confirm_cancel(identity::now(), &attempt));
+}
+
+/// Cancels an attempt at one engine until it has confirmed or left the list.
+pub async fn cancel_at(daemon: &Daemon, attempt: &Attempt, server: &Server) {
+    let name = engine::attempt_name(attempt);
+    let mut failures = 0;
+    loop {
+        match engine::cancel(server.address, &name).await {
+            Ok(()) => return debug!("event=cancelled attempt={name} server={}", server.name),
+            Err(fault) => {
+                warn!("event=cancel_failed attempt={name} server={} error=\"{fault}\"", server.name)
+            }
+        }
+        let roster = daemon.register.roster();
+        if !roster.instances.iter().any(|one| one.name == server.name) {
+            return;
+        }
+        failures += 1;
+        timer::sleep(ffw_decide::retry::delay(failures, CANCEL_DELAY, CANCEL_DELAY_MAX)).await;
+    }
+}
+
+/// Gives the queue back to the entries; running places stay with them and their next owner.
+fn hand_over(daemon: &Daemon, hosted: &Arc<Hosted>) {
+    daemon.host.lock().retain(|one| one.pool != hosted.pool);
+    let mut state = hosted.lock();
+    let cause = if daemon.is_draining() { Cause::Draining } else { Cause::NotOwner };
+    for effect in state.shard.give_up(cause) {
+        if let shard::Effect::Answer(attempt, verdict) = effect {
+            let waiter = state.waiters.iter().find(|one| one.subject.attempt == attempt);
+            waiter.map(|one| one.verdict.try_send(verdict));
+        }
+    }
+    state.waiters.clear();
+    info!("event=shard_left pool={}", hosted.pool);
+}
--- /dev/null
+++ b/crates/ffw-control/src/report.rs
@@ -0,0 +1,109 @@
+//! Reads what engines report: load, cache events, and whether they mean to leave.
+
+use {
+    crate::{daemon::Daemon, identity, owner::Hosted},
+    ffw_backend::engine,
+    ffw_decide::baseline::Policy,
+    ffw_protocol::instance::{Instance, Role},
+    ffw_runtime::{executor, timer},
+    std::{
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
+};
+
+/// Period of the reports.
+const PERIOD: Duration = Duration::from_millis(500);
+
+/// Load of each engine as last reported, for the baselines; in order of name.
+static REPORTED: Mutex<Vec<Reported>> = Mutex::new(Vec::new());
+
+#[derive(Clone, Debug)]
+struct Reported {
+    server: Arc<str>,
+    load: u64,
+}
+
+/// Reads reports for as long as the daemon runs.
+pub async fn run(daemon: Arc<Daemon>) {
+    let mut cursors: Vec<Cursor> = Vec::new();
+    loop {
+        timer::sleep(PERIOD).await;
+        let roster = daemon.register.roster();
+        let engines =
+            roster.instances.iter().filter(|one| matches!(one.role, Role::Prefill | Role::Decode));
+        let shards = daemon.host.shards();
+        let mut reads = Vec::new();
+        for engine in engines {
+            let hosted = shards.iter().find(|one| one.pool == engine.pool);
+            if hosted.is_none() && daemon.policy == Policy::Owner {
+                continue;
+            }
+            let after = cursor(&mut cursors, &engine.name);
+            let read = read(daemon.clone(), hosted.cloned(), engine.clone(), after);
+            reads.push(executor::spawn(read));
+        }
+        for read in reads {
+            let Cursor { server, after } = read.await;
+            set_cursor(&mut cursors, server, after);
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Cursor {
+    server: Arc<str>,
+    after: u64,
+}
+
+fn cursor(cursors: &mut [Cursor], server: &Arc<str>) -> u64 {
+    let found = cursors.binary_search_by(|one| one.server.cmp(server));
+    found.map_or(0, |at| cursors[at].after)
+}
+
+fn set_cursor(cursors: &mut Vec<Cursor>, server: Arc<str>, after: u64) {
+    match cursors.binary_search_by(|one| one.server.cmp(&server)) {
+        Ok(at) => cursors[at].after = after,
+        Err(at) => cursors.insert(at, Cursor { server, after }),
+    }
+}
+
+async fn read(
+    daemon: Arc<Daemon>,
+    hosted: Option<Arc<Hosted>>,
+    server: Instance,
+    after: u64,
+) -> Cursor {
+    if let Ok(load) = engine::load(server.address).await {
+        daemon.host.note_own_word(&server.name, load.leaving);
+        note_reported(&server.name, u64::from(load.running) + u64::from(load.queued_tokens));
+        if let Some(hosted) = &hosted {
+            hosted.change(|shard| shard.note_load(identity::now(), &server.name, load.running));
+        }
+    }
+    let mut cursor = Cursor { server: server.name.clone(), after };
+    let Some(hosted) = hosted.filter(|_| server.role == Role::Prefill) else { return cursor };
+    let Ok(events) = engine::cache_events(server.address, after).await else { return cursor };
+    cursor.after = events.last().map_or(after, |event| event.number);
+    hosted.change(|shard| {
+        for event in &events {
+            shard.note_cached(&server.name, event.prefix, event.stored);
+        }
+    });
+    cursor
+}
+
+fn note_reported(server: &Arc<str>, load: u64) {
+    let mut reported = REPORTED.lock().unwrap_or_else(PoisonError::into_inner);
+    match reported.binary_search_by(|one| one.server.cmp(server)) {
+        Ok(at) => reported[at].load = load,
+        Err(at) => reported.insert(at, Reported { server: server.clone(), load }),
+    }
+}
+
+/// Load of an engine as last reported; 0 if it never was.
+pub fn reported(_daemon: &Daemon, server: &str) -> u64 {
+    let reported = REPORTED.lock().unwrap_or_else(PoisonError::into_inner);
+    let found = reported.binary_search_by(|one| (*one.server).cmp(server));
+    found.map_or(0, |at| reported[at].load)
+}
--- /dev/null
+++ b/crates/ffw-control/src/snapshot.rs
@@ -0,0 +1,177 @@
+//! What the path of a request reads without a lock: the configuration in force and the instance
+//! list, replaced as a whole.
+
+use {
+    arc_swap::{ArcSwap, ArcSwapOption},
+    ffw_decide::{config, order::Floor, shard},
+    ffw_peer::service::Roster,
+    ffw_protocol::{
+        admission,
+        config::Version,
+        declaration::{Customer, Deployment, Pool, Service},
+        instance::{Instance, Role},
+    },
+    log::{error, info},
+    std::{
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
+};
+
+/// A configuration version, parsed.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Snapshot {
+    /// The version with its account.
+    pub version: Version,
+    /// Hash of the version.
+    pub hash: Arc<str>,
+    /// Its declaration.
+    pub deployment: Deployment,
+    /// Indices of the customers, in order of their keys' digests.
+    by_key: Vec<usize>,
+}
+
+impl Snapshot {
+    /// Parses a version.
+    ///
+    /// # Errors
+    /// What is wrong with its declaration, in words.
+    pub fn new(version: Version) -> Result<Snapshot, String> {
+        let deployment = version.deployment().map_err(|problems| {
+            problems.iter().map(ToString::to_string).collect::<Vec<_>>().join("; ")
+        })?;
+        let mut by_key: Vec<usize> = (0..deployment.customers.len()).collect();
+        by_key.sort_by(|a, b| {
+            let digest = |index: &usize| &deployment.customers[*index].key_sha256;
+            digest(a).cmp(digest(b))
+        });
+        Ok(Snapshot { hash: version.hash(), deployment, version, by_key })
+    }
+
+    /// The customer whose key has this digest.
+    pub fn customer_of_key(&self, digest: &str) -> Option<&Customer> {
+        let customers = &self.deployment.customers;
+        let found =
+            self.by_key.binary_search_by(|index| (*customers[*index].key_sha256).cmp(digest));
+        found.ok().map(|at| &customers[self.by_key[at]])
+    }
+
+    /// Settings of a pool's shard.
+    pub fn shard_settings(&self, pool: &Pool) -> shard::Settings {
+        let classes = self.deployment.classes.iter();
+        shard::Settings {
+            slots: pool.slots,
+            pieces: pool.pieces,
+            piece_tokens: pool.piece_tokens,
+            prefill_rate: pool.prefill_rate,
+            link_rate: pool.link_rate,
+            token_time: Duration::from_millis(u64::from(pool.token_ms)),
+            result_life: Duration::from_millis(u64::from(pool.result_ms)),
+            floors: classes.map(|class| Floor { rank: class.rank, share: class.floor }).collect(),
+        }
+    }
+
+    /// The service through which a customer reaches a model.
+    pub fn service_of_model(&self, allowed: &[Arc<str>], model: &str) -> Option<&Service> {
+        let services = allowed.iter().filter_map(|name| self.deployment.service(name));
+        let serves = |service: &&Service| {
+            let pool = self.deployment.pool(&service.pool);
+            pool.and_then(|pool| pool.model.as_deref()) == Some(model)
+        };
+        services.into_iter().find(serves)
+    }
+}
+
+/// The shared state.
+#[derive(Debug, Default)]
+pub struct Register {
+    config: ArcSwapOption<Snapshot>,
+    roster: ArcSwap<Roster>,
+    write: Mutex<()>,
+}
+
+impl Register {
+    /// The configuration in force.
+    pub fn config(&self) -> Option<Arc<Snapshot>> {
+        self.config.load_full()
+    }
+
+    /// Number of the configuration in force; 0 if there is none.
+    pub fn config_number(&self) -> u64 {
+        self.config.load().as_ref().map_or(0, |snapshot| snapshot.version.number)
+    }
+
+    /// Takes a version over if it is newer; answers whether it was.
+    pub fn offer(&self, version: Version) -> bool {
+        let _write = self.write.lock().unwrap_or_else(PoisonError::into_inner);
+        let known = self.config.load_full();
+        if !config::supersedes(known.as_ref().map(|one| &one.version), &version) {
+            return false;
+        }
+        let (number, change) = (version.number, version.change.clone());
+        match Snapshot::new(version) {
+            Ok(snapshot) => {
+                self.config.store(Some(Arc::new(snapshot)));
+                info!("event=config_in_force version={number} change={change}");
+                true
+            }
+            Err(problems) => {
+                error!("event=config_unusable version={number} problems=\"{problems}\"");
+                false
+            }
+        }
+    }
+
+    /// The instance list.
+    pub fn roster(&self) -> Arc<Roster> {
+        self.roster.load_full()
+    }
+
+    /// Takes an instance list over if it is newer; answers whether it was.
+    pub fn offer_roster(&self, mut roster: Roster) -> bool {
+        let _write = self.write.lock().unwrap_or_else(PoisonError::into_inner);
+        if roster.version <= self.roster.load().version {
+            return false;
+        }
+        roster.instances.sort_by(|a, b| a.name.cmp(&b.name));
+        self.roster.store(Arc::new(roster));
+        true
+    }
+
+    /// Changes one instance of the list, as a watch of the platform reports it.
+    pub fn note_instance(&self, version: u64, name: &str, instance: Option<Instance>) {
+        let _write = self.write.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut roster = Roster::clone(&self.roster.load());
+        if version <= roster.version {
+            return;
+        }
+        roster.version = version;
+        match (roster.instances.binary_search_by(|one| (*one.name).cmp(name)), instance) {
+            (Ok(at), Some(instance)) => roster.instances[at] = instance,
+            (Ok(at), None) => drop(roster.instances.remove(at)),
+            (Err(at), Some(instance)) => roster.instances.insert(at, instance),
+            (Err(_), None) => {}
+        }
+        self.roster.store(Arc::new(roster));
+    }
+
+    /// Whether a backend server takes no new work: by the list, an operator, or its own word.
+    pub fn is_leaving(&self, instance: &Instance, own_words: &[Arc<str>]) -> bool {
+        let drained = self.config.load();
+        let is_drained =
+            drained.as_ref().is_some_and(|one| one.version.drained.contains(&instance.name));
+        !instance.is_live() || is_drained || own_words.contains(&instance.name)
+    }
+
+    /// Members of a pool in one role.
+    pub fn members(&self, pool: &str, role: Role, own_words: &[Arc<str>]) -> Vec<shard::Member> {
+        let roster = self.roster.load();
+        let of_pool = roster.instances.iter().filter(|one| one.role == role && &*one.pool == pool);
+        of_pool
+            .map(|one| shard::Member {
+                server: admission::Server { name: one.name.clone(), address: one.address },
+                leaving: self.is_leaving(one, own_words),
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/ffw-control/src/suspect.rs
@@ -0,0 +1,74 @@
+//! Daemons that did not answer in time. A suspect is passed over in the order of ownership until a
+//! probe reaches it again.
+
+use {
+    crate::daemon::Daemon,
+    ffw_runtime::{executor, timer},
+    log::{info, warn},
+    std::{
+        net::SocketAddr,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+};
+
+/// Period between two probes of a suspect.
+const PROBE_PERIOD: Duration = Duration::from_millis(300);
+
+/// Time for the answer to a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Names of the suspects.
+#[derive(Debug, Default)]
+pub struct List {
+    names: Mutex<Vec<Arc<str>>>,
+}
+
+impl List {
+    /// The names, in order.
+    pub fn names(&self) -> Vec<Arc<str>> {
+        self.lock().clone()
+    }
+
+    fn insert(&self, name: &Arc<str>) -> bool {
+        let mut names = self.lock();
+        match names.binary_search(name) {
+            Ok(_) => false,
+            Err(at) => {
+                names.insert(at, name.clone());
+                true
+            }
+        }
+    }
+
+    fn remove(&self, name: &Arc<str>) {
+        self.lock().retain(|one| one != name);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<Arc<str>>> {
+        self.names.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Suspects a daemon until a probe reaches it or it has left the instance list.
+pub fn suspect(daemon: &Arc<Daemon>, name: &Arc<str>, address: SocketAddr) {
+    if !daemon.suspects.insert(name) {
+        return;
+    }
+    warn!("event=peer_suspected peer={name}");
+    let (daemon, name) = (daemon.clone(), name.clone());
+    executor::detach(async move {
+        loop {
+            timer::sleep(PROBE_PERIOD).await;
+            let is_listed = daemon.register.roster().instances.iter().any(|one| one.name == name);
+            let probe = daemon.peers.call(address, PROBE_TIMEOUT, async move |peer, context| {
+                peer.status(context).await
+            });
+            if !is_listed || probe.await.is_ok_and(|status| !status.is_draining) {
+                break;
+            }
+        }
+        daemon.suspects.remove(&name);
+        info!("event=peer_cleared peer={name}");
+    });
+}
--- /dev/null
+++ b/crates/ffw-control/src/sweep.rs
@@ -0,0 +1,107 @@
+//! Ends engine work that nobody owns: the owner of a shard compares what the engines hold with its
+//! own places, and asks the entry of each unknown attempt whether it is still the entry's.
+
+use {
+    crate::{daemon::Daemon, owner, owner::Hosted},
+    ffw_backend::engine,
+    ffw_protocol::{
+        admission::{Attempt, Server},
+        instance::{Instance, Role},
+    },
+    ffw_runtime::timer,
+    log::info,
+    std::{sync::Arc, time::Duration},
+};
+
+/// Period of the sweep. An attempt is cancelled when two sweeps in a row find it abandoned.
+const PERIOD: Duration = Duration::from_secs(1);
+
+/// Time for an entry to say what it does not own.
+const ASK_TIMEOUT: Duration = Duration::from_millis(500);
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+struct Suspicion {
+    server: Arc<str>,
+    attempt: Attempt,
+}
+
+/// Sweeps for as long as the daemon runs.
+pub async fn run(daemon: Arc<Daemon>) {
+    let mut before: Vec<Suspicion> = Vec::new();
+    loop {
+        timer::sleep(PERIOD).await;
+        let mut found = Vec::new();
+        for hosted in daemon.host.shards() {
+            // Whoever is not the owner cancels nothing.
+            if !owner::is_owner(&daemon, &hosted.pool, &[]) {
+                continue;
+            }
+            found.extend(sweep_shard(&daemon, &hosted, &before).await);
+        }
+        found.sort();
+        before = found;
+    }
+}
+
+async fn sweep_shard(
+    daemon: &Arc<Daemon>,
+    hosted: &Arc<Hosted>,
+    before: &[Suspicion],
+) -> Vec<Suspicion> {
+    let roster = daemon.register.roster();
+    let engines = roster
+        .instances
+        .iter()
+        .filter(|one| one.pool == hosted.pool && matches!(one.role, Role::Prefill | Role::Decode));
+    let mut found = Vec::new();
+    for server in engines {
+        for attempt in abandoned(daemon, hosted, server).await {
+            let suspicion = Suspicion { server: server.name.clone(), attempt };
+            if before.binary_search(&suspicion).is_ok() {
+                end(daemon, server, &suspicion.attempt).await;
+            }
+            found.push(suspicion);
+        }
+    }
+    found
+}
+
+async fn end(daemon: &Daemon, server: &Instance, attempt: &Attempt) {
+    let name = engine::attempt_name(attempt);
+    info!("event=sweep_cancel attempt={name} server={}", server.name);
+    let target = Server { name: server.name.clone(), address: server.address };
+    let cancelling = owner::cancel_at(daemon, attempt, &target);
+    let _ = timer::timeout(Duration::from_secs(3), cancelling).await;
+}
+
+/// Attempts that hold memory of an engine and that nobody owns.
+async fn abandoned(daemon: &Arc<Daemon>, hosted: &Arc<Hosted>, server: &Instance) -> Vec<Attempt> {
+    let Ok(held) = engine::held(server.address).await else { return Vec::new() };
+    let attempts = held.iter().filter_map(|one| engine::parse_attempt(&one.request_id));
+    let unknown: Vec<Attempt> = attempts.filter(|attempt| !hosted.holds(attempt)).collect();
+    let mut entries: Vec<Arc<str>> =
+        unknown.iter().map(|attempt| attempt.request.instance.clone()).collect();
+    entries.sort();
+    entries.dedup();
+    let mut found = Vec::new();
+    for entry in entries {
+        let own: Vec<Attempt> =
+            unknown.iter().filter(|one| one.request.instance == entry).cloned().collect();
+        found.extend(disowned(daemon, &entry, own).await);
+    }
+    found
+}
+
+async fn disowned(daemon: &Arc<Daemon>, entry: &str, attempts: Vec<Attempt>) -> Vec<Attempt> {
+    if *entry == *daemon.identity.instance {
+        return daemon.desk.disowned(attempts);
+    }
+    let roster = daemon.register.roster();
+    let listed = roster.instances.iter().find(|one| &*one.name == entry);
+    let Some(listed) = listed else { return attempts };
+    let asked = daemon.peers.call(listed.address, ASK_TIMEOUT, async move |peer, context| {
+        peer.disowned(context, attempts).await
+    });
+    // An entry that can't be reached may still stream: it keeps what it has.
+    asked.await.unwrap_or_default()
+}
--- /dev/null
+++ b/crates/ffw-decide/src/estimate.rs
@@ -0,0 +1,98 @@
+//! Prediction of the wait of a request in the queue, to refuse it as soon as its deadline can't be
+//! met any more.
+
+use std::{sync::Arc, time::Duration};
+
+/// Work that a waiting request brings.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Load {
+    /// Rank of its class.
+    pub rank: u8,
+    /// Its customer.
+    pub customer: Arc<str>,
+    /// Weight of the customer.
+    pub weight: u32,
+    /// Time that it will hold a decode slot.
+    pub hold: Duration,
+    /// Time that it will take of a prefill server.
+    pub prefill: Duration,
+}
+
+/// Sizes of a shard.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Capacity {
+    /// Decode slots over all live servers.
+    pub slots: u32,
+    /// Live prefill servers.
+    pub prefills: u32,
+    /// Time until the next slot is free.
+    pub next_slot: Duration,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Sum {
+    hold: f64,
+    prefill: f64,
+}
+
+impl Sum {
+    fn add(&mut self, load: &Load, share: f64) {
+        self.hold += load.hold.as_secs_f64() * share;
+        self.prefill += load.prefill.as_secs_f64() * share;
+    }
+}
+
+/// Time until the request at `index` starts, if the queue is served in the order of `queue` within
+/// each customer, by weight between customers and by rank between classes.
+pub fn wait(queue: &[Load], index: usize, capacity: &Capacity) -> Duration {
+    let ahead = work_ahead(queue, index);
+    let by_slots = ahead.hold / f64::from(capacity.slots.max(1));
+    let by_prefill = ahead.prefill / f64::from(capacity.prefills.max(1));
+    capacity.next_slot + Duration::from_secs_f64(by_slots.max(by_prefill))
+}
+
+fn work_ahead(queue: &[Load], index: usize) -> Sum {
+    let own = &queue[index];
+    let mut higher = Sum::default();
+    let mut earlier = Sum::default();
+    for (at, load) in queue.iter().enumerate() {
+        if load.rank < own.rank {
+            higher.add(load, 1.0);
+        } else if load.rank == own.rank && load.customer == own.customer && at < index {
+            earlier.add(load, 1.0);
+        }
+    }
+    let rivals = rival_work(queue, own, &earlier);
+    Sum {
+        hold: higher.hold + earlier.hold + rivals.hold,
+        prefill: higher.prefill + earlier.prefill + rivals.prefill,
+    }
+}
+
+/// Work of other customers of the class that will be served in the meantime: no more than they
+/// have waiting, and no more than their weight gives them beside the request's own customer.
+fn rival_work(queue: &[Load], own: &Load, earlier: &Sum) -> Sum {
+    let own_hold = earlier.hold + own.hold.as_secs_f64();
+    let mut budgets: Vec<Budget> = Vec::new();
+    let mut total = Sum::default();
+    for load in queue.iter().filter(|one| one.rank == own.rank && one.customer != own.customer) {
+        let at = match budgets.binary_search_by(|one| one.customer.cmp(&load.customer)) {
+            Ok(at) => at,
+            Err(at) => {
+                let left = own_hold * f64::from(load.weight) / f64::from(own.weight.max(1));
+                budgets.insert(at, Budget { customer: load.customer.clone(), left });
+                at
+            }
+        };
+        let hold = load.hold.as_secs_f64();
+        let share = (budgets[at].left / hold.max(1e-9)).clamp(0.0, 1.0);
+        budgets[at].left -= hold * share;
+        total.add(load, share);
+    }
+    total
+}
+
+struct Budget {
+    customer: Arc<str>,
+    left: f64,
+}
--- /dev/null
+++ b/crates/ffw-decide/src/shard/place.rs
@@ -0,0 +1,229 @@
+//! Places: what a granted attempt holds, and the search for one.
+
+use {
+    super::{
+        Settings,
+        server::{Decode, Prefill},
+    },
+    crate::arena::{Arena, Key},
+    ffw_protocol::{
+        admission::{Ask, Phase},
+        time::Moment,
+    },
+    std::time::Duration,
+};
+
+/// How far ahead of its start a prefill may be granted.
+pub const START_HORIZON: Duration = Duration::from_millis(20);
+
+/// What a granted attempt holds until it is released.
+#[derive(Clone, Debug)]
+pub struct Place {
+    /// The ask that was granted.
+    pub ask: Ask,
+    /// Prefill server; none if it has left the shard.
+    pub prefill: Option<Key<Prefill>>,
+    /// Decode server.
+    pub decode: Key<Decode>,
+    /// Pieces reserved at the decode server.
+    pub pieces: u32,
+    /// Step that it is in.
+    pub phase: Phase,
+    /// Output tokens so far.
+    pub emitted: u32,
+    /// When its prefill was to start.
+    pub start: Moment,
+    /// When its prefill is to end.
+    pub prefill_end: Moment,
+    /// When its transfer is to end.
+    pub transfer_end: Moment,
+    /// When its entry was last heard of it.
+    pub heard: Moment,
+    /// When the place is given up if its entry stays silent.
+    pub expires: Moment,
+    /// When the place was granted or taken over.
+    pub since: Moment,
+    /// Full renewals of its entry in a row that did not list it.
+    pub missed: u8,
+    /// Tokens charged to the customer so far.
+    pub charged: f64,
+    /// Its cancel has been ordered and is not confirmed yet.
+    pub cancelling: bool,
+}
+
+impl Place {
+    /// When its slot is free at the latest, at the server's pace.
+    pub fn predicted_end(&self, pace: f64) -> Moment {
+        let left = self.ask.tokens_out.saturating_sub(self.emitted);
+        let base = if self.phase == Phase::Decode { self.heard } else { self.transfer_end };
+        base + Duration::from_secs_f64(f64::from(left) * pace)
+    }
+}
+
+/// A place that a search found.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// Prefill server.
+    pub prefill: Key<Prefill>,
+    /// Decode server.
+    pub decode: Key<Decode>,
+    /// Pieces to reserve.
+    pub pieces: u32,
+    /// When the prefill starts.
+    pub start: Moment,
+    /// When it ends.
+    pub prefill_end: Moment,
+    /// When the transfer ends.
+    pub transfer_end: Moment,
+    /// Prompt tokens thought to be cached.
+    pub cached: u32,
+    /// Free slots of the decode server before.
+    pub slots_free: u32,
+}
+
+/// Why a search found none.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Blocked {
+    /// A place is predicted for this moment.
+    Until(Moment),
+    /// Slots are free, but no server has memory enough.
+    Memory(Moment),
+    /// No server is live.
+    NoServer,
+}
+
+/// Searches the pair of servers at which the attempt's decode would start first.
+///
+/// # Errors
+/// Why there is none now.
+pub fn search(
+    now: Moment,
+    ask: &Ask,
+    settings: &Settings,
+    prefills: &Arena<Prefill>,
+    decodes: &Arena<Decode>,
+    places: &Arena<Place>,
+) -> Result<Plan, Blocked> {
+    let pieces = settings.pieces_of(ask);
+    let mut best: Option<Plan> = None;
+    let mut blocked = Blocked::NoServer;
+    let live = prefills.iter().filter(|(_, one)| !one.leaving);
+    let Some((prefill, work)) = live
+        .map(|one| (one.0, Work::of(ask, settings, one.1)))
+        .min_by_key(|(_, work)| work.end(now))
+    else {
+        return Err(Blocked::NoServer);
+    };
+    for (decode, server) in decodes.iter().filter(|(_, one)| !one.leaving) {
+        let room = room(now, server, pieces, settings, places);
+        let result = match room {
+            Room::At(at) => fit(now, at.max(server.link_free_at), &work, settings),
+            Room::Never => Err(Moment::NEVER),
+        };
+        match result {
+            Ok(start) => {
+                let prefill_end = start + work.span;
+                let transfer_start = prefill_end.max(server.link_free_at);
+                let plan = Plan {
+                    prefill,
+                    decode,
+                    pieces,
+                    start,
+                    prefill_end,
+                    transfer_end: transfer_start + settings.transfer_time(ask.tokens_in),
+                    cached: work.cached,
+                    slots_free: server.slots_free(settings.slots),
+                };
+                if best.is_none_or(|other| is_better(&plan, &other)) {
+                    best = Some(plan);
+                }
+            }
+            Err(at) => {
+                let lacks_memory = server.slots_free(settings.slots) > 0
+                    && server.pieces + pieces > settings.pieces;
+                blocked = sooner(blocked, at, lacks_memory);
+            }
+        }
+    }
+    best.ok_or(blocked)
+}
+
+fn is_better(plan: &Plan, other: &Plan) -> bool {
+    (plan.transfer_end, std::cmp::Reverse(plan.slots_free))
+        < (other.transfer_end, std::cmp::Reverse(other.slots_free))
+}
+
+fn sooner(blocked: Blocked, at: Moment, lacks_memory: bool) -> Blocked {
+    let (known, memory) = match blocked {
+        Blocked::NoServer => (Moment::NEVER, true),
+        Blocked::Until(known) => (known, false),
+        Blocked::Memory(known) => (known, true),
+    };
+    let at = at.min(known);
+    if memory && lacks_memory { Blocked::Memory(at) } else { Blocked::Until(at) }
+}
+
+struct Work {
+    free_at: Moment,
+    span: Duration,
+    cached: u32,
+}
+
+impl Work {
+    fn of(ask: &Ask, settings: &Settings, server: &Prefill) -> Work {
+        let leading = server.hints.leading(&ask.prefix) as u32;
+        // The last piece is always computed: its end gives the first token.
+        let cached = (leading * settings.piece_tokens).min(ask.tokens_in.saturating_sub(1));
+        let span = settings.prefill_time(ask.tokens_in - cached).mul_f64(server.slowness);
+        Work { free_at: server.free_at, span, cached }
+    }
+
+    fn end(&self, now: Moment) -> Moment {
+        self.free_at.max(now) + self.span
+    }
+}
+
+/// The start at which the prefill's end meets `ready`, if it is near enough.
+fn fit(now: Moment, ready: Moment, work: &Work, settings: &Settings) -> Result<Moment, Moment> {
+    let earliest = work.free_at.max(now);
+    let latest_end = ready - settings.result_wait();
+    let start = earliest.max(latest_end - work.span);
+    if start <= now + START_HORIZON { Ok(start) } else { Err(start - START_HORIZON) }
+}
+
+enum Room {
+    At(Moment),
+    Never,
+}
+
+/// When the server has a slot and the memory, counting on the ends that are due first.
+fn room(
+    now: Moment,
+    server: &Decode,
+    pieces: u32,
+    settings: &Settings,
+    places: &Arena<Place>,
+) -> Room {
+    let slots = i64::from(settings.slots) - i64::from(server.foreign) - server.places.len() as i64;
+    let memory = i64::from(settings.pieces) - i64::from(server.pieces);
+    let needed = i64::from(pieces);
+    if slots > 0 && memory >= needed {
+        return Room::At(now);
+    }
+    let mut ends: Vec<(Moment, u32)> = server
+        .places
+        .iter()
+        .filter_map(|key| places.get(*key))
+        .map(|place| (place.predicted_end(server.pace), place.pieces))
+        .collect();
+    ends.sort_unstable();
+    let (mut slots, mut memory) = (slots, memory);
+    for (end, freed) in ends {
+        slots += 1;
+        memory += i64::from(freed);
+        if slots > 0 && memory >= needed {
+            return Room::At(end.max(now));
+        }
+    }
+    Room::Never
+}
--- /dev/null
+++ b/crates/ffw-decide/src/shard/server.rs
@@ -0,0 +1,111 @@
+//! Backend servers of a shard, with what is reserved at each.
+
+use {
+    super::place::Place,
+    crate::{arena::Key, cache::Hints},
+    ffw_protocol::{admission, time::Moment},
+    std::time::Duration,
+};
+
+/// Weight of a new sample in a moving average.
+const SAMPLE_WEIGHT: f64 = 0.2;
+
+/// Span over which releases may still show in a lagging load report.
+const REPORT_LAG: Duration = Duration::from_millis(1_000);
+
+/// A prefill server. It works through one prompt at a time.
+#[derive(Clone, Debug)]
+pub struct Prefill {
+    /// Name and address.
+    pub server: admission::Server,
+    /// Takes no new work.
+    pub leaving: bool,
+    /// When its reserved work ends.
+    pub free_at: Moment,
+    /// Prefixes that it is thought to have cached.
+    pub hints: Hints,
+    /// Measured time of a prefill over the predicted time.
+    pub slowness: f64,
+}
+
+impl Prefill {
+    /// An idle server.
+    pub fn new(server: admission::Server) -> Prefill {
+        Prefill {
+            server,
+            leaving: false,
+            free_at: Moment(0),
+            hints: Hints::default(),
+            slowness: 1.0,
+        }
+    }
+
+    /// Learns from a prefill that was predicted to take one time and took another.
+    pub fn learn(&mut self, predicted: Duration, taken: Duration) {
+        if predicted.is_zero() {
+            return;
+        }
+        let sample = (taken.as_secs_f64() / predicted.as_secs_f64()).clamp(0.5, 4.0);
+        let sample = sample * self.slowness;
+        self.slowness += (sample - self.slowness) * SAMPLE_WEIGHT;
+        self.slowness = self.slowness.clamp(0.5, 4.0);
+    }
+}
+
+/// A decode server.
+#[derive(Clone, Debug)]
+pub struct Decode {
+    /// Name and address.
+    pub server: admission::Server,
+    /// Takes no new work.
+    pub leaving: bool,
+    /// Places reserved at it.
+    pub places: Vec<Key<Place>>,
+    /// Pieces reserved at it.
+    pub pieces: u32,
+    /// When its link's reserved transfers end.
+    pub link_free_at: Moment,
+    /// Time between two tokens, in seconds.
+    pub pace: f64,
+    /// Slots that its load report shows beyond the places known here.
+    pub foreign: u32,
+    /// Moments of the latest releases, which a lagging report may not show yet.
+    pub released: Vec<Moment>,
+}
+
+impl Decode {
+    /// An idle server with a first guess of its pace.
+    pub fn new(server: admission::Server, pace: Duration) -> Decode {
+        Decode {
+            server,
+            leaving: false,
+            places: Vec::new(),
+            pieces: 0,
+            link_free_at: Moment(0),
+            pace: pace.as_secs_f64(),
+            foreign: 0,
+            released: Vec::new(),
+        }
+    }
+
+    /// Learns from `tokens` tokens that took `span`.
+    pub fn learn(&mut self, tokens: u32, span: Duration) {
+        let sample = span.as_secs_f64() / f64::from(tokens.max(1));
+        if sample < 1.0 {
+            self.pace += (sample - self.pace) * SAMPLE_WEIGHT;
+        }
+    }
+
+    /// Takes a load report over: what it shows beyond the known places and the latest releases
+    /// belongs to somebody else and is counted as taken.
+    pub fn note_load(&mut self, now: Moment, running: u32) {
+        self.released.retain(|at| now.since(*at) < REPORT_LAG);
+        let known = (self.places.len() + self.released.len()) as u32;
+        self.foreign = running.saturating_sub(known);
+    }
+
+    /// Slots that are neither reserved nor taken by others.
+    pub fn slots_free(&self, slots: u32) -> u32 {
+        slots.saturating_sub(self.places.len() as u32 + self.foreign)
+    }
+}
--- /dev/null
+++ b/crates/ffw-entry/src/filter/classify.rs
@@ -0,0 +1,93 @@
+//! Finds the service that a request is for: by its path, or by the model that it names.
+
+use {
+    crate::exchange::{Exchange, Route},
+    ffw_protocol::{
+        declaration::{PoolKind, Service},
+        error::{Error, Kind, Result},
+    },
+    http_types::Method,
+    std::sync::Arc,
+};
+
+/// Finds the route, and the service of a plain call.
+///
+/// # Errors
+/// [`Kind::NotFound`], [`Kind::UnknownService`] or [`Kind::Forbidden`].
+pub fn apply_path(exchange: &mut Exchange) -> Result<()> {
+    let path = exchange.path.clone();
+    if let Some(rest) = path.strip_prefix("/services/") {
+        return plain_route(exchange, rest);
+    }
+    if let Some(request) = path.strip_prefix("/v1/requests/") {
+        exchange.route = Route::Records { request: request.into() };
+        return Ok(());
+    }
+    exchange.route = match &*path {
+        "/v1/completions" => Route::Completion,
+        "/v1/chat/completions" => Route::Chat,
+        _ => return Err(Error::new(Kind::NotFound, format!("no such path: {path}"))),
+    };
+    if exchange.method != Method::Post {
+        return Err(Error::new(Kind::Malformed, format!("{path} takes POST")));
+    }
+    Ok(())
+}
+
+fn plain_route(exchange: &mut Exchange, rest: &str) -> Result<()> {
+    let (name, path) = rest.split_once('/').unwrap_or((rest, ""));
+    let name = name.split('?').next().unwrap_or(name);
+    let service = allowed_service(exchange, name)?.clone();
+    let snapshot = exchange.snapshot()?;
+    let pool = snapshot.deployment.pool(&service.pool);
+    if pool.is_none_or(|pool| pool.kind != PoolKind::Plain) {
+        let message = format!("service `{name}` is a model service; use /v1/completions");
+        return Err(Error::new(Kind::UnknownService, message));
+    }
+    exchange.service = Some(service);
+    exchange.route = Route::Plain { path: format!("/{path}").into() };
+    Ok(())
+}
+
+fn allowed_service<'a>(exchange: &'a Exchange, name: &str) -> Result<&'a Service> {
+    let deployment = &exchange.snapshot()?.deployment;
+    let service = deployment.service(name).ok_or_else(|| {
+        Error::new(Kind::UnknownService, format!("no service `{name}` is declared"))
+    })?;
+    let customer = exchange.customer()?;
+    if !customer.services.contains(&service.name) {
+        let message = format!("customer `{}` may not use service `{name}`", customer.name);
+        return Err(Error::new(Kind::Forbidden, message));
+    }
+    Ok(service)
+}
+
+/// Finds the service of a model call: the one that the caller names, or the first of the customer's
+/// that serves the model.
+///
+/// # Errors
+/// [`Kind::UnknownModel`], [`Kind::UnknownService`], [`Kind::Forbidden`] or [`Kind::TooLarge`].
+pub fn apply_model(exchange: &mut Exchange) -> Result<()> {
+    let Some(call) = exchange.call.clone() else { return Ok(()) };
+    let named: Option<Arc<str>> = exchange.header("fireflyworks-service").map(Into::into);
+    let service = match named {
+        Some(name) => allowed_service(exchange, &name)?,
+        None => service_of_model(exchange, &call.model)?,
+    };
+    if call.max_tokens.is_some_and(|most| most > service.max_output) {
+        let message =
+            format!("service `{}` answers at most {} tokens", service.name, service.max_output);
+        return Err(Error::new(Kind::TooLarge, message));
+    }
+    exchange.service = Some(service.clone());
+    Ok(())
+}
+
+fn service_of_model<'a>(exchange: &'a Exchange, model: &str) -> Result<&'a Service> {
+    let customer = exchange.customer()?;
+    let snapshot = exchange.snapshot()?;
+    snapshot.service_of_model(&customer.services, model).ok_or_else(|| {
+        let message = format!("no service of customer `{}` serves model `{model}`", customer.name);
+        Error::new(Kind::UnknownModel, message)
+    })
+}
--- /dev/null
+++ b/crates/ffw-entry/src/health.rs
@@ -0,0 +1,30 @@
+//! The second listener: liveness, readiness and metrics.
+
+use {
+    ffw_control::daemon::Daemon,
+    ffw_http::server::{self, Caller, Handle, Limits},
+    http_types::{Request, Response},
+    smol::net::TcpListener,
+    std::sync::Arc,
+};
+
+/// Serves until the handle stops.
+pub async fn serve(daemon: Arc<Daemon>, listener: TcpListener, handle: Handle) {
+    let handler = move |request: Request, _: Caller| {
+        let response = answer(&daemon, request.url().path());
+        async move { response }
+    };
+    server::serve(listener, Limits::default(), handle, handler).await;
+}
+
+fn answer(daemon: &Daemon, path: &str) -> Response {
+    let text = |status, body: &str| server::text_response(status, "text/plain", body);
+    match path {
+        "/livez" => text(200, "ok\n"),
+        "/readyz" if daemon.is_ready() => text(200, "ok\n"),
+        "/readyz" if daemon.is_draining() => text(503, "shutting down\n"),
+        "/readyz" => text(503, "no configuration is in force yet\n"),
+        "/metrics" => text(200, &daemon.metrics.text()),
+        _ => text(404, "not found\n"),
+    }
+}
--- /dev/null
+++ b/crates/ffw-http/src/client.rs
@@ -0,0 +1,145 @@
+//! One HTTP/1.1 call over one connection.
+//!
+//! Connections are not reused: a call that may run at most once must know whether its first byte
+//! was handed to a live connection, and a stale kept-alive connection can't tell.
+
+use {
+    crate::fault::Fault,
+    ffw_runtime::timer,
+    futures_lite::AsyncReadExt as _,
+    http_types::{Method, Request, Response, Url},
+    serde::{Serialize, de::DeserializeOwned},
+    smol::net::TcpStream,
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+};
+
+/// Time to wait for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
+
+/// Largest body that is read whole, in bytes.
+const MAX_BODY: u64 = 8 << 20;
+
+/// A call to make.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Server to connect to.
+    pub address: SocketAddr,
+    /// Method.
+    pub method: Method,
+    /// Path with query.
+    pub path: Arc<str>,
+    /// Headers besides those of the connection.
+    pub headers: Vec<Header>,
+    /// Body; empty for none.
+    pub body: Arc<[u8]>,
+    /// Time until the head of the answer, counted from the first byte sent.
+    pub limit: Duration,
+}
+
+/// A header line.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Header {
+    /// Name, in lower case.
+    pub name: Arc<str>,
+    /// Value.
+    pub value: Arc<str>,
+}
+
+impl Call {
+    /// A call without headers or body.
+    pub fn new(address: SocketAddr, method: Method, path: impl Into<Arc<str>>) -> Call {
+        let limit = Duration::from_secs(5);
+        Call { address, method, path: path.into(), headers: Vec::new(), body: Arc::new([]), limit }
+    }
+
+    /// The call with a JSON body.
+    pub fn json<T: Serialize>(mut self, value: &T) -> Call {
+        self.body = serde_json::to_vec(value).unwrap_or_default().into();
+        self.headers.push(Header { name: "content-type".into(), value: "application/json".into() });
+        self
+    }
+
+    /// The call with another time limit.
+    pub fn limit(mut self, limit: Duration) -> Call {
+        self.limit = limit;
+        self
+    }
+}
+
+/// Sends a call and waits for the head of the answer; the body is read by the caller.
+///
+/// # Errors
+/// A fault that says whether bytes of the request were handed over.
+pub async fn send(call: &Call) -> Result<Response, Fault> {
+    let request = build_request(call)?;
+    let connecting = timer::timeout(CONNECT_TIMEOUT, TcpStream::connect(call.address));
+    let stream = match connecting.await {
+        Some(Ok(stream)) => stream,
+        Some(Err(err)) => return Err(Fault::Unreached(err.to_string())),
+        None => return Err(Fault::Unreached("connecting timed out".into())),
+    };
+    stream.set_nodelay(true).ok();
+    match timer::timeout(call.limit, async_h1::connect(stream, request)).await {
+        Some(Ok(response)) => Ok(response),
+        Some(Err(err)) => Err(Fault::Broken(err.to_string())),
+        None => Err(Fault::Timeout(call.limit)),
+    }
+}
+
+fn build_request(call: &Call) -> Result<Request, Fault> {
+    let text = format!("http://{}{}", call.address, call.path);
+    let url = Url::parse(&text).map_err(|err| Fault::Unreached(format!("bad path: {err}")))?;
+    let mut request = Request::new(call.method, url);
+    for header in &call.headers {
+        request.insert_header(&*header.name, &*header.value);
+    }
+    request.insert_header("connection", "close");
+    if !call.body.is_empty() {
+        let mime = request.content_type();
+        request.set_body(call.body.to_vec());
+        if let Some(mime) = mime {
+            request.set_content_type(mime);
+        }
+    }
+    Ok(request)
+}
+
+/// Reads the whole body of an answer.
+///
+/// # Errors
+/// The body ended early, is too large, or did not come within `limit`.
+pub async fn read_body(response: &mut Response, limit: Duration) -> Result<Vec<u8>, Fault> {
+    let declared = response.len();
+    let mut bytes = Vec::new();
+    let reading = async {
+        let mut body = response.take_body().take(MAX_BODY + 1);
+        body.read_to_end(&mut bytes).await
+    };
+    match timer::timeout(limit, reading).await {
+        None => return Err(Fault::Timeout(limit)),
+        Some(Err(err)) => return Err(Fault::Broken(err.to_string())),
+        Some(Ok(_)) => {}
+    }
+    if bytes.len() as u64 > MAX_BODY {
+        return Err(Fault::Broken(format!("the answer is larger than {MAX_BODY} bytes")));
+    }
+    if declared.is_some_and(|length| length != bytes.len()) {
+        return Err(Fault::Broken("the answer ended early".into()));
+    }
+    Ok(bytes)
+}
+
+/// Sends a call and parses the JSON answer.
+///
+/// # Errors
+/// [`Fault::Refused`] for any status above 299; otherwise as [`send`] and [`read_body`].
+pub async fn fetch<T: DeserializeOwned>(call: &Call) -> Result<T, Fault> {
+    let mut response = send(call).await?;
+    let status: u16 = response.status().into();
+    let bytes = read_body(&mut response, call.limit).await?;
+    if status > 299 {
+        let message = String::from_utf8_lossy(&bytes).into_owned();
+        return Err(Fault::Refused { status, message });
+    }
+    serde_json::from_slice(&bytes).map_err(|err| Fault::Broken(err.to_string()))
+}
--- /dev/null
+++ b/crates/ffw-http/src/lib.rs
@@ -0,0 +1,6 @@
+//! HTTP/1.1 over smol by `async-h1`: one call over one connection, and a server loop with limits.
+
+pub mod client;
+pub mod fault;
+pub mod feed;
+pub mod server;
--- /dev/null
+++ b/crates/ffw-http/src/server.rs
@@ -0,0 +1,314 @@
+//! A server loop with limits: each connection is read, answered and closed within bounds, and a
+//! shutdown lets each request in flight come to its end.
+
+use {
+    ffw_protocol::error::{Error, Kind},
+    ffw_runtime::{executor, timer},
+    futures_lite::{AsyncRead, AsyncReadExt as _, AsyncWriteExt as _},
+    http_types::{Body, Method, Request, Response, StatusCode},
+    log::debug,
+    smol::net::{TcpListener, TcpStream},
+    std::{
+        future::Future,
+        io,
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicUsize, Ordering},
+        },
+        time::Duration,
+    },
+};
+
+/// Size of the buffer that an answer is copied through, in bytes.
+const COPY_BUFFER: usize = 16 << 10;
+
+/// Pause between two looks at a caller that has sent more than its request.
+const PEEK_PAUSE: Duration = Duration::from_millis(50);
+
+/// Pause after the listener has failed, for example for want of file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Bounds of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Time for the head of a request, on a fresh connection or between two requests.
+    pub head: Duration,
+    /// Time for the body of a request.
+    pub body: Duration,
+    /// Time for which a caller may leave a part of its answer unread.
+    pub unread: Duration,
+    /// Largest body, in bytes.
+    pub body_bytes: u64,
+    /// Connections at once; more are closed at once.
+    pub connections: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Limits {
+        Limits {
+            head: Duration::from_secs(10),
+            body: Duration::from_secs(10),
+            unread: Duration::from_secs(10),
+            body_bytes: 4 << 20,
+            connections: 4_096,
+        }
+    }
+}
+
+/// The connection that a request came over.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    stream: TcpStream,
+}
+
+impl Caller {
+    /// Waits until the caller has closed its connection.
+    pub async fn gone(&self) {
+        let mut byte = [0];
+        loop {
+            match self.stream.peek(&mut byte).await {
+                Ok(0) | Err(_) => return,
+                // A pipelined request waits in the buffer; look again for the end behind it.
+                Ok(_) => timer::sleep(PEEK_PAUSE).await,
+            }
+        }
+    }
+}
+
+/// Counters and switch of a running server.
+#[derive(Clone, Debug, Default)]
+pub struct Handle {
+    stopping: Arc<AtomicBool>,
+    open: Arc<AtomicUsize>,
+    busy: Arc<AtomicUsize>,
+}
+
+impl Handle {
+    /// Accepts no more requests; those in flight come to their end.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::SeqCst);
+    }
+
+    /// Whether [`Handle::stop`] was called.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.load(Ordering::SeqCst)
+    }
+
+    /// Requests that are not answered to their end.
+    pub fn in_flight(&self) -> usize {
+        self.busy.load(Ordering::SeqCst)
+    }
+}
+
+/// Counts up while it lives.
+struct Count(Arc<AtomicUsize>);
+
+impl Count {
+    fn up(counter: &Arc<AtomicUsize>) -> Count {
+        counter.fetch_add(1, Ordering::SeqCst);
+        Count(counter.clone())
+    }
+}
+
+impl Drop for Count {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// Binds a listener.
+///
+/// # Errors
+/// The address is taken or not this machine's.
+pub async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    TcpListener::bind(address).await
+}
+
+/// Accepts connections until the handle stops, and answers each request by `handler`.
+pub async fn serve<F, Fut>(listener: TcpListener, limits: Limits, handle: Handle, handler: F)
+where
+    F: Fn(Request, Caller) -> Fut + Clone + Send + Sync + 'static,
+    Fut: Future<Output = Response> + Send + 'static,
+{
+    while !handle.is_stopping() {
+        let accepted = timer::timeout(Duration::from_millis(100), listener.accept()).await;
+        let stream = match accepted {
+            None => continue,
+            Some(Ok((stream, _))) => stream,
+            Some(Err(err)) => {
+                debug!("event=accept_failed error={err}");
+                timer::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        if handle.open.load(Ordering::SeqCst) >= limits.connections {
+            debug!("event=connection_refused cause=too_many_connections");
+            continue;
+        }
+        stream.set_nodelay(true).ok();
+        let (handle, handler) = (handle.clone(), handler.clone());
+        let open = Count::up(&handle.open);
+        executor::detach(async move {
+            let _open = open;
+            if let Err(err) = serve_connection(stream, limits, &handle, handler).await {
+                debug!("event=connection_ended error={err}");
+            }
+        });
+    }
+}
+
+async fn serve_connection<F, Fut>(
+    stream: TcpStream,
+    limits: Limits,
+    handle: &Handle,
+    handler: F,
+) -> io::Result<()>
+where
+    F: Fn(Request, Caller) -> Fut,
+    Fut: Future<Output = Response>,
+{
+    loop {
+        let decoding = async_h1::server::decode(stream.clone());
+        let decoding = smol::future::or(async { Some(decoding.await) }, stopped(handle));
+        let (request, mut rest) = match timer::timeout(limits.head, decoding).await.flatten() {
+            None | Some(Ok(None)) => return Ok(()),
+            Some(Ok(Some(parts))) => parts,
+            Some(Err(err)) => {
+                let error = Error::new(Kind::Malformed, format!("unreadable request: {err}"));
+                return write_answer(&stream, error_response(&error), Method::Get, &limits).await;
+            }
+        };
+        let _busy = Count::up(&handle.busy);
+        let method = request.method();
+        let keep_alive = !request
+            .header("connection")
+            .is_some_and(|values| values.last().as_str().eq_ignore_ascii_case("close"));
+        let mut response = handler(request, Caller { stream: stream.clone() }).await;
+        let mut scratch = [0];
+        let body_read = matches!(
+            timer::timeout(Duration::from_millis(1), rest.read(&mut scratch)).await,
+            Some(Ok(0))
+        );
+        let keep_alive = keep_alive && body_read && !handle.is_stopping();
+        if !keep_alive {
+            response.insert_header("connection", "close");
+        }
+        write_answer(&stream, response, method, &limits).await?;
+        if !keep_alive {
+            return Ok(());
+        }
+    }
+}
+
+async fn stopped<T>(handle: &Handle) -> Option<T> {
+    while !handle.is_stopping() {
+        timer::sleep(Duration::from_millis(100)).await;
+    }
+    None
+}
+
+/// Copies an answer to its caller; a body that fails ends the connection without its last chunk.
+async fn write_answer(
+    stream: &TcpStream,
+    response: Response,
+    method: Method,
+    limits: &Limits,
+) -> io::Result<()> {
+    let mut encoder = async_h1::server::Encoder::new(response, method);
+    let mut stream = stream.clone();
+    let mut buffer = vec![0; COPY_BUFFER];
+    loop {
+        let count = encoder.read(&mut buffer).await?;
+        if count == 0 {
+            return stream.flush().await;
+        }
+        let writing = stream.write_all(&buffer[..count]);
+        match timer::timeout(limits.unread, writing).await {
+            Some(result) => result?,
+            None => return Err(io::Error::new(io::ErrorKind::TimedOut, "caller does not read")),
+        }
+    }
+}
+
+/// Reads the body of a request within the limits.
+///
+/// # Errors
+/// [`Kind::TooLarge`], or [`Kind::Malformed`] if it ends early or comes too slowly.
+pub async fn read_body(request: &mut Request, limits: &Limits) -> Result<Vec<u8>, Error> {
+    let declared = request.len();
+    let too_large = || {
+        Error::new(Kind::TooLarge, format!("the body is larger than {} bytes", limits.body_bytes))
+    };
+    if declared.is_some_and(|length| length as u64 > limits.body_bytes) {
+        return Err(too_large());
+    }
+    let mut bytes = Vec::new();
+    let reading = async {
+        let mut body = request.take_body().take(limits.body_bytes + 1);
+        body.read_to_end(&mut bytes).await
+    };
+    match timer::timeout(limits.body, reading).await {
+        None => return Err(Error::new(Kind::Malformed, "the body came too slowly")),
+        Some(Err(err)) => return Err(Error::new(Kind::Malformed, format!("bad body: {err}"))),
+        Some(Ok(_)) => {}
+    }
+    if bytes.len() as u64 > limits.body_bytes {
+        return Err(too_large());
+    }
+    if declared.is_some_and(|length| length != bytes.len()) {
+        return Err(Error::new(Kind::Malformed, "the body ended early"));
+    }
+    Ok(bytes)
+}
+
+/// An answer with a status and a JSON body.
+pub fn json_response(status: u16, value: &impl serde::Serialize) -> Response {
+    let mut response = response(status);
+    response.set_body(Body::from_bytes(serde_json::to_vec(value).unwrap_or_default()));
+    response.insert_header("content-type", "application/json");
+    response
+}
+
+/// An answer with a status and a text body.
+pub fn text_response(status: u16, media: &str, text: &str) -> Response {
+    let mut response = response(status);
+    response.set_body(Body::from_bytes(text.as_bytes().to_vec()));
+    response.insert_header("content-type", media);
+    response
+}
+
+/// An answer with a body that is read while it is written, in chunks.
+pub fn stream_response(
+    media: &str,
+    body: impl AsyncRead + Unpin + Send + Sync + 'static,
+) -> Response {
+    let mut response = response(200);
+    response.set_body(Body::from_reader(futures_lite::io::BufReader::new(body), None));
+    response.insert_header("content-type", media);
+    response
+}
+
+/// The answer that the table gives for an error.
+pub fn error_response(error: &Error) -> Response {
+    let row = error.kind.row();
+    let body = serde_json::json!({
+        "error": {
+            "code": row.code,
+            "message": &*error.message,
+            "run": error.run.word(),
+            "help": row.help,
+        }
+    });
+    let mut response = json_response(row.status, &body);
+    response.insert_header("fireflyworks-run", error.run.word());
+    if let Some(span) = error.retry_after {
+        response.insert_header("retry-after", span.as_secs_f64().ceil().to_string());
+        response.insert_header("retry-after-ms", span.as_millis().to_string());
+    }
+    response
+}
+
+fn response(status: u16) -> Response {
+    Response::new(StatusCode::try_from(status).unwrap_or(StatusCode::InternalServerError))
+}
--- /dev/null
+++ b/crates/ffw-peer/src/link.rs
@@ -0,0 +1,127 @@
+//! Connections to peers: one for each peer in use, opened on demand and shared by all calls.
+
+use {
+    crate::{
+        handshake::{self, Secret, Side},
+        server,
+        service::PeerClient,
+    },
+    async_compat::Compat,
+    ffw_protocol::error::{Error, Kind, Result},
+    ffw_runtime::{executor, timer},
+    smol::net::TcpStream,
+    std::{
+        future::Future,
+        net::SocketAddr,
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::{Duration, Instant},
+    },
+    tarpc::{
+        client::{self, RpcError},
+        context::{self, Context},
+        tokio_serde::formats::Bincode,
+        tokio_util::codec::Framed,
+    },
+};
+
+/// Time to connect to a peer, handshake included.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+
+#[derive(Clone, Debug)]
+struct Link {
+    address: SocketAddr,
+    client: PeerClient,
+}
+
+/// Connections to peers, in order of address.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    secret: Secret,
+    links: Arc<Mutex<Vec<Link>>>,
+}
+
+impl Pool {
+    /// No connections yet.
+    pub fn new(secret: Secret) -> Pool {
+        Pool { secret, links: Arc::default() }
+    }
+
+    /// Makes one call, with a limit on connecting and answering together.
+    ///
+    /// # Errors
+    /// [`Kind::PeerUnavailable`]; the connection is dropped, and the next call opens another.
+    pub async fn call<T, F, Fut>(&self, address: SocketAddr, limit: Duration, call: F) -> Result<T>
+    where
+        F: FnOnce(PeerClient, Context) -> Fut,
+        Fut: Future<Output = std::result::Result<T, RpcError>>,
+    {
+        let client = self.client(address).await?;
+        let mut context = context::current();
+        context.deadline = Instant::now() + limit;
+        let result = timer::timeout(limit, call(client, context)).await;
+        match result {
+            Some(Ok(value)) => Ok(value),
+            Some(Err(err)) => {
+                self.drop_link(address);
+                Err(unavailable(address, &err.to_string()))
+            }
+            // A slow peer keeps its connection: other calls may still wait on it.
+            None => Err(unavailable(address, "no answer in time")),
+        }
+    }
+
+    async fn client(&self, address: SocketAddr) -> Result<PeerClient> {
+        if let Some(client) = self.known(address) {
+            return Ok(client);
+        }
+        let connecting = timer::timeout(CONNECT_TIMEOUT, self.connect(address)).await;
+        let client = match connecting {
+            Some(Ok(client)) => client,
+            Some(Err(err)) => return Err(unavailable(address, &err.to_string())),
+            None => return Err(unavailable(address, "connecting timed out")),
+        };
+        let mut links = self.lock();
+        match links.binary_search_by_key(&address, |link| link.address) {
+            Ok(at) => Ok(links[at].client.clone()),
+            Err(at) => {
+                links.insert(at, Link { address, client: client.clone() });
+                Ok(client)
+            }
+        }
+    }
+
+    async fn connect(&self, address: SocketAddr) -> std::io::Result<PeerClient> {
+        let mut stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        handshake::prove(&mut stream, &self.secret, Side::Client).await?;
+        let framed = Framed::new(Compat::new(stream), server::codec());
+        let transport = tarpc::serde_transport::new(framed, Bincode::default());
+        let created = PeerClient::new(client::Config::default(), transport);
+        let dispatch = created.dispatch;
+        let pool = self.clone();
+        executor::detach(async move {
+            drop(Compat::new(dispatch).await);
+            pool.drop_link(address);
+        });
+        Ok(created.client)
+    }
+
+    fn known(&self, address: SocketAddr) -> Option<PeerClient> {
+        let links = self.lock();
+        let at = links.binary_search_by_key(&address, |link| link.address).ok()?;
+        Some(links[at].client.clone())
+    }
+
+    /// Drops the connection to an address, if there is one.
+    pub fn drop_link(&self, address: SocketAddr) {
+        self.lock().retain(|link| link.address != address);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<Link>> {
+        self.links.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn unavailable(address: SocketAddr, message: &str) -> Error {
+    Error::new(Kind::PeerUnavailable, format!("peer {address}: {message}"))
+}
--- /dev/null
+++ b/crates/ffw-peer/src/service.rs
@@ -0,0 +1,112 @@
+//! The calls that daemons make to each other.
+
+use {
+    ffw_protocol::{
+        admission::{Ask, Attempt, Renewal, Verdict},
+        config::Version,
+        instance::Instance,
+        ledger::{Record, Segment},
+    },
+    serde::{Deserialize, Serialize},
+    std::sync::Arc,
+};
+
+/// Answer to a renewal.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Renewed {
+    /// Whether the receiver takes itself for the owner.
+    pub is_owner: bool,
+    /// Whether the receiver is shutting down.
+    pub is_draining: bool,
+    /// Number of the receiver's configuration version.
+    pub config: u64,
+}
+
+/// The platform's instance list at one version.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Roster {
+    /// Version of the list, as the platform numbers it.
+    pub version: u64,
+    /// Instances in order of name.
+    pub instances: Vec<Instance>,
+}
+
+/// State of one daemon, for operators.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    /// Name of the instance.
+    pub instance: Arc<str>,
+    /// Start of its process, in microseconds since the Unix epoch.
+    pub incarnation: u64,
+    /// Number of the configuration version in force.
+    pub config: u64,
+    /// Hash of that version.
+    pub config_hash: Arc<str>,
+    /// Requests in flight.
+    pub open: u64,
+    /// Shards that it owns.
+    pub shards: Vec<ShardStatus>,
+    /// Ledger records that are not stored yet.
+    pub unstored_records: u64,
+    /// Whether it is shutting down.
+    pub is_draining: bool,
+}
+
+/// State of one shard.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ShardStatus {
+    /// Pool.
+    pub pool: Arc<str>,
+    /// Requests in the queue.
+    pub waiting: u32,
+    /// Places held.
+    pub held: u32,
+}
+
+/// Counts of one service and customer over one window.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Burn {
+    /// Service.
+    pub service: Arc<str>,
+    /// Customer.
+    pub customer: Arc<str>,
+    /// Length of the window, in seconds.
+    pub window_s: u64,
+    /// Requests that ended.
+    pub total: u64,
+    /// Requests that missed a target.
+    pub missed: u64,
+    /// Of these, for the first token.
+    pub first_token: u64,
+    /// Of these, for the time between tokens.
+    pub between_tokens: u64,
+    /// Of these, for want of an answer.
+    pub unavailable: u64,
+}
+
+/// The calls.
+#[tarpc::service]
+pub trait Peer {
+    /// Asks the owner of a pool's shard for a place; answers when it is decided.
+    async fn admit(pool: Arc<str>, suspects: Vec<Arc<str>>, ask: Ask) -> Verdict;
+    /// Tells the owner what the caller's entry holds.
+    async fn renew(renewal: Renewal) -> Renewed;
+    /// Which of the attempts the receiver, their entry, does not own any more.
+    async fn disowned(attempts: Vec<Attempt>) -> Vec<Attempt>;
+    /// The receiver's configuration version, if it is newer.
+    async fn newer_config(than: u64) -> Option<Version>;
+    /// Offers a configuration version; answers the number that is then in force.
+    async fn offer_config(version: Version) -> u64;
+    /// The receiver's instance list, if it is newer than a version of the platform.
+    async fn newer_roster(than: u64) -> Option<Roster>;
+    /// Asks the receiver to hold ledger records until they are stored.
+    async fn hold_records(segment: Segment, stored: u64) -> bool;
+    /// Ledger records of one request that the receiver has.
+    async fn records_of(request: Arc<str>) -> Vec<Record>;
+    /// Grants of one owner's epoch that the receiver has.
+    async fn grants_of(epoch: u64) -> Vec<Record>;
+    /// Service-level counts of the receiver.
+    async fn burn() -> Vec<Burn>;
+    /// State of the receiver.
+    async fn status() -> Status;
+}
--- /dev/null
+++ b/crates/ffw-platform/src/store.rs
@@ -0,0 +1,158 @@
+//! Objects of the platform: get, list, create, conditional update and delete.
+
+use {
+    crate::fault::{Fault, Result},
+    ffw_http::client::{self, Call},
+    ffw_protocol::instance::Instance,
+    http_types::Method,
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    std::{net::SocketAddr, sync::Arc, time::Duration},
+};
+
+/// Time to wait for one answer of the object API.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// Kinds of objects.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// The platform's own list of instances; read only.
+    Instances,
+    /// Configuration versions in force.
+    Configurations,
+    /// History of configuration versions.
+    Changes,
+    /// Claims of calls that run at most once.
+    Claims,
+    /// Ledger segments.
+    Segments,
+    /// Leases of controllers.
+    Leases,
+    /// Intents and confirmations of orders to engines.
+    Orders,
+}
+
+impl Kind {
+    /// Name in paths, in the plural.
+    pub fn plural(self) -> &'static str {
+        match self {
+            Kind::Instances => "instances",
+            Kind::Configurations => "configurations",
+            Kind::Changes => "changes",
+            Kind::Claims => "claims",
+            Kind::Segments => "segments",
+            Kind::Leases => "leases",
+            Kind::Orders => "orders",
+        }
+    }
+
+    /// Path of the kind's collection.
+    pub fn path(self) -> String {
+        format!("/apis/fireflyworks.example/v1/{}", self.plural())
+    }
+}
+
+/// Name and version of an object.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "camelCase")]
+pub struct Metadata {
+    /// Unique name within the kind.
+    pub name: Arc<str>,
+    /// Version of the object; a write with an older one is refused.
+    #[serde(default)]
+    pub resource_version: Arc<str>,
+}
+
+/// An object of the API.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Object<T> {
+    /// Name and version.
+    pub metadata: Metadata,
+    /// Content.
+    pub spec: T,
+}
+
+/// A list of objects at one version of the collection.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct List<T> {
+    /// Version of the collection, to start a watch from.
+    pub metadata: Metadata,
+    /// Objects in order of name.
+    pub items: Vec<Object<T>>,
+}
+
+/// The object API at one address.
+#[derive(Clone, Copy, Debug)]
+pub struct Store {
+    /// Address of the API.
+    pub address: SocketAddr,
+}
+
+impl Store {
+    /// Reads one object.
+    ///
+    /// # Errors
+    /// [`Fault::NotFound`], or the API does not answer.
+    pub async fn get<T: DeserializeOwned>(&self, kind: Kind, name: &str) -> Result<Object<T>> {
+        self.fetch(Call::new(self.address, Method::Get, format!("{}/{name}", kind.path()))).await
+    }
+
+    /// Lists the objects whose names start with `prefix`.
+    ///
+    /// # Errors
+    /// The API does not answer.
+    pub async fn list<T: DeserializeOwned>(&self, kind: Kind, prefix: &str) -> Result<List<T>> {
+        let path = format!("{}?prefix={prefix}", kind.path());
+        self.fetch(Call::new(self.address, Method::Get, path)).await
+    }
+
+    /// Creates an object.
+    ///
+    /// # Errors
+    /// [`Fault::Conflict`] if the name is taken; [`Fault::Lost`] if the outcome is unknown.
+    pub async fn create<T: Serialize + DeserializeOwned>(
+        &self,
+        kind: Kind,
+        name: &str,
+        spec: T,
+    ) -> Result<Object<T>> {
+        let metadata = Metadata { name: name.into(), resource_version: "".into() };
+        let object = Object { metadata, spec };
+        self.fetch(Call::new(self.address, Method::Post, kind.path()).json(&object)).await
+    }
+
+    /// Replaces an object if it is still at the version that the object carries.
+    ///
+    /// # Errors
+    /// [`Fault::Conflict`] if it isn't; [`Fault::Lost`] if the outcome is unknown.
+    pub async fn update<T: Serialize + DeserializeOwned>(
+        &self,
+        kind: Kind,
+        object: &Object<T>,
+    ) -> Result<Object<T>> {
+        let path = format!("{}/{}", kind.path(), object.metadata.name);
+        self.fetch(Call::new(self.address, Method::Put, path).json(object)).await
+    }
+
+    /// Deletes an object.
+    ///
+    /// # Errors
+    /// [`Fault::NotFound`], or the API does not answer.
+    pub async fn delete(&self, kind: Kind, name: &str) -> Result<()> {
+        let path = format!("{}/{name}", kind.path());
+        let call = Call::new(self.address, Method::Delete, path);
+        self.fetch::<serde_json::Value>(call).await.map(drop)
+    }
+
+    /// Reads the platform's instance list, in order of name.
+    ///
+    /// # Errors
+    /// The API does not answer.
+    pub async fn instances(&self) -> Result<Vec<Instance>> {
+        let list: List<Instance> = self.list(Kind::Instances, "").await?;
+        Ok(list.items.into_iter().map(|object| object.spec).collect())
+    }
+
+    async fn fetch<T: DeserializeOwned>(&self, call: Call) -> Result<T> {
+        client::fetch(&call.limit(CALL_TIMEOUT)).await.map_err(Fault::from_call)
+    }
+}
--- /dev/null
+++ b/crates/ffw-platform/src/watch.rs
@@ -0,0 +1,83 @@
+//! Watches: a stream of changes to one kind of object, as JSON lines.
+
+use {
+    crate::{
+        fault::{Fault, Result},
+        store::{Kind, Object, Store},
+    },
+    ffw_http::client::{self, Call},
+    ffw_runtime::timer,
+    futures_lite::{AsyncBufReadExt as _, io::BufReader},
+    http_types::{Body, Method},
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    std::time::Duration,
+};
+
+/// Time after which a silent watch is taken for dead; the API sends a bookmark each second.
+const SILENCE_LIMIT: Duration = Duration::from_secs(4);
+
+/// What happened to an object.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "UPPERCASE")]
+pub enum Change {
+    /// It was created.
+    Added,
+    /// It was replaced.
+    Modified,
+    /// It was deleted.
+    Deleted,
+    /// Nothing; the watch is alive.
+    Bookmark,
+}
+
+/// One line of a watch.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Event<T> {
+    /// What happened.
+    #[serde(rename = "type")]
+    pub change: Change,
+    /// The object afterwards, or before its deletion; absent in a bookmark.
+    pub object: Option<Object<T>>,
+}
+
+/// A running watch. Dropping it closes the connection.
+#[derive(Debug)]
+pub struct Watch {
+    lines: BufReader<Body>,
+}
+
+/// Starts a watch after the given version of the collection.
+///
+/// # Errors
+/// [`Fault::Gone`] if that version is too old, or the API does not answer.
+pub async fn start(store: &Store, kind: Kind, version: &str) -> Result<Watch> {
+    let path = format!("{}?watch=1&resourceVersion={version}", kind.path());
+    let call = Call::new(store.address, Method::Get, path).limit(Duration::from_secs(2));
+    let mut response = client::send(&call).await.map_err(Fault::from_call)?;
+    let status: u16 = response.status().into();
+    if status == 410 {
+        return Err(Fault::Gone);
+    }
+    if status > 299 {
+        return Err(Fault::Down(format!("watch refused with {status}")));
+    }
+    Ok(Watch { lines: BufReader::new(response.take_body()) })
+}
+
+impl Watch {
+    /// Waits for the next event.
+    ///
+    /// # Errors
+    /// The watch ended or fell silent.
+    pub async fn next<T: DeserializeOwned>(&mut self) -> Result<Event<T>> {
+        let mut line = String::new();
+        let reading = self.lines.read_line(&mut line);
+        match timer::timeout(SILENCE_LIMIT, reading).await {
+            None => return Err(Fault::Lost("the watch fell silent".into())),
+            Some(Err(err)) => return Err(Fault::Lost(err.to_string())),
+            Some(Ok(0)) => return Err(Fault::Lost("the watch ended".into())),
+            Some(Ok(_)) => {}
+        }
+        serde_json::from_str(&line).map_err(|err| Fault::Lost(err.to_string()))
+    }
+}
--- /dev/null
+++ b/crates/ffw-protocol/src/declaration.rs
@@ -0,0 +1,392 @@
+//! Declarations that operators keep in version control: services, pools, models, priority classes
+//! and customers, as one TOML file a deployment.
+
+use {
+    serde::{Deserialize, Serialize},
+    std::{fmt, sync::Arc, time::Duration},
+};
+
+/// Largest declaration that is accepted, in bytes.
+pub const MAX_BYTES: usize = 900_000;
+
+/// A whole deployment.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Deployment {
+    /// Name of the deployment.
+    pub deployment: Arc<str>,
+    /// Models in use.
+    #[serde(default, rename = "model")]
+    pub models: Vec<Model>,
+    /// Pools of backend servers.
+    #[serde(default, rename = "pool")]
+    pub pools: Vec<Pool>,
+    /// Priority classes.
+    #[serde(default, rename = "class")]
+    pub classes: Vec<Class>,
+    /// Services that callers ask for.
+    #[serde(default, rename = "service")]
+    pub services: Vec<Service>,
+    /// Customers and their keys.
+    #[serde(default, rename = "customer")]
+    pub customers: Vec<Customer>,
+}
+
+/// A model.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Model {
+    /// Name that callers send.
+    pub name: Arc<str>,
+    /// Version that the engines must have loaded.
+    pub version: Arc<str>,
+    /// Mean bytes of text for one token.
+    #[serde(default = "bytes_per_token")]
+    pub bytes_per_token: u32,
+}
+
+fn bytes_per_token() -> u32 {
+    4
+}
+
+/// A pool of backend servers.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Pool {
+    /// Name, as the platform labels the instances.
+    pub name: Arc<str>,
+    /// What its members are.
+    pub kind: PoolKind,
+    /// Model that the engines serve.
+    #[serde(default)]
+    pub model: Option<Arc<str>>,
+    /// Requests that a decode engine holds at once.
+    #[serde(default)]
+    pub slots: u32,
+    /// Memory of a decode engine, in pieces.
+    #[serde(default)]
+    pub pieces: u32,
+    /// Tokens in one piece.
+    #[serde(default = "piece_tokens")]
+    pub piece_tokens: u32,
+    /// Prompt tokens that a prefill engine works through in a second.
+    #[serde(default)]
+    pub prefill_rate: u32,
+    /// Prompt tokens whose KV cache a decode engine's link takes in a second.
+    #[serde(default)]
+    pub link_rate: u32,
+    /// Time between two tokens of one stream, in milliseconds, before any was measured.
+    #[serde(default = "token_ms")]
+    pub token_ms: u32,
+    /// Time for which a prefill result survives, in milliseconds.
+    #[serde(default = "result_ms")]
+    pub result_ms: u32,
+    /// Whether the members refuse an order with an old fencing number.
+    #[serde(default)]
+    pub fences: bool,
+}
+
+fn piece_tokens() -> u32 {
+    1024
+}
+
+fn token_ms() -> u32 {
+    50
+}
+
+fn result_ms() -> u32 {
+    800
+}
+
+/// What the members of a pool are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PoolKind {
+    /// Model engines, each either prefilling or decoding.
+    Engines,
+    /// Plain services.
+    Plain,
+}
+
+/// A priority class.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Class {
+    /// Name.
+    pub name: Arc<str>,
+    /// Place in the order; 0 goes first.
+    pub rank: u8,
+    /// Share of the served tokens that the class gets while it has requests waiting, 0 to 1.
+    #[serde(default)]
+    pub floor: f64,
+}
+
+/// Whether a call may be sent again.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Repeat {
+    /// May be repeated.
+    Idempotent,
+    /// Runs at most once.
+    #[default]
+    AtMostOnce,
+}
+
+/// A service that callers ask for.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Name.
+    pub name: Arc<str>,
+    /// Pool that serves it.
+    pub pool: Arc<str>,
+    /// Priority class; the lowest if none is given.
+    #[serde(default)]
+    pub class: Option<Arc<str>>,
+    /// Whether calls of a plain service may be repeated.
+    #[serde(default)]
+    pub repeat: Repeat,
+    /// Path prefixes of a plain service whose calls may be repeated all the same.
+    #[serde(default)]
+    pub idempotent_paths: Vec<Arc<str>>,
+    /// Target for the first token or the answer, in milliseconds.
+    pub first_token_ms: u64,
+    /// Target between two tokens, in milliseconds.
+    #[serde(default = "between_tokens_ms")]
+    pub between_tokens_ms: u64,
+    /// Time after which an answer that has not begun is of no use, in milliseconds.
+    pub deadline_ms: u64,
+    /// Most output tokens of one answer.
+    #[serde(default = "max_output")]
+    pub max_output: u32,
+    /// Share of the requests that must meet the targets, 0 to 1.
+    #[serde(default = "objective")]
+    pub objective: f64,
+}
+
+fn between_tokens_ms() -> u64 {
+    63
+}
+
+fn max_output() -> u32 {
+    1024
+}
+
+fn objective() -> f64 {
+    0.95
+}
+
+impl Service {
+    /// Whether a call of `path` may be repeated.
+    pub fn repeat_of(&self, path: &str) -> Repeat {
+        let listed = self.idempotent_paths.iter().any(|prefix| path.starts_with(&**prefix));
+        if listed { Repeat::Idempotent } else { self.repeat }
+    }
+
+    /// The deadline as a span.
+    pub fn deadline(&self) -> Duration {
+        Duration::from_millis(self.deadline_ms)
+    }
+}
+
+/// A customer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Customer {
+    /// Name.
+    pub name: Arc<str>,
+    /// SHA-256 of its bearer key, in hexadecimal.
+    pub key_sha256: Arc<str>,
+    /// Weight of its fair share.
+    #[serde(default = "weight")]
+    pub weight: u32,
+    /// Services that it may use.
+    pub services: Vec<Arc<str>>,
+    /// Requests that it may have open at one daemon.
+    #[serde(default = "max_open")]
+    pub max_open: u32,
+}
+
+fn weight() -> u32 {
+    1
+}
+
+fn max_open() -> u32 {
+    1_000
+}
+
+/// One thing that is wrong with a declaration.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Problem {
+    /// The thing, as `service show-notes`.
+    pub thing: Arc<str>,
+    /// What is wrong and what to do.
+    pub message: Arc<str>,
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.thing, self.message)
+    }
+}
+
+fn problem(thing: impl Into<Arc<str>>, message: impl Into<Arc<str>>) -> Problem {
+    Problem { thing: thing.into(), message: message.into() }
+}
+
+impl Deployment {
+    /// Parses and checks a declaration.
+    ///
+    /// # Errors
+    /// Everything that is wrong, not only the first.
+    pub fn parse(text: &str) -> Result<Deployment, Vec<Problem>> {
+        if text.len() > MAX_BYTES {
+            let message = format!("{} bytes; at most {MAX_BYTES} are accepted", text.len());
+            return Err(vec![problem("declaration", message)]);
+        }
+        let parsed: Deployment = toml::from_str(text)
+            .map_err(|err| vec![problem("declaration", err.to_string().trim().to_owned())])?;
+        let problems = parsed.problems();
+        if problems.is_empty() { Ok(parsed) } else { Err(problems) }
+    }
+
+    /// The service of this name.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.services.iter().find(|service| &*service.name == name)
+    }
+
+    /// The pool of this name.
+    pub fn pool(&self, name: &str) -> Option<&Pool> {
+        self.pools.iter().find(|pool| &*pool.name == name)
+    }
+
+    /// The model of this name.
+    pub fn model(&self, name: &str) -> Option<&Model> {
+        self.models.iter().find(|model| &*model.name == name)
+    }
+
+    /// Rank of a service's class; below every declared one if it names none.
+    pub fn rank(&self, service: &Service) -> u8 {
+        let named = service.class.as_ref();
+        named
+            .and_then(|name| self.classes.iter().find(|class| class.name == *name))
+            .map_or(u8::MAX, |class| class.rank)
+    }
+
+    fn problems(&self) -> Vec<Problem> {
+        let mut found = Vec::new();
+        self.check_names(&mut found);
+        self.pools.iter().for_each(|pool| self.check_pool(pool, &mut found));
+        self.services.iter().for_each(|service| self.check_service(service, &mut found));
+        self.customers.iter().for_each(|customer| self.check_customer(customer, &mut found));
+        self.check_floors(&mut found);
+        found
+    }
+
+    fn check_names(&self, found: &mut Vec<Problem>) {
+        if self.deployment.is_empty() {
+            found.push(problem("deployment", "the name is empty"));
+        }
+        check_unique("model", self.models.iter().map(|model| &model.name), found);
+        check_unique("pool", self.pools.iter().map(|pool| &pool.name), found);
+        check_unique("class", self.classes.iter().map(|class| &class.name), found);
+        check_unique("service", self.services.iter().map(|service| &service.name), found);
+        check_unique("customer", self.customers.iter().map(|customer| &customer.name), found);
+        check_unique("key of customer", self.customers.iter().map(|one| &one.key_sha256), found);
+    }
+
+    fn check_pool(&self, pool: &Pool, found: &mut Vec<Problem>) {
+        let thing: Arc<str> = format!("pool {}", pool.name).into();
+        if pool.kind == PoolKind::Plain {
+            return;
+        }
+        match &pool.model {
+            Some(name) if self.model(name).is_some() => {}
+            Some(name) => found.push(problem(
+                thing.clone(),
+                format!(
+                    "names model `{name}`, which is not declared; add a [[model]] of that name"
+                ),
+            )),
+            None => found.push(problem(thing.clone(), "a pool of engines needs `model`")),
+        }
+        let needed = [
+            ("slots", pool.slots),
+            ("pieces", pool.pieces),
+            ("piece_tokens", pool.piece_tokens),
+            ("prefill_rate", pool.prefill_rate),
+            ("link_rate", pool.link_rate),
+            ("token_ms", pool.token_ms),
+            ("result_ms", pool.result_ms),
+        ];
+        for (field, value) in needed {
+            if value == 0 {
+                found.push(problem(thing.clone(), format!("`{field}` must be above 0")));
+            }
+        }
+    }
+
+    fn check_service(&self, service: &Service, found: &mut Vec<Problem>) {
+        let thing: Arc<str> = format!("service {}", service.name).into();
+        if self.pool(&service.pool).is_none() {
+            let message = format!(
+                "names pool `{}`, which is not declared; add a [[pool]] of that name",
+                service.pool
+            );
+            found.push(problem(thing.clone(), message));
+        }
+        if let Some(class) = &service.class
+            && !self.classes.iter().any(|one| one.name == *class)
+        {
+            let message = format!("names class `{class}`, which is not declared");
+            found.push(problem(thing.clone(), message));
+        }
+        if service.deadline_ms < service.first_token_ms {
+            found.push(problem(thing.clone(), "`deadline_ms` is below `first_token_ms`"));
+        }
+        if !(0.0..1.0).contains(&service.objective) {
+            found.push(problem(thing, "`objective` must be at least 0 and below 1"));
+        }
+    }
+
+    fn check_customer(&self, customer: &Customer, found: &mut Vec<Problem>) {
+        let thing: Arc<str> = format!("customer {}", customer.name).into();
+        for service in &customer.services {
+            if self.service(service).is_none() {
+                let message = format!("names service `{service}`, which is not declared");
+                found.push(problem(thing.clone(), message));
+            }
+        }
+        let is_digest = customer.key_sha256.len() == 64
+            && customer.key_sha256.bytes().all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
+        if !is_digest {
+            let message = "`key_sha256` must be 64 lower-case hexadecimal digits: the SHA-256 of the key, never the key";
+            found.push(problem(thing.clone(), message));
+        }
+        if customer.weight == 0 {
+            found.push(problem(thing, "`weight` must be above 0"));
+        }
+    }
+
+    fn check_floors(&self, found: &mut Vec<Problem>) {
+        let sum: f64 = self.classes.iter().map(|class| class.floor).sum();
+        let each_in_range = self.classes.iter().all(|class| (0.0..=1.0).contains(&class.floor));
+        if sum > 0.9 || !each_in_range {
+            found.push(problem("class", "each `floor` is 0 to 1, and together at most 0.9"));
+        }
+    }
+}
+
+fn check_unique<'a>(
+    what: &str,
+    names: impl Iterator<Item = &'a Arc<str>>,
+    found: &mut Vec<Problem>,
+) {
+    let mut sorted: Vec<&Arc<str>> = names.collect();
+    sorted.sort();
+    for pair in sorted.windows(2) {
+        if pair[0] == pair[1] {
+            found.push(problem(format!("{what} {}", pair[0]), "is declared twice"));
+        }
+    }
+}
--- /dev/null
+++ b/crates/ffw-protocol/src/digest.rs
@@ -0,0 +1,30 @@
+//! SHA-256 digests in hexadecimal, and the short hashes that order instances.
+
+use {sha2::Digest as _, std::sync::Arc};
+
+/// SHA-256 of `bytes` in lower-case hexadecimal.
+pub fn hex(bytes: &[u8]) -> Arc<str> {
+    hex::encode(sha2::Sha256::digest(bytes)).into()
+}
+
+/// First eight bytes of the SHA-256 of the parts, each ended by a zero byte.
+pub fn short(parts: &[&str]) -> u64 {
+    let mut hasher = sha2::Sha256::new();
+    for part in parts {
+        hasher.update(part.as_bytes());
+        hasher.update([0]);
+    }
+    first_bytes(&hasher.finalize())
+}
+
+/// Hash of `bytes` together with the hash of what came before.
+pub fn chain(previous: u64, bytes: &[u8]) -> u64 {
+    let mut hasher = sha2::Sha256::new();
+    hasher.update(previous.to_be_bytes());
+    hasher.update(bytes);
+    first_bytes(&hasher.finalize())
+}
+
+fn first_bytes(sum: &[u8]) -> u64 {
+    sum.iter().take(8).fold(0, |acc, byte| acc << 8 | u64::from(*byte))
+}
--- /dev/null
+++ b/crates/ffw-protocol/src/lib.rs
@@ -0,0 +1,13 @@
+//! Words that every part of fireflyworks shares: identifiers, error kinds, declarations and the
+//! messages of admission. Nothing here does I/O or reads a clock.
+
+pub mod admission;
+pub mod config;
+pub mod declaration;
+pub mod digest;
+pub mod error;
+pub mod id;
+pub mod instance;
+pub mod ledger;
+pub mod prefix;
+pub mod time;
--- /dev/null
+++ b/crates/ffw-standin/src/engine/decode.rs
@@ -0,0 +1,176 @@
+//! Decode: slots and memory, transfers over a rate-limited link, token streams.
+
+use {
+    super::{Engine, Faults},
+    crate::{answer, route},
+    ffw_backend::engine::{Completion, Token},
+    ffw_http::{
+        client::{self, Call},
+        fault::Fault,
+        feed::{self, Writer},
+        server,
+    },
+    ffw_runtime::{executor, timer},
+    http_types::{Method, Response},
+    serde_json::json,
+    std::{sync::Arc, time::Duration},
+};
+
+/// A request that holds a slot.
+#[derive(Clone, Debug)]
+pub(super) struct Running {
+    pub(super) request_id: Arc<str>,
+    pub(super) pieces: u32,
+    imported: bool,
+}
+
+impl Engine {
+    /// Reserves a slot and takes a prefill result over.
+    pub(super) async fn import(&self, completion: Completion) -> Response {
+        let id = completion.request_id.clone();
+        let Some(handoff) = completion.kv_transfer_params.clone() else {
+            return route::status(400, "no kv_transfer_params");
+        };
+        if !self.reserve(&completion) {
+            return route::status(429, "no room");
+        }
+        let turn = self.link.lock().await;
+        self.stall_transfer().await;
+        let export = Call::new(handoff.remote_host, Method::Post, "/v1/kv/export")
+            .json(&json!({ "request_id": handoff.remote_block }));
+        let exported = client::fetch::<serde_json::Value>(&export).await;
+        if let Err(fault) = exported {
+            self.lock().running.retain(|one| one.request_id != id);
+            let status =
+                if matches!(fault, Fault::Refused { status: 410, .. }) { 410 } else { 502 };
+            return route::status(status, &fault.to_string());
+        }
+        let seconds = f64::from(completion.prompt_tokens) / f64::from(self.settings.link_rate);
+        timer::sleep(Duration::from_secs_f64(seconds)).await;
+        drop(turn);
+        let mut data = self.lock();
+        data.counters.transfers += 1;
+        match data.running.iter_mut().find(|one| one.request_id == id) {
+            Some(running) => running.imported = true,
+            None => return route::status(499, "cancelled"),
+        }
+        server::json_response(200, &json!({}))
+    }
+
+    fn reserve(&self, completion: &Completion) -> bool {
+        let pieces = self.pieces_of(completion.prompt_tokens + completion.max_tokens);
+        let mut data = self.lock();
+        let used: u32 = data.running.iter().map(|one| one.pieces).sum();
+        let has_room = (data.running.len() as u32) < self.settings.slots
+            && used + pieces <= self.settings.pieces
+            && !data.cancelled.contains(&completion.request_id);
+        if !has_room {
+            data.counters.refused += 1;
+            return false;
+        }
+        let request_id = completion.request_id.clone();
+        data.running.push(Running { request_id, pieces, imported: false });
+        data.counters.peak_running = data.counters.peak_running.max(data.running.len() as u32);
+        true
+    }
+
+    async fn stall_transfer(&self) {
+        let is_stalled = {
+            let mut data = self.lock();
+            let is_stalled = data.faults.stalled_transfers > 0;
+            if is_stalled {
+                data.faults.stalled_transfers -= 1;
+            }
+            is_stalled
+        };
+        if is_stalled {
+            timer::sleep(self.settings.result_life + Duration::from_millis(100)).await;
+        }
+    }
+
+    /// Streams the tokens of an imported request.
+    pub(super) async fn decode(&self, completion: Completion) -> Response {
+        let id = &completion.request_id;
+        let is_imported =
+            self.lock().running.iter().any(|one| one.request_id == *id && one.imported);
+        if !is_imported {
+            return route::status(409, "not imported");
+        }
+        let (writer, feed) = feed::open();
+        let faults = self.take_stream_faults();
+        executor::detach(self.clone().generate(completion, writer, faults));
+        server::stream_response("text/event-stream", feed)
+    }
+
+    fn take_stream_faults(&self) -> Faults {
+        let mut data = self.lock();
+        let faults = data.faults;
+        data.faults.cut_streams = faults.cut_streams.saturating_sub(1);
+        data.faults.hung_streams = faults.hung_streams.saturating_sub(1);
+        faults
+    }
+
+    async fn generate(self, completion: Completion, writer: Writer, faults: Faults) {
+        let id = &completion.request_id;
+        let seed = answer::seed(&completion.prompt);
+        let length = answer::length(&completion.prompt, completion.max_tokens);
+        let mut writer = Some(writer);
+        for position in completion.resume_from..length {
+            timer::sleep(self.settings.token_time).await;
+            if !self.lock().running.iter().any(|one| one.request_id == *id) {
+                return;
+            }
+            self.lock().counters.tokens += 1;
+            let sent = position - completion.resume_from;
+            if faults.hung_streams > 0 && sent == faults.cut_after {
+                self.wait_for_cancel(id).await;
+                return;
+            }
+            if faults.cut_streams > 0 && sent == faults.cut_after {
+                writer = None;
+            }
+            let is_last = position + 1 == length;
+            let finish = if length == completion.max_tokens { "length" } else { "stop" };
+            let token = Token {
+                id: id.clone(),
+                position,
+                text: answer::token(seed, position),
+                finish_reason: is_last.then(|| finish.into()),
+            };
+            if let Some(open) = &writer
+                && send(open, &token, &faults).await.is_err()
+            {
+                writer = None;
+            }
+        }
+        self.lock().running.retain(|one| one.request_id != *id);
+        if let Some(writer) = writer {
+            let ended = writer.write(b"data: [DONE]\n\n".to_vec()).await;
+            if ended.is_ok() {
+                writer.finish().await.ok();
+            }
+        }
+    }
+
+    async fn wait_for_cancel(&self, id: &Arc<str>) {
+        while self.lock().running.iter().any(|one| one.request_id == *id) {
+            timer::sleep(Duration::from_millis(20)).await;
+        }
+    }
+}
+
+async fn send(writer: &Writer, token: &Token, faults: &Faults) -> Result<(), feed::Closed> {
+    let line = |token: &Token| {
+        format!("data: {}\n\n", serde_json::to_string(token).unwrap_or_default()).into_bytes()
+    };
+    writer.write(line(token)).await?;
+    if faults.doubled {
+        writer.write(line(token)).await?;
+    }
+    if faults.crossed && token.position % 5 == 4 {
+        let text = " crossed".into();
+        let foreign = Token { id: "other.1.1#1".into(), text, ..token.clone() };
+        writer.write(line(&foreign)).await?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/fireflyworks/src/command/serve.rs
@@ -0,0 +1,156 @@
+//! `fireflyworks serve`: the daemon.
+
+use {
+    super::{Entry, Example},
+    crate::{
+        logs,
+        settings::{self, Settings},
+    },
+    clap::{ArgMatches, Command},
+    eyre::{Result, WrapErr as _},
+    ffw_control::{
+        calls,
+        daemon::{Daemon, Setup},
+        ledger, order, relay, report, sweep,
+    },
+    ffw_entry::{entry, health},
+    ffw_http::server::{self, Handle},
+    ffw_operator::service::Service,
+    ffw_peer::{handshake::Secret, link::Pool},
+    ffw_runtime::{executor, shutdown, timer},
+    log::{info, warn},
+    smol::net::TcpListener,
+    std::{
+        net::SocketAddr,
+        process::ExitCode,
+        sync::{Arc, atomic::Ordering},
+        time::{Duration, Instant},
+    },
+};
+
+/// Time for which a shutdown tries to store the ledger.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Time for which a shutdown waits until its shards have moved.
+const HAND_OVER_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Pause between two looks at what a shutdown waits for.
+const LOOK_PAUSE: Duration = Duration::from_millis(50);
+
+/// The command.
+pub const ENTRY: Entry = Entry {
+    name: "serve",
+    about: "Run the daemon",
+    examples: &[Example {
+        what: "Serve the deployment `matariki` from the instance `entry-1`",
+        line: "fireflyworks serve --instance entry-1 --data-centre nz-north-a --deployment matariki --platform 127.0.0.1:7000 --peer-secret 0123456789abcdef",
+    }],
+    arguments,
+    run,
+};
+
+fn arguments(command: Command) -> Command {
+    command.args(settings::arguments())
+}
+
+fn run(matches: &ArgMatches) -> Result<ExitCode> {
+    let settings = match Settings::read(matches) {
+        Ok(settings) => settings,
+        Err(problems) => {
+            eprintln!("error: these settings are wrong:\n  {}", problems.join("\n  "));
+            return Ok(ExitCode::from(2));
+        }
+    };
+    logs::start(settings.log_level);
+    smol::block_on(serve(settings))
+}
+
+struct Listeners {
+    callers: TcpListener,
+    health: TcpListener,
+    peers: TcpListener,
+    operators: TcpListener,
+}
+
+async fn bind_all(settings: &Settings) -> Result<Listeners> {
+    Ok(Listeners {
+        callers: bind(settings.listen, "listen").await?,
+        health: bind(settings.listen_health, "listen-health").await?,
+        peers: bind(settings.listen_peers, "listen-peers").await?,
+        operators: bind(settings.listen_operators, "listen-operators").await?,
+    })
+}
+
+async fn bind(address: SocketAddr, flag: &str) -> Result<TcpListener> {
+    let bound = server::bind(address).await;
+    bound.wrap_err_with(|| format!("--{flag} {address} can't be bound"))
+}
+
+async fn serve(settings: Settings) -> Result<ExitCode> {
+    let signals = shutdown::listen().wrap_err("installing signal handlers")?;
+    let listeners = bind_all(&settings).await?;
+    let secret = Secret::new(&settings.peer_secret);
+    let daemon = Daemon::new(Setup {
+        instance: settings.instance.clone(),
+        data_centre: settings.data_centre.clone(),
+        deployment: settings.deployment.clone(),
+        platform: settings.platform,
+        peers: Pool::new(secret.clone()),
+        seeds: settings.seed_peers.clone(),
+        policy: settings.admission,
+    })?;
+    info!(
+        "event=started instance={} incarnation={:x}",
+        settings.instance, daemon.identity.incarnation
+    );
+    let peers = ffw_peer::server::serve(listeners.peers, secret, calls::handlers(&daemon));
+    executor::detach(peers);
+    let operators = Service::new(daemon.clone(), settings.operator_keys.clone());
+    executor::detach(ffw_operator::server::serve(listeners.operators, operators));
+    executor::detach(health::serve(daemon.clone(), listeners.health, Handle::default()));
+    start_controllers(&daemon);
+    let entry = entry::Entry::new(daemon.clone(), settings.limits);
+    executor::detach(entry.clone().serve(listeners.callers));
+    signals.recv().await.ok();
+    let interrupted = async {
+        signals.recv().await.ok();
+        warn!("event=shutdown_forced");
+        ExitCode::FAILURE
+    };
+    let shutting_down = shut_down(&daemon, &entry, settings.drain_lag);
+    Ok(smol::future::or(shutting_down, interrupted).await)
+}
+
+fn start_controllers(daemon: &Arc<Daemon>) {
+    executor::detach(relay::run(daemon.clone()));
+    executor::detach(report::run(daemon.clone()));
+    executor::detach(sweep::run(daemon.clone()));
+    executor::detach(order::run(daemon.clone()));
+    executor::detach(ledger::run(daemon.clone()));
+}
+
+/// Not ready first, then no new connections after the balancer's lag, then every request in flight
+/// to its end, then the ledger.
+async fn shut_down(daemon: &Arc<Daemon>, entry: &entry::Entry, lag: Duration) -> ExitCode {
+    info!("event=shutdown_begun open={}", daemon.open.load(Ordering::SeqCst));
+    daemon.drain();
+    timer::sleep(lag).await;
+    entry.handle.stop();
+    while daemon.open.load(Ordering::SeqCst) > 0 || entry.handle.in_flight() > 0 {
+        timer::sleep(LOOK_PAUSE).await;
+    }
+    wait_for_hand_over(daemon).await;
+    let began = Instant::now();
+    while !ledger::store_all(daemon).await && began.elapsed() < FLUSH_TIMEOUT {
+        timer::sleep(LOOK_PAUSE * 10).await;
+    }
+    info!("event=shutdown_done unstored_records={}", daemon.ledger.unstored());
+    ExitCode::SUCCESS
+}
+
+async fn wait_for_hand_over(daemon: &Daemon) {
+    let began = Instant::now();
+    while !daemon.host.shards().is_empty() && began.elapsed() < HAND_OVER_TIMEOUT {
+        timer::sleep(LOOK_PAUSE).await;
+    }
+}
