--- /dev/null
+++ b/crates/ffw-decide/tests/burn_windows.rs
@@ -0,0 +1,52 @@
+//! Burn rates over their windows.
+
+use {
+    ffw_decide::burn::{Book, Counts, Sample, Target, WINDOWS},
+    ffw_protocol::time::Moment,
+    std::{sync::Arc, time::Duration},
+};
+
+const TARGET: Target =
+    Target { first_token: Duration::from_millis(710), between_tokens: Duration::from_millis(63) };
+
+fn sample(first_ms: u64, between_ms: u64, is_whole: bool) -> Sample {
+    let first_token = Some(Duration::from_millis(first_ms));
+    let between_tokens = Some(Duration::from_millis(between_ms));
+    Sample { first_token, between_tokens, is_whole }
+}
+
+#[test]
+fn each_target_is_counted_by_itself() {
+    let late = Counts::of(&sample(711, 63, true), &TARGET);
+    assert_eq!((late.missed, late.first_token, late.between_tokens), (1, 1, 0));
+    let slow = Counts::of(&sample(710, 64, true), &TARGET);
+    assert_eq!((slow.missed, slow.first_token, slow.between_tokens), (1, 0, 1));
+    let cut = Counts::of(&sample(1, 1, false), &TARGET);
+    assert_eq!((cut.missed, cut.unavailable), (1, 1));
+    assert_eq!(Counts::of(&sample(710, 63, true), &TARGET).missed, 0);
+}
+
+#[test]
+fn a_burn_rate_of_one_uses_the_budget_up_exactly() {
+    let counts = Counts { total: 100, missed: 5, ..Counts::default() };
+    assert!((counts.burn_rate(0.95) - 1.0).abs() < 1e-9);
+    assert!(counts.budget_left(0.95).abs() < 1e-9);
+    assert!((counts.burn_rate(0.99) - 5.0).abs() < 1e-9);
+}
+
+#[test]
+fn old_minutes_leave_the_short_window_first() {
+    let mut book = Book::default();
+    let (service, customer): (Arc<str>, Arc<str>) = ("notes".into(), "a".into());
+    let begin = Moment::from_millis(60_000);
+    book.add(begin, &service, &customer, &sample(900, 10, true), &TARGET);
+    let later = begin + Duration::from_secs(1_200);
+    book.add(later, &service, &customer, &sample(100, 10, true), &TARGET);
+    let series = &book.series()[0];
+    let [short, middle, long] = WINDOWS;
+    assert_eq!(series.over(later, short).missed, 0);
+    assert_eq!(series.over(later, middle).missed, 1);
+    assert_eq!(series.over(later, long).total, 2);
+    let much_later = later + long + Duration::from_secs(120);
+    assert_eq!(series.over(much_later, long).total, 0);
+}
--- /dev/null
+++ b/crates/ffw-decide/tests/lease_pauses.rs
@@ -0,0 +1,105 @@
+//! Holders of a lease that are paused at any moment, against engines that check fencing numbers and
+//! engines that don't.
+
+use {
+    ffw_decide::lease::{Attempt, Lease, Seen, TAKEOVER_TIME, Tracker},
+    ffw_protocol::time::Moment,
+    ffw_support::seed,
+    rand::{Rng as _, SeedableRng as _},
+    rand_chacha::ChaCha8Rng,
+    std::{sync::Arc, time::Duration},
+};
+
+#[derive(Debug, Default)]
+struct Store {
+    lease: Option<Lease>,
+    version: u64,
+}
+
+impl Store {
+    fn seen(&self) -> Option<Seen> {
+        let lease = self.lease.clone()?;
+        Some(Seen { lease, resource: self.version.to_string().into() })
+    }
+
+    fn write(&mut self, attempt: Attempt) -> Option<Seen> {
+        let lease = match attempt {
+            Attempt::Create(lease) if self.lease.is_none() => lease,
+            Attempt::Replace(resource, lease) if *resource == *self.version.to_string() => lease,
+            _ => return None,
+        };
+        self.version += 1;
+        self.lease = Some(lease);
+        self.seen()
+    }
+}
+
+struct Daemon {
+    tracker: Tracker,
+    paused_until: Moment,
+}
+
+fn daemons() -> Vec<Daemon> {
+    let make = |n: u64| {
+        let name: Arc<str> = format!("entry-{n}").into();
+        Daemon { tracker: Tracker::new(name, n), paused_until: Moment(0) }
+    };
+    (1..=3).map(make).collect()
+}
+
+/// One round of a daemon: read, try to write, learn.
+fn round(daemon: &mut Daemon, store: &mut Store, now: Moment, is_lost: bool) {
+    if daemon.tracker.fence(now).is_none() {
+        daemon.tracker.note_read(now, store.seen());
+    }
+    let Some(attempt) = daemon.tracker.attempt(now) else { return };
+    match store.write(attempt) {
+        Some(seen) if !is_lost => daemon.tracker.note_written(now, seen),
+        _ => daemon.tracker.forget(),
+    }
+}
+
+#[test]
+fn at_most_one_daemon_may_act_and_fences_never_go_back() {
+    for seed in seed::seeds(&(0..300).collect::<Vec<_>>()) {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let (mut store, mut daemons) = (Store::default(), daemons());
+        let mut now = Moment::from_millis(1);
+        let mut highest = 0;
+        for _ in 0..seed::steps(400) {
+            now = now + Duration::from_millis(250);
+            let at = rng.gen_range(0..daemons.len());
+            if rng.gen_range(0..40) == 0 {
+                daemons[at].paused_until = now + Duration::from_millis(rng.gen_range(500..15_000));
+            }
+            if daemons[at].paused_until <= now {
+                let is_lost = rng.gen_range(0..8) == 0;
+                round(&mut daemons[at], &mut store, now, is_lost);
+            }
+            let acting = daemons.iter().filter_map(|one| one.tracker.fence(now));
+            let acting: Vec<u64> = acting.collect();
+            assert!(acting.len() <= 1, "seed {seed}: {acting:?} act at once");
+            if let Some(fence) = acting.first() {
+                assert!(*fence >= highest, "seed {seed}: fence {fence} after {highest}");
+                highest = *fence;
+            }
+        }
+    }
+}
+
+#[test]
+fn a_silent_holder_is_replaced_with_a_higher_fence() {
+    let (mut store, mut daemons) = (Store::default(), daemons());
+    let mut now = Moment::from_millis(1);
+    round(&mut daemons[0], &mut store, now, false);
+    assert_eq!(daemons[0].tracker.fence(now), Some(1));
+    let begin = now;
+    while daemons[1].tracker.fence(now).is_none() {
+        now = now + Duration::from_millis(500);
+        round(&mut daemons[1], &mut store, now, false);
+        assert!(now.since(begin) < TAKEOVER_TIME * 2, "nobody takes over");
+    }
+    assert!(now.since(begin) >= TAKEOVER_TIME);
+    assert_eq!(daemons[1].tracker.fence(now), Some(2));
+    assert_eq!(daemons[0].tracker.fence(now), None);
+}
