Ask the entry of a silent place whether it still owns it

Ruled out: the instance list (the instance never left it) and the renewal's incarnation check (it needs a renewal). Before: nothing_held a_restarted_entry_frees_what_its_old_process_held failed after 5 s. After: it passes, with the nine others of nothing_held, nine of at_most_once and six of one_answer, each with daemons as processes. Conclusion: silence is asked about, never taken for an end.

--- a/crates/ffw-control/src/owner.rs
+++ b/crates/ffw-control/src/owner.rs
@@ -126,6 +126,11 @@
         self.wake.try_send(()).ok();
     }
 
+    /// Attempts whose entry has not been heard of them for the given time.
+    pub fn silent(&self, span: Duration) -> Vec<Attempt> {
+        self.lock().shard.silent(identity::now(), span)
+    }
+
     /// Whether the shard knows the attempt.
     pub fn holds(&self, attempt: &Attempt) -> bool {
         self.lock().shard.holds(attempt)
--- a/crates/ffw-control/src/sweep.rs
+++ b/crates/ffw-control/src/sweep.rs
@@ -1,5 +1,6 @@
 //! Ends engine work that nobody owns: the owner of a shard compares what the engines hold with its
-//! own places, and asks the entry of each unknown attempt whether it is still the entry's.
+//! own places, and asks the entry of each attempt that is unknown or silent whether it is still the
+//! entry's. An entry that was restarted disowns what its old process had.
 
 use {
     crate::{daemon::Daemon, owner, owner::Hosted},
@@ -16,12 +17,16 @@
 /// Period of the sweep. An attempt is cancelled when two sweeps in a row find it abandoned.
 const PERIOD: Duration = Duration::from_secs(1);
 
+/// Time without a renewal after which a place's entry is asked; renewals come far more often.
+const SILENCE: Duration = Duration::from_secs(1);
+
 /// Time for an entry to say what it does not own.
 const ASK_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// An attempt that seems abandoned: held by an engine, or a place of the shard if none is named.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Suspicion {
-    server: Arc<str>,
+    server: Option<Arc<str>>,
     attempt: Attempt,
 }
 
@@ -54,9 +59,17 @@
         .iter()
         .filter(|one| one.pool == hosted.pool && matches!(one.role, Role::Prefill | Role::Decode));
     let mut found = Vec::new();
+    for attempt in disowned_by_entries(daemon, hosted.silent(SILENCE)).await {
+        let suspicion = Suspicion { server: None, attempt };
+        if before.binary_search(&suspicion).is_ok() {
+            info!("event=sweep_abandon attempt={}", engine::attempt_name(&suspicion.attempt));
+            hosted.change(|shard| shard.abandon(&suspicion.attempt));
+        }
+        found.push(suspicion);
+    }
     for server in engines {
         for attempt in abandoned(daemon, hosted, server).await {
-            let suspicion = Suspicion { server: server.name.clone(), attempt };
+            let suspicion = Suspicion { server: Some(server.name.clone()), attempt };
             if before.binary_search(&suspicion).is_ok() {
                 end(daemon, server, &suspicion.attempt).await;
             }
@@ -74,19 +87,24 @@
     let _ = timer::timeout(Duration::from_secs(3), cancelling).await;
 }
 
-/// Attempts that hold memory of an engine and that nobody owns.
+/// Attempts that hold memory of an engine, are unknown to the shard, and belong to nobody.
 async fn abandoned(daemon: &Arc<Daemon>, hosted: &Arc<Hosted>, server: &Instance) -> Vec<Attempt> {
     let Ok(held) = engine::held(server.address).await else { return Vec::new() };
     let attempts = held.iter().filter_map(|one| engine::parse_attempt(&one.request_id));
     let unknown: Vec<Attempt> = attempts.filter(|attempt| !hosted.holds(attempt)).collect();
+    disowned_by_entries(daemon, unknown).await
+}
+
+/// Those of the attempts that their entries do not own, or whose entries have left the list.
+async fn disowned_by_entries(daemon: &Arc<Daemon>, attempts: Vec<Attempt>) -> Vec<Attempt> {
     let mut entries: Vec<Arc<str>> =
-        unknown.iter().map(|attempt| attempt.request.instance.clone()).collect();
+        attempts.iter().map(|attempt| attempt.request.instance.clone()).collect();
     entries.sort();
     entries.dedup();
     let mut found = Vec::new();
     for entry in entries {
         let own: Vec<Attempt> =
-            unknown.iter().filter(|one| one.request.instance == entry).cloned().collect();
+            attempts.iter().filter(|one| one.request.instance == entry).cloned().collect();
         found.extend(disowned(daemon, &entry, own).await);
     }
     found
--- a/crates/ffw-decide/src/shard.rs
+++ b/crates/ffw-decide/src/shard.rs
@@ -349,6 +349,17 @@
         self.cancel_where(|attempt| abandoned.contains(attempt));
     }
 
+    /// Attempts whose entry has not been heard of them for the given time.
+    pub fn silent(&self, now: Moment, span: Duration) -> Vec<Attempt> {
+        let silent = self.places.iter().filter(|(_, place)| now.since(place.heard) >= span);
+        silent.map(|(_, place)| place.ask.attempt.clone()).collect()
+    }
+
+    /// Cancels an attempt that its entry has disowned.
+    pub fn abandon(&mut self, attempt: &Attempt) {
+        self.cancel_where(|one| one == attempt);
+    }
+
     /// Cancels what belongs to entries that the instance list does not name any more.
     pub fn retain_entries(&mut self, names: &[Arc<str>]) {
         self.cancel_where(|attempt| !names.contains(&attempt.request.instance));
--- a/crates/ffw-standin/src/engine.rs
+++ b/crates/ffw-standin/src/engine.rs
@@ -184,6 +184,11 @@
         blocks.chain(running).map(|(id, pieces)| Held { request_id: id.clone(), pieces }).collect()
     }
 
+    /// Ends an attempt's work as a crash of the engine would.
+    pub fn drop_stream(&self, request_id: &Arc<str>) {
+        self.lock().drop_work(request_id);
+    }
+
     fn lock(&self) -> MutexGuard<'_, Data> {
         self.data.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- /dev/null
+++ b/crates/ffw-support/src/cluster/daemon.rs
@@ -0,0 +1,179 @@
+//! One daemon process.
+
+use {
+    super::Plan,
+    ffw_http::client::{self, Call},
+    ffw_protocol::digest,
+    ffw_runtime::timer,
+    http_types::Method,
+    rustix::process::{Pid, Signal, kill_process},
+    std::{
+        fs::OpenOptions,
+        net::{SocketAddr, TcpListener},
+        path::{Path, PathBuf},
+        process::{Child, Command, ExitStatus, Stdio},
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Key of the operator in tests.
+pub const OPERATOR_KEY: &str = "test-operator-key";
+
+/// Key of a second operator.
+pub const OTHER_OPERATOR_KEY: &str = "other-operator-key";
+
+/// A daemon process with its addresses. Dropping it kills the process.
+#[derive(Debug)]
+pub struct Daemon {
+    /// Name of the instance.
+    pub name: Arc<str>,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for health and metrics.
+    pub health: SocketAddr,
+    /// Address for other daemons.
+    pub peers: SocketAddr,
+    /// Address for operators.
+    pub operators: SocketAddr,
+    child: Child,
+    command: Vec<String>,
+    log: PathBuf,
+}
+
+/// An address that is free now.
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("a bound listener")
+}
+
+impl Daemon {
+    /// Starts a daemon.
+    pub fn start(
+        plan: &Plan,
+        name: &Arc<str>,
+        platform: SocketAddr,
+        seeds: &[SocketAddr],
+    ) -> Daemon {
+        let [callers, health, peers, operators] = [(); 4].map(|()| free_address());
+        let digest = |key: &str| digest::hex(key.as_bytes());
+        let mut command: Vec<String> = vec![plan.binary.into(), "serve".into()];
+        let mut push = |flag: &str, value: String| {
+            command.push(format!("--{flag}"));
+            command.push(value);
+        };
+        push("instance", name.to_string());
+        push("data-centre", "nz-north-a".into());
+        push("deployment", "matariki".into());
+        push("platform", platform.to_string());
+        push("peer-secret", "a-shared-key-for-tests".into());
+        push("operator-key", format!("operator={}", digest(OPERATOR_KEY)));
+        push("operator-key", format!("other={}", digest(OTHER_OPERATOR_KEY)));
+        push("listen", callers.to_string());
+        push("listen-health", health.to_string());
+        push("listen-peers", peers.to_string());
+        push("listen-operators", operators.to_string());
+        push("drain-lag-ms", "200".into());
+        push("log-level", std::env::var("FIREFLYWORKS_TEST_LOG").unwrap_or("info".into()));
+        seeds.iter().for_each(|seed| push("seed-peer", seed.to_string()));
+        command.extend(plan.arguments.iter().map(|argument| (*argument).to_owned()));
+        let file = format!("fireflyworks-{}-{}.log", std::process::id(), callers.port());
+        let log = std::env::temp_dir().join(file);
+        let child = spawn(&command, &log);
+        Daemon { name: name.clone(), callers, health, peers, operators, child, command, log }
+    }
+
+    /// Starts the process again, with the same addresses.
+    pub fn restart(&mut self) {
+        self.kill();
+        self.child = spawn(&self.command, &self.log);
+    }
+
+    /// Waits until callers may be sent here.
+    pub async fn wait_ready(&self) {
+        let begin = Instant::now();
+        while !self.is_ready().await {
+            assert!(begin.elapsed() < Duration::from_secs(20), "{} does not get ready", self.name);
+            timer::sleep(Duration::from_millis(30)).await;
+        }
+    }
+
+    /// Whether callers may be sent here.
+    pub async fn is_ready(&self) -> bool {
+        let sent = client::send(&Call::new(self.health, Method::Get, "/readyz")).await;
+        sent.is_ok_and(|response| u16::from(response.status()) == 200)
+    }
+
+    /// Kills the process at once.
+    pub fn kill(&mut self) {
+        self.child.kill().ok();
+        self.child.wait().ok();
+    }
+
+    /// Pauses the process.
+    pub fn pause(&self) {
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets a paused process go on.
+    pub fn resume(&self) {
+        self.signal(Signal::CONT);
+    }
+
+    /// Asks the process to shut down.
+    pub fn terminate(&self) {
+        self.signal(Signal::TERM);
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = Pid::from_child(&self.child);
+        kill_process(pid, signal).expect("a process of this test");
+    }
+
+    /// Waits until the process has ended.
+    pub async fn wait_exit(&mut self, limit: Duration) -> ExitStatus {
+        let begin = Instant::now();
+        loop {
+            if let Some(status) = self.child.try_wait().expect("a process of this test") {
+                return status;
+            }
+            assert!(begin.elapsed() < limit, "{} does not end", self.name);
+            timer::sleep(Duration::from_millis(30)).await;
+        }
+    }
+}
+
+fn spawn(command: &[String], log: &Path) -> Child {
+    let log = OpenOptions::new().create(true).append(true).open(log).expect("a log file");
+    Command::new(&command[0])
+        .args(&command[1..])
+        .stdout(Stdio::null())
+        .stdin(Stdio::null())
+        .stderr(log)
+        .spawn()
+        .expect("the binary starts")
+}
+
+impl Daemon {
+    /// What the process has logged.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+/// The process checks its invariants itself: a broken one fails the test that ran it.
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.kill();
+        let log = self.log();
+        if std::thread::panicking() {
+            eprintln!("log of {}:\n{log}", self.name);
+            return;
+        }
+        std::fs::remove_file(&self.log).ok();
+        for mark in ["invariant_broken", "panicked at"] {
+            let line = log.lines().find(|line| line.contains(mark));
+            assert!(line.is_none(), "{}: {line:?}", self.name);
+        }
+    }
+}
--- a/crates/ffw-support/src/lib.rs
+++ b/crates/ffw-support/src/lib.rs
@@ -2,5 +2,6 @@
 //! time, and a cluster of daemon processes among stand-ins.
 
 pub mod build;
+pub mod cluster;
 pub mod drive;
 pub mod seed;
