--- a/crates/ffw-http/src/server.rs
+++ b/crates/ffw-http/src/server.rs
@@ -11,7 +11,7 @@
     std::{
         future::Future,
         io,
-        net::SocketAddr,
+        net::{Shutdown, SocketAddr},
         sync::{
             Arc,
             atomic::{AtomicBool, AtomicUsize, Ordering},
@@ -29,6 +29,10 @@
 /// Pause after the listener has failed, for example for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Time and bytes for which a connection whose request was not read is drained.
+const LINGER_TIME: Duration = Duration::from_secs(2);
+const LINGER_BYTES: usize = 64 << 20;
+
 /// Bounds of a server.
 #[derive(Clone, Copy, Debug)]
 pub struct Limits {
@@ -196,11 +200,30 @@
         }
         write_answer(&stream, response, method, &limits).await?;
         if !keep_alive {
-            return Ok(());
+            return if body_read { Ok(()) } else { linger(stream).await };
         }
     }
 }
 
+/// Reads what a caller still sends after its answer, so that closing does not reset the connection
+/// before the caller has read the answer.
+async fn linger(mut stream: TcpStream) -> io::Result<()> {
+    stream.shutdown(Shutdown::Write)?;
+    let mut buffer = vec![0; COPY_BUFFER];
+    let draining = async {
+        let mut left = LINGER_BYTES;
+        while left > 0 {
+            let count = stream.read(&mut buffer).await?;
+            if count == 0 {
+                break;
+            }
+            left = left.saturating_sub(count);
+        }
+        Ok(())
+    };
+    timer::timeout(LINGER_TIME, draining).await.unwrap_or(Ok(()))
+}
+
 async fn stopped<T>(handle: &Handle) -> Option<T> {
     while !handle.is_stopping() {
         timer::sleep(Duration::from_millis(100)).await;
--- a/crates/ffw-support/src/cluster/daemon.rs
+++ b/crates/ffw-support/src/cluster/daemon.rs
@@ -12,7 +12,10 @@
         net::{SocketAddr, TcpListener},
         path::{Path, PathBuf},
         process::{Child, Command, ExitStatus, Stdio},
-        sync::Arc,
+        sync::{
+            Arc,
+            atomic::{AtomicU32, Ordering},
+        },
         time::{Duration, Instant},
     },
 };
@@ -41,10 +44,22 @@
     log: PathBuf,
 }
 
-/// An address that is free now.
+/// Ports for daemons, below those that the kernel gives to outgoing connections.
+const PORTS: std::ops::Range<u32> = 12_000..32_000;
+
+static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
+
+/// An address that is free now, and that no other daemon of this process was given.
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
-    listener.local_addr().expect("a bound listener")
+    let begin = std::process::id().wrapping_mul(127);
+    loop {
+        let offset = begin.wrapping_add(NEXT_PORT.fetch_add(1, Ordering::SeqCst));
+        let port = PORTS.start + offset % PORTS.len() as u32;
+        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
+        if TcpListener::bind(address).is_ok() {
+            return address;
+        }
+    }
 }
 
 impl Daemon {
--- /dev/null
+++ b/crates/fireflyworks/examples/settings_table.rs
@@ -0,0 +1,5 @@
+//! Prints the settings table of `docs/OPERATING.md`.
+
+fn main() {
+    print!("{}", fireflyworks::settings::markdown());
+}
--- a/crates/fireflyworks/tests/one_answer.rs
+++ b/crates/fireflyworks/tests/one_answer.rs
@@ -31,7 +31,7 @@
     let daemons = cluster.daemons.len();
     let call = |n: usize| {
         let mut call = cluster.completion(n % daemons, n, max_tokens);
-        call.stream = n % 3 != 0;
+        call.stream = !n.is_multiple_of(3);
         call
     };
     (0..count).map(call).collect()
