Add the experiment: owned shards beside baselines and an all-knowing queue

Changed: ffw-bench experiment, with arrivals by seed and the mixes of both users; daemons are processes, engines are stand-ins, the all-knowing queue is the shard in virtual time without any delay.

--- /dev/null
+++ b/crates/ffw-bench/src/experiment/reference.rs
@@ -0,0 +1,60 @@
+//! The all-knowing queue: one shard that sees its engines without any delay, in virtual time.
+
+use {
+    super::{Plan, mix::Arrival, run::Row},
+    ffw_decide::{order::Floor, shard::Settings},
+    ffw_protocol::{admission::Ask, time::Moment},
+    ffw_support::{
+        build,
+        drive::{Drive, End},
+    },
+    std::time::Duration,
+};
+
+/// Runs the arrivals against exact engines.
+pub(super) fn run(plan: &Plan, load: f64, arrivals: &[Arrival]) -> Row {
+    let engine = super::run::engine();
+    let settings = Settings {
+        slots: engine.slots,
+        pieces: engine.pieces,
+        piece_tokens: engine.piece_tokens,
+        prefill_rate: engine.prefill_rate,
+        link_rate: engine.link_rate,
+        token_time: engine.token_time,
+        result_life: engine.result_life,
+        floors: vec![Floor { rank: 1, share: 0.3 }],
+    };
+    let mut drive = Drive::new(settings, plan.prefills, plan.decodes);
+    let begin = drive.now;
+    for (number, arrival) in arrivals.iter().enumerate() {
+        let due = (begin + arrival.at).since(drive.now);
+        drive.pass(due);
+        drive.ask(ask(number, arrival), arrival.tokens_out);
+    }
+    drive.pass(Duration::from_secs(60));
+    let mut row = Row::new("all-knowing", load, plan);
+    row.offered = arrivals.len() as u64;
+    let total: u64 = arrivals.iter().map(|one| u64::from(one.tokens_in)).sum();
+    let mut wasted = 0;
+    for outcome in &drive.ended {
+        let number = outcome.ask.attempt.request.sequence as usize;
+        let arrival = &arrivals[number];
+        match &outcome.end {
+            End::Answered(first) => row.note_answer(arrival, *first, engine.token_time),
+            End::Refused(_) => row.refused += 1,
+            End::Wasted => wasted += u64::from(arrival.tokens_in),
+        }
+    }
+    row.wasted_share = wasted as f64 / total.max(1) as f64;
+    row.close(Moment(0).since(Moment(0)));
+    row
+}
+
+fn ask(number: usize, arrival: &Arrival) -> Ask {
+    let sequence = number as u64;
+    let kind = &arrival.kind;
+    let mut ask =
+        build::ask(sequence, arrival.customer, kind.rank, arrival.tokens_in, kind.max_tokens);
+    ask.patience = kind.deadline;
+    ask
+}
--- /dev/null
+++ b/crates/ffw-bench/src/main.rs
@@ -0,0 +1,18 @@
+//! Experiments with daemon processes among stand-ins, and the slopes behind `docs/CAPACITY.md`.
+
+mod experiment;
+
+use {clap::Command, eyre::Result, std::process::ExitCode};
+
+fn main() -> Result<ExitCode> {
+    let command = Command::new("ffw-bench")
+        .about("Experiments and measured slopes; for development only")
+        .subcommand_required(true)
+        .subcommand(experiment::command());
+    let matches = command.get_matches();
+    match matches.subcommand() {
+        Some(("experiment", matches)) => experiment::run(matches)?,
+        _ => return Ok(ExitCode::from(2)),
+    }
+    Ok(ExitCode::SUCCESS)
+}
--- a/crates/ffw-support/src/cluster.rs
+++ b/crates/ffw-support/src/cluster.rs
@@ -8,7 +8,10 @@
 use {
     daemon::Daemon,
     ffw_http::server::{self, Handle},
-    ffw_protocol::instance::{Instance, Role, State},
+    ffw_protocol::{
+        declaration::Deployment,
+        instance::{Instance, Role, State},
+    },
     ffw_runtime::{executor, timer},
     ffw_standin::{
         caller::{Answer, Completion, Plain as PlainCall},
@@ -45,6 +48,8 @@
     pub plains: usize,
     /// Sizes of the engines; the role is set for each.
     pub engine: engine::Settings,
+    /// Pool of the engines.
+    pub pool: &'static str,
     /// Declaration to apply at the start.
     pub declaration: Arc<str>,
     /// Further arguments of each daemon.
@@ -62,12 +67,21 @@
             decodes: 2,
             plains: 1,
             engine: engine::Settings { fences: true, ..engine::Settings::default() },
+            pool: "notes",
             declaration: declaration.into(),
             arguments: Vec::new(),
         }
     }
 }
 
+impl Plan {
+    /// Name of the declared deployment.
+    pub fn deployment(&self) -> String {
+        let parsed = Deployment::parse(&self.declaration).expect("a valid declaration");
+        parsed.deployment.to_string()
+    }
+}
+
 /// A stand-in that serves.
 #[derive(Clone, Debug)]
 pub struct Node<T> {
@@ -150,7 +164,7 @@
         let handle = Handle::default();
         let service = Engine::new(settings, address);
         executor::detach(service.clone().serve(listener, handle.clone()));
-        self.list(&name, role, address, "notes");
+        self.list(&name, role, address, self.plan.pool);
         let node = Node { name, address, service, handle };
         if role == Role::Prefill { self.prefills.push(node) } else { self.decodes.push(node) }
     }
@@ -193,7 +207,7 @@
             role,
             data_centre: "nz-north-a".into(),
             address: node.address,
-            pool: "notes".into(),
+            pool: self.plan.pool.into(),
             state: State::Leaving,
         });
     }
--- a/crates/ffw-support/src/cluster/daemon.rs
+++ b/crates/ffw-support/src/cluster/daemon.rs
@@ -26,6 +26,18 @@
 /// Key of a second operator.
 pub const OTHER_OPERATOR_KEY: &str = "other-operator-key";
 
+/// Clock ticks of the kernel's accounts in a second.
+const TICKS: u64 = 100;
+
+/// What a process has used.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Processor time.
+    pub cpu: Duration,
+    /// Resident memory, in bytes.
+    pub memory: u64,
+}
+
 /// A daemon process with its addresses. Dropping it kills the process.
 #[derive(Debug)]
 pub struct Daemon {
@@ -79,7 +91,7 @@
         };
         push("instance", name.to_string());
         push("data-centre", "nz-north-a".into());
-        push("deployment", "matariki".into());
+        push("deployment", plan.deployment());
         push("platform", platform.to_string());
         push("peer-secret", "a-shared-key-for-tests".into());
         push("operator-key", format!("operator={}", digest(OPERATOR_KEY)));
@@ -89,7 +101,9 @@
         push("listen-peers", peers.to_string());
         push("listen-operators", operators.to_string());
         push("drain-lag-ms", "200".into());
-        push("log-level", std::env::var("FIREFLYWORKS_TEST_LOG").unwrap_or("info".into()));
+        if !plan.arguments.contains(&"--log-level") {
+            push("log-level", std::env::var("FIREFLYWORKS_TEST_LOG").unwrap_or("info".into()));
+        }
         seeds.iter().for_each(|seed| push("seed-peer", seed.to_string()));
         command.extend(plan.arguments.iter().map(|argument| (*argument).to_owned()));
         let file = format!("fireflyworks-{}-{}.log", std::process::id(), callers.port());
@@ -170,6 +184,26 @@
 }
 
 impl Daemon {
+    /// What the process has used so far.
+    pub fn usage(&self) -> Usage {
+        let pid = self.child.id();
+        let read = |name: &str| {
+            std::fs::read_to_string(format!("/proc/{pid}/{name}")).unwrap_or_default()
+        };
+        let stat = read("stat");
+        let fields: Vec<&str> =
+            stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
+        let ticks = |at: usize| fields.get(at).and_then(|text| text.parse().ok()).unwrap_or(0);
+        let ticks: u64 = ticks(11) + ticks(12);
+        let status = read("status");
+        let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+        let kilobytes = line.and_then(|line| line.split_whitespace().nth(1));
+        Usage {
+            cpu: Duration::from_millis(ticks * 1_000 / TICKS),
+            memory: kilobytes.and_then(|text| text.parse::<u64>().ok()).unwrap_or(0) * 1_024,
+        }
+    }
+
     /// What the process has logged.
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
