--- a/crates/ffw-backend/src/engine.rs
+++ b/crates/ffw-backend/src/engine.rs
@@ -7,6 +7,7 @@
         fault::Fault,
     },
     ffw_protocol::admission::Attempt,
+    ffw_runtime::meter::Wire,
     futures_lite::{AsyncBufReadExt as _, io::BufReader},
     http_types::{Body, Method},
     serde::{Deserialize, Serialize},
@@ -256,7 +257,7 @@
 /// As [`client::fetch`].
 pub async fn load(server: SocketAddr) -> Result<Load, Fault> {
     let call = Call::new(server, Method::Get, "/v1/load").limit(Duration::from_secs(1));
-    client::fetch(&call).await
+    client::fetch(&call.wire(Wire::Report)).await
 }
 
 /// Reads which attempts hold memory of an engine.
@@ -265,7 +266,7 @@
 /// As [`client::fetch`].
 pub async fn held(server: SocketAddr) -> Result<Vec<Held>, Fault> {
     let call = Call::new(server, Method::Get, "/v1/held").limit(Duration::from_secs(1));
-    client::fetch(&call).await
+    client::fetch(&call.wire(Wire::Report)).await
 }
 
 /// Reads cache events after number `after`.
@@ -274,7 +275,8 @@
 /// As [`client::fetch`].
 pub async fn cache_events(server: SocketAddr, after: u64) -> Result<Vec<CacheEvent>, Fault> {
     let path = format!("/v1/cache-events?after={after}");
-    client::fetch(&Call::new(server, Method::Get, path).limit(Duration::from_secs(1))).await
+    let call = Call::new(server, Method::Get, path).limit(Duration::from_secs(1));
+    client::fetch(&call.wire(Wire::Report)).await
 }
 
 /// Gives an order. An engine that checks fencing numbers refuses an old one with 409.
@@ -283,7 +285,7 @@
 /// As [`client::fetch`].
 pub async fn order(server: SocketAddr, order: &Order) -> Result<Loaded, Fault> {
     let call = Call::new(server, Method::Post, "/v1/orders").json(order);
-    client::fetch(&call.limit(Duration::from_secs(5))).await
+    client::fetch(&call.limit(Duration::from_secs(5)).wire(Wire::Report)).await
 }
 
 /// Reads what an engine serves.
@@ -292,5 +294,5 @@
 /// As [`client::fetch`].
 pub async fn loaded(server: SocketAddr) -> Result<Loaded, Fault> {
     let call = Call::new(server, Method::Get, "/v1/orders").limit(Duration::from_secs(1));
-    client::fetch(&call).await
+    client::fetch(&call.wire(Wire::Report)).await
 }
--- a/crates/ffw-bench/src/main.rs
+++ b/crates/ffw-bench/src/main.rs
@@ -1,6 +1,7 @@
 //! Experiments with daemon processes among stand-ins, and the slopes behind `docs/CAPACITY.md`.
 
 mod experiment;
+mod slopes;
 
 use {clap::Command, eyre::Result, std::process::ExitCode};
 
@@ -8,10 +9,12 @@
     let command = Command::new("ffw-bench")
         .about("Experiments and measured slopes; for development only")
         .subcommand_required(true)
-        .subcommand(experiment::command());
+        .subcommand(experiment::command())
+        .subcommand(slopes::command());
     let matches = command.get_matches();
     match matches.subcommand() {
         Some(("experiment", matches)) => experiment::run(matches)?,
+        Some(("slopes", matches)) => slopes::run(matches)?,
         _ => return Ok(ExitCode::from(2)),
     }
     Ok(ExitCode::SUCCESS)
--- a/crates/ffw-control/src/admission.rs
+++ b/crates/ffw-control/src/admission.rs
@@ -60,7 +60,17 @@
     releases: Vec<Release>,
 }
 
+impl State {
+    fn is_idle(&self) -> bool {
+        self.open.is_empty() && self.releases.is_empty() && self.waiting == 0
+    }
+}
+
 impl Lane {
+    fn is_idle(&self) -> bool {
+        self.lock().is_idle()
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -146,6 +156,7 @@
 impl Watched {
     fn new(lane: &Arc<Lane>) -> Watched {
         lane.lock().waiting += 1;
+        lane.wake.try_send(()).ok();
         Watched(lane.clone())
     }
 }
@@ -266,8 +277,12 @@
 async fn renew_lane(daemon: Arc<Daemon>, lane: Arc<Lane>, woken: Receiver<()>) {
     let mut last_full = Instant::now();
     loop {
-        let pause = RENEW_PERIOD.saturating_sub(last_full.elapsed());
-        let is_woken = timer::timeout(pause, woken.recv()).await.is_some();
+        let is_woken = if lane.is_idle() {
+            woken.recv().await.is_ok()
+        } else {
+            let pause = RENEW_PERIOD.saturating_sub(last_full.elapsed());
+            timer::timeout(pause, woken.recv()).await.is_some()
+        };
         if is_woken {
             timer::sleep(GATHER_PAUSE).await;
         }
@@ -286,9 +301,8 @@
 fn build_renewal(daemon: &Daemon, lane: &Lane, full: bool) -> Option<Renewal> {
     let mut state = lane.lock();
     let changed = std::mem::take(&mut state.changed);
-    let is_idle = state.open.is_empty() && state.releases.is_empty() && state.waiting == 0;
     let has_news = !changed.is_empty() || !state.releases.is_empty();
-    if is_idle || !full && !has_news || baseline_without_owner(daemon.policy) {
+    if state.is_idle() || !full && !has_news || baseline_without_owner(daemon.policy) {
         state.releases.clear();
         return None;
     }
--- a/crates/ffw-control/src/metrics.rs
+++ b/crates/ffw-control/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and gauges for prometheus.
 
 use {
+    ffw_runtime::meter::Wire,
     prometheus::{
         Encoder as _, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
         Registry, TextEncoder,
@@ -28,6 +29,8 @@
     pub open: IntGauge,
     /// Number of the configuration version in force.
     pub config_version: IntGauge,
+    /// Bytes on each kind of connection.
+    pub wire_bytes: IntGaugeVec,
     /// Requests in the queue of a shard that this daemon owns.
     pub waiting: IntGaugeVec,
     /// Places held of a shard that this daemon owns.
@@ -99,6 +102,11 @@
             )?,
             open: gauge("fireflyworks_open_requests", "Requests in flight at this entry")?,
             config_version: gauge("fireflyworks_config_version", "Configuration in force")?,
+            wire_bytes: gauges(
+                "fireflyworks_wire_bytes",
+                "Bytes so far by kind of connection, both directions",
+                &["wire"],
+            )?,
             waiting: gauges("fireflyworks_queue_waiting", "Requests in the queue", &["pool"])?,
             held: gauges("fireflyworks_places_held", "Places held", &["pool"])?,
             unstored_records: gauge(
@@ -116,6 +124,9 @@
 
     /// All metrics in prometheus's text format.
     pub fn text(&self) -> Arc<str> {
+        for wire in Wire::ALL {
+            self.wire_bytes.with_label_values(&[wire.name()]).set(wire.bytes() as i64);
+        }
         let mut buffer = Vec::new();
         let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut buffer);
         encoded.map_or_else(
--- a/crates/ffw-entry/src/generate/attempt.rs
+++ b/crates/ffw-entry/src/generate/attempt.rs
@@ -17,7 +17,10 @@
         error::{Error, Kind, Run},
         ledger::Event,
     },
-    ffw_runtime::{executor, timer},
+    ffw_runtime::{
+        executor,
+        timer::{self, Activity},
+    },
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -200,25 +203,44 @@
     let stall = (work.token_time * STALL_FACTOR).max(STALL_MIN);
     let mut stream =
         engine::decode(server.address, completion, stall + STEP_MARGIN).await.map_err(failed)?;
+    let activity = Activity::default();
+    let taking = take_all(place, completion, delivered, &mut stream, &activity);
+    match timer::watch(stall, &activity, taking).await {
+        None => Err(failed(Fault::Timeout(stall))),
+        Some(Err(Ended::Engine(fault))) => Err(failed(fault)),
+        Some(Err(Ended::Delivery(error))) if error.kind == Kind::CallerGone => {
+            Err(Failure::Final(error))
+        }
+        Some(Err(Ended::Delivery(error))) => Err(Failure::Retryable(error)),
+        Some(Ok(())) => Ok(()),
+    }
+}
+
+/// Why a token stream ended before the last token.
+enum Ended {
+    Engine(Fault),
+    Delivery(Error),
+}
+
+async fn take_all(
+    place: &Place,
+    completion: &Completion,
+    delivered: &mut Delivered,
+    stream: &mut engine::Stream,
+    activity: &Activity,
+) -> Result<(), Ended> {
     loop {
-        let step = timer::timeout(stall, stream.next()).await;
-        let step = step.unwrap_or(Err(Fault::Timeout(stall))).map_err(failed)?;
-        match step {
-            Step::Token(token) => {
-                let taken = delivered.take(&completion.request_id, &token).await;
-                match taken {
-                    Ok(Taken::Last) => return Ok(()),
-                    Ok(Taken::New) => {
-                        place.note_emitted(delivered.count() - completion.resume_from)
-                    }
-                    Ok(Taken::Dropped) => {}
-                    Err(error) if error.kind == Kind::CallerGone => {
-                        return Err(Failure::Final(error));
-                    }
-                    Err(error) => return Err(Failure::Retryable(error)),
-                }
+        let token = match stream.next().await.map_err(Ended::Engine)? {
+            Step::Token(token) => token,
+            Step::Done => {
+                return Err(Ended::Engine(Fault::Broken("the stream ended early".into())));
             }
-            Step::Done => return Err(failed(Fault::Broken("the stream ended early".into()))),
+        };
+        activity.note();
+        match delivered.take(&completion.request_id, &token).await.map_err(Ended::Delivery)? {
+            Taken::Last => return Ok(()),
+            Taken::New => place.note_emitted(delivered.count() - completion.resume_from),
+            Taken::Dropped => {}
         }
     }
 }
--- a/crates/ffw-http/src/client.rs
+++ b/crates/ffw-http/src/client.rs
@@ -5,7 +5,10 @@
 
 use {
     crate::fault::Fault,
-    ffw_runtime::timer,
+    ffw_runtime::{
+        meter::{Metered, Wire},
+        timer,
+    },
     futures_lite::AsyncReadExt as _,
     http_types::{Method, Request, Response, Url},
     serde::{Serialize, de::DeserializeOwned},
@@ -34,6 +37,8 @@
     pub body: Arc<[u8]>,
     /// Time until the head of the answer, counted from the first byte sent.
     pub limit: Duration,
+    /// What the connection is for.
+    pub wire: Wire,
 }
 
 /// A header line.
@@ -49,7 +54,8 @@
     /// A call without headers or body.
     pub fn new(address: SocketAddr, method: Method, path: impl Into<Arc<str>>) -> Call {
         let limit = Duration::from_secs(5);
-        Call { address, method, path: path.into(), headers: Vec::new(), body: Arc::new([]), limit }
+        let (headers, body, wire) = (Vec::new(), Arc::from([]), Wire::default());
+        Call { address, method, path: path.into(), headers, body, limit, wire }
     }
 
     /// The call with a JSON body.
@@ -59,6 +65,12 @@
         self
     }
 
+    /// The call over another kind of connection.
+    pub fn wire(mut self, wire: Wire) -> Call {
+        self.wire = wire;
+        self
+    }
+
     /// The call with another time limit.
     pub fn limit(mut self, limit: Duration) -> Call {
         self.limit = limit;
@@ -79,6 +91,7 @@
         None => return Err(Fault::Unreached("connecting timed out".into())),
     };
     stream.set_nodelay(true).ok();
+    let stream = Metered::new(stream, call.wire);
     match timer::timeout(call.limit, async_h1::connect(stream, request)).await {
         Some(Ok(response)) => Ok(response),
         Some(Err(err)) => Err(Fault::Broken(err.to_string())),
--- a/crates/ffw-http/src/server.rs
+++ b/crates/ffw-http/src/server.rs
@@ -7,14 +7,17 @@
     futures_lite::{AsyncRead, AsyncReadExt as _, AsyncWriteExt as _},
     http_types::{Body, Method, Request, Response, StatusCode},
     log::debug,
-    smol::net::{TcpListener, TcpStream},
+    smol::{
+        channel::{self, Receiver, Sender},
+        net::{TcpListener, TcpStream},
+    },
     std::{
         future::Future,
         io,
         net::{Shutdown, SocketAddr},
         sync::{
             Arc,
-            atomic::{AtomicBool, AtomicUsize, Ordering},
+            atomic::{AtomicUsize, Ordering},
         },
         time::Duration,
     },
@@ -81,22 +84,36 @@
 }
 
 /// Counters and switch of a running server.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Handle {
-    stopping: Arc<AtomicBool>,
+    stop: Sender<()>,
+    stopped: Receiver<()>,
     open: Arc<AtomicUsize>,
     busy: Arc<AtomicUsize>,
 }
 
+impl Default for Handle {
+    fn default() -> Handle {
+        let (stop, stopped) = channel::bounded(1);
+        Handle { stop, stopped, open: Arc::default(), busy: Arc::default() }
+    }
+}
+
 impl Handle {
     /// Accepts no more requests; those in flight come to their end.
     pub fn stop(&self) {
-        self.stopping.store(true, Ordering::SeqCst);
+        self.stop.close();
     }
 
     /// Whether [`Handle::stop`] was called.
     pub fn is_stopping(&self) -> bool {
-        self.stopping.load(Ordering::SeqCst)
+        self.stop.is_closed()
+    }
+
+    /// Waits until [`Handle::stop`] is called, then gives `None`.
+    async fn stopped<T>(&self) -> Option<T> {
+        self.stopped.recv().await.ok();
+        None
     }
 
     /// Requests that are not answered to their end.
@@ -136,9 +153,9 @@
     Fut: Future<Output = Response> + Send + 'static,
 {
     while !handle.is_stopping() {
-        let accepted = timer::timeout(Duration::from_millis(100), listener.accept()).await;
-        let stream = match accepted {
-            None => continue,
+        let accepting = async { Some(listener.accept().await) };
+        let stream = match smol::future::or(accepting, handle.stopped()).await {
+            None => return,
             Some(Ok((stream, _))) => stream,
             Some(Err(err)) => {
                 debug!("event=accept_failed error={err}");
@@ -174,7 +191,7 @@
 {
     loop {
         let decoding = async_h1::server::decode(stream.clone());
-        let decoding = smol::future::or(async { Some(decoding.await) }, stopped(handle));
+        let decoding = smol::future::or(async { Some(decoding.await) }, handle.stopped());
         let (request, mut rest) = match timer::timeout(limits.head, decoding).await.flatten() {
             None | Some(Ok(None)) => return Ok(()),
             Some(Ok(Some(parts))) => parts,
@@ -224,13 +241,6 @@
     timer::timeout(LINGER_TIME, draining).await.unwrap_or(Ok(()))
 }
 
-async fn stopped<T>(handle: &Handle) -> Option<T> {
-    while !handle.is_stopping() {
-        timer::sleep(Duration::from_millis(100)).await;
-    }
-    None
-}
-
 /// Copies an answer to its caller; a body that fails ends the connection without its last chunk.
 async fn write_answer(
     stream: &TcpStream,
--- a/crates/ffw-peer/src/link.rs
+++ b/crates/ffw-peer/src/link.rs
@@ -8,7 +8,11 @@
     },
     async_compat::Compat,
     ffw_protocol::error::{Error, Kind, Result},
-    ffw_runtime::{executor, timer},
+    ffw_runtime::{
+        executor,
+        meter::{Metered, Wire},
+        timer,
+    },
     smol::net::TcpStream,
     std::{
         future::Future,
@@ -94,7 +98,7 @@
         let mut stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         handshake::prove(&mut stream, &self.secret, Side::Client).await?;
-        let framed = Framed::new(Compat::new(stream), server::codec());
+        let framed = Framed::new(Compat::new(Metered::new(stream, Wire::Peer)), server::codec());
         let transport = tarpc::serde_transport::new(framed, Bincode::default());
         let created = PeerClient::new(client::Config::default(), transport);
         let dispatch = created.dispatch;
--- a/crates/ffw-peer/src/server.rs
+++ b/crates/ffw-peer/src/server.rs
@@ -7,7 +7,11 @@
         service::Peer as _,
     },
     async_compat::Compat,
-    ffw_runtime::{executor, timer},
+    ffw_runtime::{
+        executor,
+        meter::{Metered, Wire},
+        timer,
+    },
     futures_lite::StreamExt as _,
     log::warn,
     smol::net::{TcpListener, TcpStream},
@@ -49,7 +53,7 @@
         Some(Err(err)) => return warn!("event=peer_denied error=\"{err}\""),
         None => return warn!("event=peer_denied error=\"handshake timed out\""),
     }
-    let framed = Framed::new(Compat::new(stream), codec());
+    let framed = Framed::new(Compat::new(Metered::new(stream, Wire::Peer)), codec());
     let transport = tarpc::serde_transport::new(framed, Bincode::default());
     let channel = BaseChannel::with_defaults(transport);
     let serving = async move {
--- a/crates/ffw-platform/src/store.rs
+++ b/crates/ffw-platform/src/store.rs
@@ -4,6 +4,7 @@
     crate::fault::{Fault, Result},
     ffw_http::client::{self, Call},
     ffw_protocol::instance::Instance,
+    ffw_runtime::meter::Wire,
     http_types::Method,
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::{net::SocketAddr, sync::Arc, time::Duration},
@@ -153,6 +154,6 @@
     }
 
     async fn fetch<T: DeserializeOwned>(&self, call: Call) -> Result<T> {
-        client::fetch(&call.limit(CALL_TIMEOUT)).await.map_err(Fault::from_call)
+        client::fetch(&call.limit(CALL_TIMEOUT).wire(Wire::Platform)).await.map_err(Fault::from_call)
     }
 }
--- a/crates/ffw-runtime/src/executor.rs
+++ b/crates/ffw-runtime/src/executor.rs
@@ -2,13 +2,18 @@
 
 use {
     smol::{Executor, Task, future},
-    std::{future::Future, sync::OnceLock, thread},
+    std::{
+        future::Future,
+        sync::{OnceLock, mpsc},
+        thread,
+    },
 };
 
 static EXECUTOR: OnceLock<Executor<'static>> = OnceLock::new();
 
-/// Most threads that work the executor.
-const MAX_THREADS: usize = 4;
+/// Most threads that work the executor. An idle one drives the reactor itself, so that an event is
+/// mostly handled by the thread that sees it; each further thread costs hand-overs.
+const MAX_THREADS: usize = 2;
 
 fn executor() -> &'static Executor<'static> {
     EXECUTOR.get_or_init(|| {
@@ -31,3 +36,17 @@
 pub fn detach(task: impl Future<Output = ()> + Send + 'static) {
     spawn(task).detach();
 }
+
+/// Runs a task to its end on the executor, while the calling thread sleeps.
+///
+/// # Errors
+/// The task panicked.
+pub fn run<T: Send + 'static>(
+    task: impl Future<Output = T> + Send + 'static,
+) -> Result<T, mpsc::RecvError> {
+    let (sender, receiver) = mpsc::sync_channel(1);
+    detach(async move {
+        sender.send(task.await).ok();
+    });
+    receiver.recv()
+}
--- a/crates/ffw-runtime/src/lib.rs
+++ b/crates/ffw-runtime/src/lib.rs
@@ -3,5 +3,6 @@
 
 pub mod clock;
 pub mod executor;
+pub mod meter;
 pub mod shutdown;
 pub mod timer;
--- a/crates/ffw-support/src/cluster.rs
+++ b/crates/ffw-support/src/cluster.rs
@@ -7,7 +7,10 @@
 
 use {
     daemon::Daemon,
-    ffw_http::server::{self, Handle},
+    ffw_http::{
+        client::{self, Call},
+        server::{self, Handle},
+    },
     ffw_protocol::{
         declaration::Deployment,
         instance::{Instance, Role, State},
@@ -19,6 +22,7 @@
         plain::Plain,
         platform::Platform,
     },
+    http_types::Method,
     std::{
         future::Future,
         net::SocketAddr,
@@ -296,6 +300,14 @@
     answers
 }
 
+/// Text that a path answers with; empty if it does not.
+pub async fn text_of(address: SocketAddr, path: &str) -> String {
+    let call = Call::new(address, Method::Get, path);
+    let Ok(mut response) = client::send(&call).await else { return String::new() };
+    let bytes = client::read_body(&mut response, call.limit).await.unwrap_or_default();
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 async fn bind() -> smol::net::TcpListener {
     let address = SocketAddr::from(([127, 0, 0, 1], 0));
     server::bind(address).await.expect("a free port")
--- a/crates/fireflyworks/src/command/serve.rs
+++ b/crates/fireflyworks/src/command/serve.rs
@@ -62,7 +62,7 @@
         }
     };
     logs::start(settings.log_level);
-    smol::block_on(serve(settings))
+    executor::run(serve(settings)).wrap_err("the daemon ended early")?
 }
 
 struct Listeners {
