Rank daemons once a list, merge pulls, read reports once a second

Changed: rankings are kept for each version of the instance list; one call brings configuration and instance list, from one relay; a change goes to the relays and the others take it from them; three daemons try for the lease; load is read once a second, and a list of what an engine holds only where its load shows more than the shard knows.

--- a/crates/ffw-backend/src/engine.rs
+++ b/crates/ffw-backend/src/engine.rs
@@ -73,7 +73,7 @@
 /// Load as an engine reports it, with a lag.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
-    /// Requests that hold a slot.
+    /// Requests that hold memory.
     pub running: u32,
     /// Pieces in use.
     pub pieces: u32,
--- a/crates/ffw-bench/src/experiment/mix.rs
+++ b/crates/ffw-bench/src/experiment/mix.rs
@@ -69,8 +69,8 @@
         let prompt = mean(|kind| f64::from(kind.prompt.0 + kind.prompt.1) / 2.0);
         let output = mean(|kind| f64::from(kind.max_tokens) * 0.75);
         let settings = super::run::engine();
-        let hold = output * settings.token_time.as_secs_f64()
-            + prompt / f64::from(settings.link_rate);
+        let hold =
+            output * settings.token_time.as_secs_f64() + prompt / f64::from(settings.link_rate);
         let by_slots = plan.decodes as f64 * f64::from(settings.slots) / hold;
         let by_prefill = plan.prefills as f64 * f64::from(settings.prefill_rate) / prompt;
         by_slots.min(by_prefill)
@@ -108,7 +108,8 @@
 }
 
 fn prompt(rng: &mut ChaCha8Rng, tokens: u32) -> Arc<str> {
-    let letters = (0..tokens as usize * TOKEN_BYTES).map(|_| char::from(rng.gen_range(b'a'..=b'z')));
+    let letters =
+        (0..tokens as usize * TOKEN_BYTES).map(|_| char::from(rng.gen_range(b'a'..=b'z')));
     letters.collect::<String>().into()
 }
 
--- a/crates/ffw-bench/src/experiment/plot.rs
+++ b/crates/ffw-bench/src/experiment/plot.rs
@@ -7,8 +7,13 @@
     std::path::Path,
 };
 
-const COLOURS: [RGBColor; 5] =
-    [BLACK, RGBColor(0, 90, 200), RGBColor(200, 60, 0), RGBColor(0, 140, 60), RGBColor(140, 0, 140)];
+const COLOURS: [RGBColor; 5] = [
+    BLACK,
+    RGBColor(0, 90, 200),
+    RGBColor(200, 60, 0),
+    RGBColor(0, 140, 60),
+    RGBColor(140, 0, 140),
+];
 
 /// Writes the plot as SVG.
 ///
--- a/crates/ffw-bench/src/experiment/run.rs
+++ b/crates/ffw-bench/src/experiment/run.rs
@@ -75,8 +75,20 @@
     pub(super) fn heading() -> String {
         format!(
             "{:<12} {:>5} {:>7} {:>8} {:>6} {:>8} {:>7} {:>6} {:>8} {:>9} {:>9} {:>10} {:>10} {:>7}",
-            "policy", "load", "offered", "answered", "good", "good/off", "refused", "failed",
-            "wasted%", "first p50", "first p95", "between50", "between95", "cpu ms"
+            "policy",
+            "load",
+            "offered",
+            "answered",
+            "good",
+            "good/off",
+            "refused",
+            "failed",
+            "wasted%",
+            "first p50",
+            "first p95",
+            "between50",
+            "between95",
+            "cpu ms"
         )
     }
 
@@ -195,7 +207,12 @@
     }
 }
 
-fn completion(plan: &Plan, cluster: &Cluster, arrival: &Arrival, dead: Option<usize>) -> Completion {
+fn completion(
+    plan: &Plan,
+    cluster: &Cluster,
+    arrival: &Arrival,
+    dead: Option<usize>,
+) -> Completion {
     let count = cluster.daemons.len();
     let mut at = arrival.daemon % count;
     if dead == Some(at) {
--- a/crates/ffw-bench/src/slopes.rs
+++ b/crates/ffw-bench/src/slopes.rs
@@ -46,8 +46,7 @@
         let mean_x = points.iter().map(|point| point.0).sum::<f64>() / count;
         let mean_y = points.iter().map(|point| point.1).sum::<f64>() / count;
         let spread: f64 = points.iter().map(|point| (point.0 - mean_x).powi(2)).sum();
-        let product: f64 =
-            points.iter().map(|point| (point.0 - mean_x) * (point.1 - mean_y)).sum();
+        let product: f64 = points.iter().map(|point| (point.0 - mean_x) * (point.1 - mean_y)).sum();
         let slope = if spread > 0.0 { product / spread } else { 0.0 };
         Line { base: mean_y - slope * mean_x, slope }
     }
--- a/crates/ffw-bench/src/slopes/project.rs
+++ b/crates/ffw-bench/src/slopes/project.rs
@@ -18,7 +18,9 @@
     let [daemons, workers, requests, customers] = all else { return };
     let shard_workers = WORKERS / POOLS / DATA_CENTRES;
     let rate = REQUESTS / DAEMONS * LOADED_DAEMONS;
-    println!("\nat {DAEMONS} daemons, {WORKERS} workers, {REQUESTS} requests/s, {CUSTOMERS} customers");
+    println!(
+        "\nat {DAEMONS} daemons, {WORKERS} workers, {REQUESTS} requests/s, {CUSTOMERS} customers"
+    );
     println!("(a shard of {shard_workers} workers; {:.1} requests/s a daemon)", REQUESTS / DAEMONS);
     for cost in Cost::ALL {
         let idle = daemons.line(cost).at(DAEMONS);
--- a/crates/ffw-bench/src/slopes/sample.rs
+++ b/crates/ffw-bench/src/slopes/sample.rs
@@ -98,7 +98,8 @@
     };
     for daemon in &cluster.daemons {
         let text = text_of(daemon.health, "/metrics").await;
-        let wire = |name: &str| metric(&text, &format!("fireflyworks_wire_bytes{{wire=\"{name}\"}}"));
+        let wire =
+            |name: &str| metric(&text, &format!("fireflyworks_wire_bytes{{wire=\"{name}\"}}"));
         reading.peer.push(wire("peer"));
         reading.platform.push(wire("platform"));
         reading.report.push(wire("report"));
--- a/crates/ffw-control/src/admission.rs
+++ b/crates/ffw-control/src/admission.rs
@@ -333,7 +333,7 @@
     match renewed {
         Ok(renewed) => {
             if renewed.config > daemon.register.config_number() {
-                crate::relay::pull_config(daemon, target.address).await;
+                crate::relay::pull(daemon, target.address).await;
             }
             if renewed.is_draining {
                 suspect::suspect(daemon, &target.name, target.address);
--- a/crates/ffw-control/src/calls.rs
+++ b/crates/ffw-control/src/calls.rs
@@ -5,7 +5,7 @@
     ffw_decide::burn,
     ffw_peer::{
         handler::{Handlers, Reply},
-        service::{Burn, Roster, Status},
+        service::{Burn, Known, News, Roster, Status},
     },
     ffw_protocol::config::Version,
     std::sync::{Arc, atomic::Ordering},
@@ -15,7 +15,7 @@
 pub fn handlers(daemon: &Arc<Daemon>) -> Handlers {
     let shared = || daemon.clone();
     let (for_admit, for_renew, for_disowned) = (shared(), shared(), shared());
-    let (for_config, for_offer, for_roster) = (shared(), shared(), shared());
+    let (for_news, for_offer) = (shared(), shared());
     let (for_hold, for_records, for_grants) = (shared(), shared(), shared());
     let (for_burn, for_status) = (shared(), shared());
     Handlers {
@@ -27,9 +27,8 @@
         }),
         renew: Box::new(move |renewal| ready(owner::renew(&for_renew, &renewal))),
         disowned: Box::new(move |attempts| ready(for_disowned.desk.disowned(attempts))),
-        newer_config: Box::new(move |than| ready(newer_config(&for_config, than))),
+        news: Box::new(move |known| ready(news(&for_news, known))),
         offer_config: Box::new(move |version| ready(offer_config(&for_offer, version))),
-        newer_roster: Box::new(move |than| ready(newer_roster(&for_roster, than))),
         hold_records: Box::new(move |held| {
             for_hold.ledger.hold(held);
             ready(true)
@@ -45,9 +44,14 @@
     Box::pin(std::future::ready(value))
 }
 
-fn newer_config(daemon: &Daemon, than: u64) -> Option<Version> {
-    let snapshot = daemon.register.config()?;
-    (snapshot.version.number > than).then(|| snapshot.version.clone())
+fn news(daemon: &Daemon, known: Known) -> News {
+    let config = daemon.register.config().filter(|one| one.version.number > known.config);
+    let roster = daemon.register.roster();
+    News {
+        known: daemon.register.known(),
+        config: config.map(|one| one.version.clone()),
+        roster: (roster.version > known.roster).then(|| Roster::clone(&roster)),
+    }
 }
 
 fn offer_config(daemon: &Daemon, version: Version) -> u64 {
@@ -56,11 +60,6 @@
     daemon.register.config_number()
 }
 
-fn newer_roster(daemon: &Daemon, than: u64) -> Option<Roster> {
-    let roster = daemon.register.roster();
-    (roster.version > than).then(|| Roster::clone(&roster))
-}
-
 /// Service-level counts of this daemon.
 pub fn burn(daemon: &Daemon) -> Vec<Burn> {
     let now = crate::identity::now();
--- a/crates/ffw-control/src/ledger.rs
+++ b/crates/ffw-control/src/ledger.rs
@@ -6,7 +6,6 @@
         daemon::Daemon,
         identity::{self, Identity},
     },
-    ffw_decide::rendezvous,
     ffw_peer::handler::Held,
     ffw_platform::{
         fault::Fault,
@@ -22,6 +21,7 @@
     ffw_runtime::timer,
     log::{info, warn},
     serde::{Deserialize, Serialize},
+    smol::channel::{self, Receiver, Sender},
     std::{
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::{Duration, Instant},
@@ -53,6 +53,8 @@
 pub struct Ledger {
     own: Mutex<Chain>,
     copies: Mutex<Vec<Segment>>,
+    wake: Sender<()>,
+    woken: Receiver<()>,
 }
 
 #[derive(Debug)]
@@ -134,7 +136,8 @@
             unstored: Vec::new(),
             copied: 0,
         });
-        Ledger { own, copies: Mutex::default() }
+        let (wake, woken) = channel::bounded(1);
+        Ledger { own, copies: Mutex::default(), wake, woken }
     }
 
     /// Appends a record.
@@ -154,6 +157,8 @@
         chain.last_hash = record.hash.clone();
         chain.next += 1;
         chain.unstored.push(record);
+        drop(chain);
+        self.wake.try_send(()).ok();
     }
 
     /// Records that are not stored yet.
@@ -276,6 +281,8 @@
     let mut stored_at = Instant::now();
     let mut holder: Option<Instance> = None;
     loop {
+        // New records wake the loop; a short pause lets more of them join one message.
+        let _ = timer::timeout(STORE_PERIOD / 4, daemon.ledger.woken.recv()).await;
         timer::sleep(COPY_PERIOD).await;
         copy(&daemon, &mut holder).await;
         daemon.metrics.unstored_records.set(daemon.ledger.unstored() as i64);
@@ -309,11 +316,9 @@
 
 fn choose_holder(daemon: &Daemon) -> Option<Instance> {
     let own = &daemon.identity.instance;
-    let roster = daemon.register.roster();
     let suspects = daemon.suspects.names();
-    let ranked = rendezvous::rank(own, &roster.instances);
-    let others = ranked.into_iter().filter(|one| one.name != *own);
-    others.into_iter().find(|one| !suspects.contains(&one.name)).cloned()
+    let ranked = daemon.register.ranked(own);
+    ranked.iter().find(|one| one.name != *own && !suspects.contains(&one.name)).cloned()
 }
 
 /// Writes all unstored records; answers whether none is left.
--- a/crates/ffw-control/src/order.rs
+++ b/crates/ffw-control/src/order.rs
@@ -26,6 +26,9 @@
 /// Name of the lease object.
 const LEASE: &str = "orders";
 
+/// Daemons that try for the lease; each reads the platform once a second.
+const CANDIDATES: usize = 3;
+
 /// What an engine is to serve, written before it is told.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Intent {
@@ -48,7 +51,8 @@
         if daemon.is_draining() {
             return;
         }
-        if !daemon.is_ready() || !has_engines(&daemon) {
+        let is_holder = tracker.fence(identity::now()).is_some();
+        if !daemon.is_ready() || !has_engines(&daemon) || !is_holder && !is_candidate(&daemon) {
             continue;
         }
         renew(&daemon, &mut tracker).await;
@@ -58,6 +62,14 @@
     }
 }
 
+/// Whether this daemon is one of the few that try for the lease.
+fn is_candidate(daemon: &Daemon) -> bool {
+    let suspects = daemon.suspects.names();
+    let ranked = daemon.register.ranked(LEASE);
+    let trusted = ranked.iter().filter(|one| !suspects.contains(&one.name));
+    trusted.take(CANDIDATES).any(|one| one.name == daemon.identity.instance)
+}
+
 fn has_engines(daemon: &Daemon) -> bool {
     let snapshot = daemon.register.config();
     snapshot.is_some_and(|one| one.deployment.pools.iter().any(|p| p.kind == PoolKind::Engines))
--- a/crates/ffw-control/src/owner.rs
+++ b/crates/ffw-control/src/owner.rs
@@ -3,7 +3,7 @@
 use {
     crate::{daemon::Daemon, identity, ledger::Subject},
     ffw_backend::engine,
-    ffw_decide::{baseline::Policy, rendezvous, shard},
+    ffw_decide::{baseline::Policy, shard},
     ffw_peer::service::{Renewed, ShardStatus},
     ffw_protocol::{
         admission::{Ask, Attempt, Basis, Cause, Refusal, Release, Renewal, Server, Verdict},
@@ -32,7 +32,7 @@
 const PAUSE_LIMIT: Duration = Duration::from_millis(1_000);
 
 /// Period at which this daemon looks whether it has become the owner of a shard.
-const HOSTING_PERIOD: Duration = Duration::from_millis(100);
+const HOSTING_PERIOD: Duration = Duration::from_millis(200);
 
 /// Time after the last renewal for which a daemon that is not the first choice keeps a shard.
 const LINGER_TIME: Duration = Duration::from_secs(2);
@@ -126,6 +126,11 @@
         self.wake.try_send(()).ok();
     }
 
+    /// Servers whose load reports show more than the shard knows.
+    pub fn overloaded(&self) -> Vec<Arc<str>> {
+        self.lock().shard.overloaded()
+    }
+
     /// Attempts whose entry has not been heard of them for the given time.
     pub fn silent(&self, span: Duration) -> Vec<Attempt> {
         self.lock().shard.silent(identity::now(), span)
@@ -158,8 +163,8 @@
 
 /// The owner of a pool's shard as this daemon sees it; none if no daemon is left.
 pub fn target(daemon: &Daemon, pool: &str, passed: &[Arc<str>]) -> Option<Instance> {
-    let roster = daemon.register.roster();
-    rendezvous::owner(pool, &roster.instances, passed).cloned()
+    let ranked = daemon.register.ranked(pool);
+    ranked.iter().find(|one| !passed.contains(&one.name)).cloned()
 }
 
 /// Waits for the decision on an ask.
--- a/crates/ffw-control/src/relay.rs
+++ b/crates/ffw-control/src/relay.rs
@@ -1,13 +1,12 @@
 //! How configuration and the instance list reach every daemon.
 //!
 //! The first two daemons of a data centre in rendezvous order watch the platform; the others ask
-//! them twice a second. So the number of watches grows with the data centres and not with the
+//! them once a second. So the number of watches grows with the data centres and not with the
 //! daemons, and a version that one daemon knows spreads while the platform is out.
 
 use {
-    crate::daemon::Daemon,
-    ffw_decide::rendezvous,
-    ffw_peer::service::Roster,
+    crate::{daemon::Daemon, suspect},
+    ffw_peer::service::{Known, Roster},
     ffw_platform::{
         fault::{Fault, Result},
         store::{Kind, List},
@@ -15,10 +14,12 @@
     },
     ffw_protocol::{
         config::Version,
+        digest,
         instance::{Instance, Role},
     },
-    ffw_runtime::timer,
+    ffw_runtime::{executor, timer},
     log::{debug, info, warn},
+    smol::Task,
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
@@ -26,7 +27,7 @@
 const RELAYS: usize = 2;
 
 /// Period at which the other daemons ask a relay.
-const PULL_PERIOD: Duration = Duration::from_millis(500);
+const PULL_PERIOD: Duration = Duration::from_secs(1);
 
 /// Period at which a random daemon is asked.
 const GOSSIP_PERIOD: Duration = Duration::from_secs(2);
@@ -141,13 +142,15 @@
 
 /// The daemons of this data centre that watch the platform.
 fn relays(daemon: &Daemon) -> Vec<Instance> {
-    let roster = daemon.register.roster();
-    let data_centre = &daemon.identity.data_centre;
-    let ranked = rendezvous::rank(data_centre, &roster.instances);
-    let here = ranked.into_iter().filter(|one| one.data_centre == *data_centre);
+    relays_of(daemon, &daemon.identity.data_centre)
+}
+
+/// The daemons of a data centre that watch the platform.
+fn relays_of(daemon: &Daemon, data_centre: &Arc<str>) -> Vec<Instance> {
+    let ranked = daemon.register.ranked(data_centre);
     let suspects = daemon.suspects.names();
-    let trusted = here.filter(|one| !suspects.contains(&one.name));
-    trusted.take(RELAYS).cloned().collect()
+    let here = ranked.iter().filter(|one| one.data_centre == *data_centre);
+    here.filter(|one| !suspects.contains(&one.name)).take(RELAYS).cloned().collect()
 }
 
 async fn no_longer_relay(daemon: &Daemon) {
@@ -196,72 +199,86 @@
     }
 }
 
+/// Asks one relay, or the next one if it does not answer, or else the platform.
 async fn pull_from_peers(daemon: &Arc<Daemon>) {
     let own = &daemon.identity.instance;
-    let relays = relays(daemon);
-    let others = relays.iter().filter(|one| one.name != *own);
-    let mut reached = relays.iter().any(|one| one.name == *own);
-    for relay in others {
-        reached |= pull(daemon, relay.address).await;
+    let mut relays = relays(daemon);
+    if relays.iter().any(|one| one.name == *own) {
+        return;
+    }
+    // Which relay goes first differs from daemon to daemon, so that each gets half of the calls.
+    relays.sort_by_cached_key(|one| digest::short(&[own, &one.name]));
+    for relay in relays {
+        if pull(daemon, relay.address).await {
+            return;
+        }
+        suspect::suspect(daemon, &relay.name, relay.address);
     }
-    if !reached && let Err(fault) = read_both(daemon).await {
+    if let Err(fault) = read_both(daemon).await {
         debug!("event=pull_failed error=\"{fault}\"");
     }
 }
 
 /// Asks a peer for a newer configuration and instance list; answers whether it could be reached.
-async fn pull(daemon: &Daemon, address: SocketAddr) -> bool {
-    let config = pull_config(daemon, address).await;
-    let known = daemon.register.roster().version;
-    let roster = daemon
-        .peers
-        .call(address, PULL_TIMEOUT, async move |peer, context| {
-            peer.newer_roster(context, known).await
-        })
-        .await;
-    let reached = config && roster.is_ok();
-    if let Ok(Some(roster)) = roster {
-        daemon.register.offer_roster(roster);
-    }
-    reached
+pub async fn pull(daemon: &Daemon, address: SocketAddr) -> bool {
+    news_of(daemon, address).await.is_some()
 }
 
-/// Asks a peer for a newer configuration; answers whether it could be reached.
-pub async fn pull_config(daemon: &Daemon, address: SocketAddr) -> bool {
-    let known = daemon.register.config_number();
-    let version = daemon
+/// Takes over what a peer knows; gives the versions that it has.
+async fn news_of(daemon: &Daemon, address: SocketAddr) -> Option<Known> {
+    let known = daemon.register.known();
+    let asked = daemon
         .peers
-        .call(address, PULL_TIMEOUT, async move |peer, context| {
-            peer.newer_config(context, known).await
-        })
-        .await;
-    match version {
-        Ok(Some(version)) => {
-            take_config(daemon, &daemon.deployment.clone(), version);
-            true
-        }
-        Ok(None) => true,
-        Err(_) => false,
+        .call(address, PULL_TIMEOUT, async move |peer, context| peer.news(context, known).await);
+    let news = asked.await.ok()?;
+    if let Some(version) = news.config {
+        take_config(daemon, &daemon.deployment, version);
     }
+    if let Some(roster) = news.roster {
+        daemon.register.offer_roster(roster);
+    }
+    Some(news.known)
 }
 
-/// Offers the configuration in force to all live daemons; gives those that have it in force.
-pub async fn offer_to_all(daemon: &Daemon, number: u64) -> Vec<Arc<str>> {
+/// Offers the configuration in force to the relays of each data centre, from which the others take
+/// it over, and gives the live daemons that have it in force.
+pub async fn spread(daemon: &Arc<Daemon>, number: u64) -> Vec<Arc<str>> {
     let Some(snapshot) = daemon.register.config() else { return Vec::new() };
     let roster = daemon.register.roster();
-    let mut confirmed = Vec::new();
-    for one in roster.instances.iter().filter(|one| one.role == Role::Entry && one.is_live()) {
-        if one.name == daemon.identity.instance {
-            confirmed.push(one.name.clone());
+    let own = &daemon.identity.instance;
+    let daemons = roster.instances.iter().filter(|one| one.role == Role::Entry && one.is_live());
+    let mut asked = Vec::new();
+    for one in daemons.cloned() {
+        if one.name == *own {
             continue;
         }
-        let version = snapshot.version.clone();
-        let offered = daemon.peers.call(one.address, PULL_TIMEOUT, async move |peer, context| {
-            peer.offer_config(context, version).await
-        });
-        if offered.await.is_ok_and(|in_force| in_force >= number) {
-            confirmed.push(one.name.clone());
+        let is_relay = relays_of(daemon, &one.data_centre).iter().any(|r| r.name == one.name);
+        let version = is_relay.then(|| snapshot.version.clone());
+        let daemon = daemon.clone();
+        let asking = executor::spawn(async move { offer(&daemon, one.address, version).await });
+        asked.push(Asked { name: one.name, asking });
+    }
+    let mut confirmed = vec![own.clone()];
+    for one in asked {
+        if one.asking.await.is_some_and(|in_force| in_force >= number) {
+            confirmed.push(one.name);
         }
     }
     confirmed
 }
+
+struct Asked {
+    name: Arc<str>,
+    asking: Task<Option<u64>>,
+}
+
+/// Offers a version to a peer, or only asks; gives the number that it has in force.
+async fn offer(daemon: &Daemon, address: SocketAddr, version: Option<Version>) -> Option<u64> {
+    let Some(version) = version else {
+        return news_of(daemon, address).await.map(|known| known.config);
+    };
+    let offered = daemon.peers.call(address, PULL_TIMEOUT, async move |peer, context| {
+        peer.offer_config(context, version).await
+    });
+    offered.await.ok()
+}
--- a/crates/ffw-control/src/report.rs
+++ b/crates/ffw-control/src/report.rs
@@ -13,7 +13,10 @@
 };
 
 /// Period of the reports.
-const PERIOD: Duration = Duration::from_millis(500);
+const PERIOD: Duration = Duration::from_secs(1);
+
+/// Period for the baselines, which decide by the reports alone.
+const BASELINE_PERIOD: Duration = Duration::from_millis(250);
 
 /// Load of each engine as last reported, for the baselines; in order of name.
 static REPORTED: Mutex<Vec<Reported>> = Mutex::new(Vec::new());
@@ -28,7 +31,8 @@
 pub async fn run(daemon: Arc<Daemon>) {
     let mut cursors: Vec<Cursor> = Vec::new();
     loop {
-        timer::sleep(PERIOD).await;
+        let is_owned = daemon.policy == Policy::Owner;
+        timer::sleep(if is_owned { PERIOD } else { BASELINE_PERIOD }).await;
         let roster = daemon.register.roster();
         let engines =
             roster.instances.iter().filter(|one| matches!(one.role, Role::Prefill | Role::Decode));
--- a/crates/ffw-control/src/snapshot.rs
+++ b/crates/ffw-control/src/snapshot.rs
@@ -3,8 +3,8 @@
 
 use {
     arc_swap::{ArcSwap, ArcSwapOption},
-    ffw_decide::{config, order::Floor, shard},
-    ffw_peer::service::Roster,
+    ffw_decide::{config, order::Floor, rendezvous, shard},
+    ffw_peer::service::{Known, Roster},
     ffw_protocol::{
         admission,
         config::Version,
@@ -88,6 +88,15 @@
     config: ArcSwapOption<Snapshot>,
     roster: ArcSwap<Roster>,
     write: Mutex<()>,
+    rankings: Mutex<Vec<Ranking>>,
+}
+
+/// The daemons in rendezvous order for one key, at one version of the instance list.
+#[derive(Clone, Debug)]
+struct Ranking {
+    key: Arc<str>,
+    version: u64,
+    daemons: Arc<[Instance]>,
 }
 
 impl Register {
@@ -122,6 +131,11 @@
         }
     }
 
+    /// Versions that this daemon knows.
+    pub fn known(&self) -> Known {
+        Known { config: self.config_number(), roster: self.roster.load().version }
+    }
+
     /// The instance list.
     pub fn roster(&self) -> Arc<Roster> {
         self.roster.load_full()
@@ -155,6 +169,27 @@
         self.roster.store(Arc::new(roster));
     }
 
+    /// The live daemons in rendezvous order for a key. Ranked once for each version of the list.
+    pub fn ranked(&self, key: &str) -> Arc<[Instance]> {
+        let roster = self.roster.load();
+        let mut rankings = self.rankings.lock().unwrap_or_else(PoisonError::into_inner);
+        let found = rankings.binary_search_by(|one| (*one.key).cmp(key));
+        if let Ok(at) = found
+            && rankings[at].version == roster.version
+        {
+            return rankings[at].daemons.clone();
+        }
+        let ranked = rendezvous::rank(key, &roster.instances).into_iter();
+        let daemons: Arc<[Instance]> = ranked.cloned().collect();
+        let version = roster.version;
+        let ranking = Ranking { key: key.into(), version, daemons: daemons.clone() };
+        match found {
+            Ok(at) => rankings[at] = ranking,
+            Err(at) => rankings.insert(at, ranking),
+        }
+        daemons
+    }
+
     /// Whether a backend server takes no new work: by the list, an operator, or its own word.
     pub fn is_leaving(&self, instance: &Instance, own_words: &[Arc<str>]) -> bool {
         let drained = self.config.load();
--- a/crates/ffw-control/src/sweep.rs
+++ b/crates/ffw-control/src/sweep.rs
@@ -7,7 +7,7 @@
     ffw_backend::engine,
     ffw_protocol::{
         admission::{Attempt, Server},
-        instance::{Instance, Role},
+        instance::Instance,
     },
     ffw_runtime::timer,
     log::info,
@@ -54,10 +54,9 @@
     before: &[Suspicion],
 ) -> Vec<Suspicion> {
     let roster = daemon.register.roster();
-    let engines = roster
-        .instances
-        .iter()
-        .filter(|one| one.pool == hosted.pool && matches!(one.role, Role::Prefill | Role::Decode));
+    // Only a server whose load report shows more than the shard knows is asked for its list.
+    let overloaded = hosted.overloaded();
+    let engines = roster.instances.iter().filter(|one| overloaded.contains(&one.name));
     let mut found = Vec::new();
     for attempt in disowned_by_entries(daemon, hosted.silent(SILENCE)).await {
         let suspicion = Suspicion { server: None, attempt };
--- a/crates/ffw-decide/src/shard.rs
+++ b/crates/ffw-decide/src/shard.rs
@@ -248,11 +248,25 @@
         }
     }
 
-    /// Takes a decode server's load report over.
+    /// Takes a server's load report over.
     pub fn note_load(&mut self, now: Moment, server: &str, running: u32) {
         if let Some(decode) = self.decodes.values_mut().find(|one| &*one.server.name == server) {
             decode.note_load(now, running);
         }
+        if let Some(key) = self.prefills.find(|one| &*one.server.name == server) {
+            let known = self.places.keys_where(|place| place.prefill == Some(key)).len() as u32;
+            if let Some(prefill) = self.prefills.get_mut(key) {
+                prefill.foreign = running.saturating_sub(known);
+            }
+        }
+    }
+
+    /// Servers whose load reports show more than the places known here.
+    pub fn overloaded(&self) -> Vec<Arc<str>> {
+        let prefills = self.prefills.iter().filter(|(_, one)| one.foreign > 0);
+        let decodes = self.decodes.iter().filter(|(_, one)| one.foreign > 0);
+        let prefills = prefills.map(|(_, one)| one.server.name.clone());
+        prefills.chain(decodes.map(|(_, one)| one.server.name.clone())).collect()
     }
 
     /// Takes a prefill server's cache event over.
--- a/crates/ffw-decide/src/shard/server.rs
+++ b/crates/ffw-decide/src/shard/server.rs
@@ -26,6 +26,8 @@
     pub hints: Hints,
     /// Measured time of a prefill over the predicted time.
     pub slowness: f64,
+    /// Requests that its load report shows beyond the places known here.
+    pub foreign: u32,
 }
 
 impl Prefill {
@@ -37,6 +39,7 @@
             free_at: Moment(0),
             hints: Hints::default(),
             slowness: 1.0,
+            foreign: 0,
         }
     }
 
--- a/crates/ffw-operator/src/service.rs
+++ b/crates/ffw-operator/src/service.rs
@@ -113,7 +113,7 @@
     async fn spread(&self, number: u64, wait: Duration) -> (Vec<String>, Vec<String>) {
         let began = Instant::now();
         loop {
-            let confirmed = relay::offer_to_all(&self.daemon, number).await;
+            let confirmed = relay::spread(&self.daemon, number).await;
             let missing = self.live_daemons().into_iter().filter(|one| !confirmed.contains(one));
             let missing: Vec<Arc<str>> = missing.collect();
             if missing.is_empty() || began.elapsed() >= wait.min(WAIT_MAX) {
--- a/crates/ffw-peer/src/handler.rs
+++ b/crates/ffw-peer/src/handler.rs
@@ -1,7 +1,7 @@
 //! What a daemon does when a peer calls: one closure a call, given by the daemon's parts.
 
 use {
-    crate::service::{Burn, Peer, Renewed, Roster, Status},
+    crate::service::{Burn, Known, News, Peer, Renewed, Status},
     ffw_protocol::{
         admission::{Ask, Attempt, Renewal, Verdict},
         config::Version,
@@ -45,12 +45,10 @@
     pub renew: Handler<Renewal, Renewed>,
     /// Answers [`Peer::disowned`].
     pub disowned: Handler<Vec<Attempt>, Vec<Attempt>>,
-    /// Answers [`Peer::newer_config`].
-    pub newer_config: Handler<u64, Option<Version>>,
+    /// Answers [`Peer::news`].
+    pub news: Handler<Known, News>,
     /// Answers [`Peer::offer_config`].
     pub offer_config: Handler<Version, u64>,
-    /// Answers [`Peer::newer_roster`].
-    pub newer_roster: Handler<u64, Option<Roster>>,
     /// Answers [`Peer::hold_records`].
     pub hold_records: Handler<Held, bool>,
     /// Answers [`Peer::records_of`].
@@ -87,18 +85,14 @@
         (self.handlers.disowned)(attempts).await
     }
 
-    async fn newer_config(self, _: Context, than: u64) -> Option<Version> {
-        (self.handlers.newer_config)(than).await
+    async fn news(self, _: Context, known: Known) -> News {
+        (self.handlers.news)(known).await
     }
 
     async fn offer_config(self, _: Context, version: Version) -> u64 {
         (self.handlers.offer_config)(version).await
     }
 
-    async fn newer_roster(self, _: Context, than: u64) -> Option<Roster> {
-        (self.handlers.newer_roster)(than).await
-    }
-
     async fn hold_records(self, _: Context, segment: Segment, stored: u64) -> bool {
         (self.handlers.hold_records)(Held { segment, stored }).await
     }
--- a/crates/ffw-peer/src/service.rs
+++ b/crates/ffw-peer/src/service.rs
@@ -22,6 +22,26 @@
     pub config: u64,
 }
 
+/// Versions that a daemon knows.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Known {
+    /// Number of its configuration version.
+    pub config: u64,
+    /// Version of its instance list.
+    pub roster: u64,
+}
+
+/// What is newer than a caller's [`Known`].
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    /// Versions that the answering daemon knows.
+    pub known: Known,
+    /// Its configuration version, if it is newer.
+    pub config: Option<Version>,
+    /// Its instance list, if it is newer.
+    pub roster: Option<Roster>,
+}
+
 /// The platform's instance list at one version.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Roster {
@@ -93,12 +113,10 @@
     async fn renew(renewal: Renewal) -> Renewed;
     /// Which of the attempts the receiver, their entry, does not own any more.
     async fn disowned(attempts: Vec<Attempt>) -> Vec<Attempt>;
-    /// The receiver's configuration version, if it is newer.
-    async fn newer_config(than: u64) -> Option<Version>;
+    /// What the receiver knows that is newer than what the caller knows.
+    async fn news(known: Known) -> News;
     /// Offers a configuration version; answers the number that is then in force.
     async fn offer_config(version: Version) -> u64;
-    /// The receiver's instance list, if it is newer than a version of the platform.
-    async fn newer_roster(than: u64) -> Option<Roster>;
     /// Asks the receiver to hold ledger records until they are stored.
     async fn hold_records(segment: Segment, stored: u64) -> bool;
     /// Ledger records of one request that the receiver has.
--- a/crates/ffw-platform/src/store.rs
+++ b/crates/ffw-platform/src/store.rs
@@ -154,6 +154,8 @@
     }
 
     async fn fetch<T: DeserializeOwned>(&self, call: Call) -> Result<T> {
-        client::fetch(&call.limit(CALL_TIMEOUT).wire(Wire::Platform)).await.map_err(Fault::from_call)
+        client::fetch(&call.limit(CALL_TIMEOUT).wire(Wire::Platform))
+            .await
+            .map_err(Fault::from_call)
     }
 }
--- a/crates/ffw-platform/src/watch.rs
+++ b/crates/ffw-platform/src/watch.rs
@@ -52,7 +52,9 @@
 /// [`Fault::Gone`] if that version is too old, or the API does not answer.
 pub async fn start(store: &Store, kind: Kind, version: &str) -> Result<Watch> {
     let path = format!("{}?watch=1&resourceVersion={version}", kind.path());
-    let call = Call::new(store.address, Method::Get, path).limit(Duration::from_secs(2)).wire(Wire::Platform);
+    let call = Call::new(store.address, Method::Get, path)
+        .limit(Duration::from_secs(2))
+        .wire(Wire::Platform);
     let mut response = client::send(&call).await.map_err(Fault::from_call)?;
     let status: u16 = response.status().into();
     if status == 410 {
--- a/crates/ffw-standin/src/engine.rs
+++ b/crates/ffw-standin/src/engine.rs
@@ -196,8 +196,8 @@
     fn refresh_report(&self) {
         let mut data = self.lock();
         data.reported = Load {
-            running: data.running.len() as u32,
-            pieces: data.running.iter().map(|one| one.pieces).sum(),
+            running: (data.running.len() + data.blocks.len()) as u32,
+            pieces: data.pieces(),
             queued_tokens: data.queued_tokens,
             leaving: data.faults.leaving,
         };
@@ -300,6 +300,11 @@
 }
 
 impl Data {
+    fn pieces(&self) -> u32 {
+        let blocks = self.blocks.iter().map(|one| one.pieces);
+        blocks.chain(self.running.iter().map(|one| one.pieces)).sum()
+    }
+
     fn drop_work(&mut self, request_id: &Arc<str>) {
         let wasted = self.blocks.iter().filter(|one| one.request_id == *request_id && one.ready);
         self.counters.wasted_tokens += wasted.map(|one| u64::from(one.computed)).sum::<u64>();
--- a/crates/ffw-support/src/cluster/daemon.rs
+++ b/crates/ffw-support/src/cluster/daemon.rs
@@ -187,9 +187,8 @@
     /// What the process has used so far.
     pub fn usage(&self) -> Usage {
         let pid = self.child.id();
-        let read = |name: &str| {
-            std::fs::read_to_string(format!("/proc/{pid}/{name}")).unwrap_or_default()
-        };
+        let read =
+            |name: &str| std::fs::read_to_string(format!("/proc/{pid}/{name}")).unwrap_or_default();
         let stat = read("stat");
         let fields: Vec<&str> =
             stat.rsplit(')').next().unwrap_or_default().split_whitespace().collect();
