Serve what can still meet its target before what can't

Cause: under lasting overload the queue of a class grew up to its deadline, so each request missed its target; the order knew deadlines only. And a plan counted its transfer from the end of the prefill, not from the slot's end, so first tokens were predicted up to 200 ms early. Late requests get what arriving work leaves over and are refused at once, with a time to come back, when that is too little.

--- a/crates/ffw-control/src/admission.rs
+++ b/crates/ffw-control/src/admission.rs
@@ -187,6 +187,7 @@
     loop {
         let mut ask = ask.clone();
         ask.waited += began.elapsed();
+        ask.target = ask.target.saturating_sub(began.elapsed());
         ask.patience = ask.patience.saturating_sub(began.elapsed());
         if ask.patience.is_zero() {
             let message = format!("no owner of pool {pool} decided before the deadline");
--- a/crates/ffw-decide/src/estimate.rs
+++ b/crates/ffw-decide/src/estimate.rs
@@ -1,7 +1,10 @@
 //! Prediction of the wait of a request in the queue, to refuse it as soon as its deadline can't be
 //! met any more.
 
-use std::{sync::Arc, time::Duration};
+use {
+    ffw_protocol::time::Moment,
+    std::{sync::Arc, time::Duration},
+};
 
 /// Work that a waiting request brings.
 #[derive(Clone, Debug, PartialEq)]
@@ -16,6 +19,8 @@
     pub hold: Duration,
     /// Time that it will take of a prefill server.
     pub prefill: Duration,
+    /// Whether its target can't be met any more.
+    pub is_late: bool,
 }
 
 /// Sizes of a shard.
@@ -29,6 +34,43 @@
     pub next_slot: Duration,
 }
 
+/// Half-life of the memory of arrived work.
+const INFLOW_HALF_LIFE: Duration = Duration::from_secs(10);
+
+/// Least share of the capacity that late requests are taken to get.
+const LATE_SHARE_MIN: f64 = 0.02;
+
+/// The rate at which work arrives, as a decaying average.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Inflow {
+    sum: Sum,
+    decayed_at: Moment,
+}
+
+impl Inflow {
+    /// Adds the work of a request that arrives now.
+    pub fn add(&mut self, now: Moment, load: &Load) {
+        self.decay(now);
+        self.sum.add(load, 1.0);
+    }
+
+    /// Arriving work over capacity; 1 fills it.
+    pub fn utilisation(&mut self, now: Moment, capacity: &Capacity) -> f64 {
+        self.decay(now);
+        let seconds = INFLOW_HALF_LIFE.as_secs_f64() / std::f64::consts::LN_2;
+        let by_slots = self.sum.hold / seconds / f64::from(capacity.slots.max(1));
+        let by_prefill = self.sum.prefill / seconds / f64::from(capacity.prefills.max(1));
+        by_slots.max(by_prefill)
+    }
+
+    fn decay(&mut self, now: Moment) {
+        let passed = now.since(self.decayed_at).as_secs_f64();
+        let factor = 0.5_f64.powf(passed / INFLOW_HALF_LIFE.as_secs_f64());
+        self.sum = Sum { hold: self.sum.hold * factor, prefill: self.sum.prefill * factor };
+        self.decayed_at = self.decayed_at.max(now);
+    }
+}
+
 #[derive(Clone, Copy, Debug, Default)]
 struct Sum {
     hold: f64,
@@ -44,11 +86,16 @@
 
 /// Time until the request at `index` starts, if the queue is served in the order of `queue` within
 /// each customer, by weight between customers and by rank between classes.
-pub fn wait(queue: &[Load], index: usize, capacity: &Capacity) -> Duration {
+///
+/// A late request is passed by whatever arrives, so it gets only the capacity that arriving work
+/// leaves over.
+pub fn wait(queue: &[Load], index: usize, capacity: &Capacity, utilisation: f64) -> Duration {
     let ahead = work_ahead(queue, index);
     let by_slots = ahead.hold / f64::from(capacity.slots.max(1));
     let by_prefill = ahead.prefill / f64::from(capacity.prefills.max(1));
-    capacity.next_slot + Duration::from_secs_f64(by_slots.max(by_prefill))
+    let is_late = queue[index].is_late;
+    let share = if is_late { (1.0 - utilisation).max(LATE_SHARE_MIN) } else { 1.0 };
+    capacity.next_slot + Duration::from_secs_f64(by_slots.max(by_prefill) / share)
 }
 
 fn work_ahead(queue: &[Load], index: usize) -> Sum {
@@ -58,8 +105,9 @@
     for (at, load) in queue.iter().enumerate() {
         if load.rank < own.rank {
             higher.add(load, 1.0);
-        } else if load.rank == own.rank && load.customer == own.customer && at < index {
-            earlier.add(load, 1.0);
+        } else if load.rank == own.rank && load.customer == own.customer {
+            let goes_first = (load.is_late, at) < (own.is_late, index);
+            earlier.add(load, f64::from(u8::from(goes_first)));
         }
     }
     let rivals = rival_work(queue, own, &earlier);
--- a/crates/ffw-decide/src/order.rs
+++ b/crates/ffw-decide/src/order.rs
@@ -1,5 +1,9 @@
-//! The order of service: priority class, then a fair share of tokens between customers, then the
-//! nearest deadline. A class below its floor goes before the others.
+//! The order of service: priority class, then a fair share of tokens between customers, then
+//! whoever can still meet its target, by the nearest target, and then whoever can't, by the nearest
+//! deadline. A class below its floor goes before the others.
+//!
+//! Requests that have missed their target wait behind those that have not: under overload a plain
+//! queue would let every request miss it.
 
 use {
     ffw_protocol::{admission::Reason, time::Moment},
@@ -25,8 +29,10 @@
     pub rank: u8,
     /// Its customer.
     pub customer: Arc<str>,
-    /// Latest useful moment for its first token.
-    pub deadline: Moment,
+    /// Whether its target can't be met any more.
+    pub is_late: bool,
+    /// Moment of its target, or of its deadline if it is late.
+    pub due: Moment,
     /// When its caller's request arrived.
     pub arrival: Moment,
 }
@@ -118,11 +124,11 @@
     }
 
     fn first_of_class(&self, candidates: &[Candidate], rank: u8) -> Option<usize> {
-        let key = |one: &Candidate| (self.served(&one.customer), one.deadline, one.arrival);
+        let key = |one: &Candidate| (one.is_late, one.due, one.arrival);
+        let served = |one: &Candidate| self.served(&one.customer);
         let in_class = candidates.iter().enumerate().filter(|(_, one)| one.rank == rank);
         let compare = |a: &(usize, &Candidate), b: &(usize, &Candidate)| {
-            let (a, b) = (key(a.1), key(b.1));
-            a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)).then(a.2.cmp(&b.2))
+            served(a.1).total_cmp(&served(b.1)).then(key(a.1).cmp(&key(b.1)))
         };
         in_class.min_by(compare).map(|(index, _)| index)
     }
--- a/crates/ffw-decide/src/shard.rs
+++ b/crates/ffw-decide/src/shard.rs
@@ -46,6 +46,9 @@
 /// Margin beyond a request's longest useful life after which a silent place is given up.
 const EXPIRY_MARGIN: Duration = Duration::from_secs(30);
 
+/// Time by which a first token must be predicted before its target to count on it.
+const TARGET_MARGIN: Duration = Duration::from_millis(40);
+
 /// Least time that a refused request is told to stay away.
 const RETRY_MIN: Duration = Duration::from_millis(200);
 
@@ -108,10 +111,14 @@
     pub ask: Ask,
     /// Arrival, on this owner's clock.
     pub arrival: Moment,
+    /// Moment of the first token's target.
+    pub target: Moment,
     /// Latest useful moment for the first token.
     pub deadline: Moment,
     /// Requests that went first because this one fitted no server.
     pub bypassed: u32,
+    /// No place was found that would meet its target.
+    pub misses_target: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -160,6 +167,7 @@
     places: Arena<Place>,
     index: Vec<Entry>,
     fairness: Fairness,
+    inflow: estimate::Inflow,
     output_share: f64,
     settled_at: Moment,
     reviewed_at: Moment,
@@ -182,6 +190,7 @@
             places: Arena::default(),
             index: Vec::new(),
             fairness,
+            inflow: estimate::Inflow::default(),
             output_share: OUTPUT_SHARE,
             settled_at: now + SETTLE_TIME,
             reviewed_at: now,
@@ -291,9 +300,13 @@
         }
         self.activate(&ask.customer);
         let arrival = now - ask.waited;
-        let deadline = now + ask.patience;
+        let (target, deadline) = (now + ask.target, now + ask.patience);
+        self.inflow.add(now, &self.load_of(&ask, false));
         let at = self.waiting.partition_point(|one| one.arrival <= arrival);
-        self.waiting.insert(at, Waiting { ask, arrival, deadline, bypassed: 0 });
+        self.waiting.insert(
+            at,
+            Waiting { ask, arrival, target, deadline, bypassed: 0, misses_target: false },
+        );
         self.reviewed_at = Moment(0);
     }
 
@@ -444,7 +457,9 @@
     fn note_prefilled(&mut self, now: Moment, key: Key<Place>, place: &Place) {
         if let Some(place) = self.places.get_mut(key) {
             place.prefill_end = now;
-            place.transfer_end = now + self.settings.transfer_time(place.ask.tokens_in);
+            // It may still have to wait for its slot, as was planned.
+            let transfer = self.settings.transfer_time(place.ask.tokens_in);
+            place.transfer_end = place.transfer_end.max(now + transfer);
         }
         let Some(prefill) = place.prefill else { return };
         let Some(server) = self.prefills.get_mut(prefill) else { return };
@@ -575,17 +590,15 @@
     fn grant_all(&mut self, now: Moment) {
         self.wake_at = Moment::NEVER;
         let mut passed: Vec<usize> = Vec::new();
-        let mut candidates = self.candidates();
+        let mut candidates = self.candidates(now);
         while let Some(pick) = self.pick(&candidates, &passed) {
-            let ask = &self.waiting[pick.index].ask;
-            let found = place::search(
-                now,
-                ask,
-                &self.settings,
-                &self.prefills,
-                &self.decodes,
-                &self.places,
-            );
+            let found = self.search(now, pick.index);
+            if !candidates[pick.index].is_late && self.misses_target(pick.index, &found) {
+                self.waiting[pick.index].misses_target = true;
+                candidates[pick.index].is_late = true;
+                candidates[pick.index].due = self.waiting[pick.index].deadline;
+                continue;
+            }
             match found {
                 Ok(plan) => {
                     passed.iter().for_each(|at| self.waiting[*at].bypassed += 1);
@@ -608,16 +621,49 @@
         }
     }
 
-    fn candidates(&self) -> Vec<Candidate> {
-        let to_candidate = |one: &Waiting| Candidate {
-            rank: one.ask.rank,
-            customer: one.ask.customer.clone(),
-            deadline: one.deadline,
-            arrival: one.arrival,
+    fn search(&self, now: Moment, index: usize) -> Result<Plan, Blocked> {
+        let ask = &self.waiting[index].ask;
+        let (prefills, decodes) = (&self.prefills, &self.decodes);
+        place::search(now, ask, &self.settings, prefills, decodes, &self.places)
+    }
+
+    /// Whether the best place now, or the next one, comes too late for the target.
+    fn misses_target(&self, index: usize, found: &Result<Plan, Blocked>) -> bool {
+        let one = &self.waiting[index];
+        let first_token = match found {
+            Ok(plan) => plan.transfer_end + self.settings.token_time,
+            Err(Blocked::Until(at) | Blocked::Memory(at)) => *at + self.own_time(&one.ask),
+            Err(Blocked::NoServer) => return false,
+        };
+        first_token + TARGET_MARGIN > one.target
+    }
+
+    fn candidates(&self, now: Moment) -> Vec<Candidate> {
+        let to_candidate = |one: &Waiting| {
+            let is_late = self.is_late(now, one);
+            Candidate {
+                rank: one.ask.rank,
+                customer: one.ask.customer.clone(),
+                is_late,
+                due: if is_late { one.deadline } else { one.target },
+                arrival: one.arrival,
+            }
         };
         self.waiting.iter().map(to_candidate).collect()
     }
 
+    /// Whether the first token would miss its target even if the request started now.
+    fn is_late(&self, now: Moment, one: &Waiting) -> bool {
+        one.misses_target || now + self.own_time(&one.ask) + TARGET_MARGIN > one.target
+    }
+
+    /// Time from the start of a request to its first token.
+    fn own_time(&self, ask: &Ask) -> Duration {
+        self.settings.prefill_time(ask.tokens_in)
+            + self.settings.transfer_time(ask.tokens_in)
+            + self.settings.token_time
+    }
+
     fn pick(&self, candidates: &[Candidate], passed: &[usize]) -> Option<crate::order::Pick> {
         if passed.is_empty() {
             return self.fairness.pick(candidates);
@@ -705,15 +751,12 @@
             return;
         }
         let mut queue: Vec<estimate::Load> =
-            self.waiting.iter().map(|one| self.load_of(&one.ask)).collect();
+            self.waiting.iter().map(|one| self.load_of(&one.ask, self.is_late(now, one))).collect();
+        let utilisation = self.inflow.utilisation(now, &capacity);
         let mut at = 0;
         while at < self.waiting.len() {
-            let wait = estimate::wait(&queue, at, &capacity);
-            let ask = &self.waiting[at].ask;
-            let own = self.settings.prefill_time(ask.tokens_in)
-                + self.settings.transfer_time(ask.tokens_in)
-                + self.settings.token_time;
-            let first_token = now + wait + own;
+            let wait = estimate::wait(&queue, at, &capacity, utilisation);
+            let first_token = now + wait + self.own_time(&self.waiting[at].ask);
             let deadline = self.waiting[at].deadline;
             if first_token <= deadline {
                 at += 1;
@@ -777,7 +820,7 @@
         }
     }
 
-    fn load_of(&self, ask: &Ask) -> estimate::Load {
+    fn load_of(&self, ask: &Ask, is_late: bool) -> estimate::Load {
         let prefill = self.settings.prefill_time(ask.tokens_in);
         let tokens = f64::from(ask.tokens_out) * self.output_share;
         let decode = self.settings.token_time.mul_f64(tokens);
@@ -787,6 +830,7 @@
             weight: ask.weight,
             hold: prefill + self.settings.transfer_time(ask.tokens_in) + decode,
             prefill,
+            is_late,
         }
     }
 
--- a/crates/ffw-decide/src/shard/place.rs
+++ b/crates/ffw-decide/src/shard/place.rs
@@ -116,14 +116,15 @@
     };
     for (decode, server) in decodes.iter().filter(|(_, one)| !one.leaving) {
         let room = room(now, server, pieces, settings, places);
-        let result = match room {
-            Room::At(at) => fit(now, at.max(server.link_free_at), &work, settings),
-            Room::Never => Err(Moment::NEVER),
+        let ready = match room {
+            Room::At(at) => at.max(server.link_free_at),
+            Room::Never => Moment::NEVER,
         };
+        let result = fit(now, ready, &work, settings);
         match result {
             Ok(start) => {
                 let prefill_end = start + work.span;
-                let transfer_start = prefill_end.max(server.link_free_at);
+                let transfer_start = prefill_end.max(ready);
                 let plan = Plan {
                     prefill,
                     decode,
--- a/crates/ffw-decide/tests/shard_policy.rs
+++ b/crates/ffw-decide/tests/shard_policy.rs
@@ -216,3 +216,26 @@
     let (_, granted) = pass(&mut shard, 100);
     assert_eq!(granted, 4, "a prefill was started against a slot that is not free");
 }
+
+#[test]
+fn a_long_overload_does_not_make_every_request_late() {
+    let mut drive = Drive::new(build::settings(), 1, 1);
+    let target = Duration::from_millis(1_500);
+    // Four slots and answers of 40 tokens at 25 ms: 4 requests a second at most, 5.5 offered.
+    for number in 0..330 {
+        let mut ask = build::ask(number, "a", 0, 500, 40);
+        ask.target = target;
+        ask.patience = Duration::from_secs(20);
+        drive.ask(ask, 40);
+        drive.pass(Duration::from_millis(180));
+    }
+    drive.pass(Duration::from_secs(30));
+    let good = drive.ended.iter().filter(|one| match one.end {
+        End::Answered(first) => first <= target,
+        _ => false,
+    });
+    // 60 s of 4 requests a second, less the time that a slot waits for its next transfer.
+    let good = good.count();
+    assert!(good >= 200, "{good} of 330 met their target");
+    assert_eq!(wasted(&drive), 0);
+}
--- a/crates/ffw-entry/src/generate.rs
+++ b/crates/ffw-entry/src/generate.rs
@@ -91,6 +91,12 @@
         })
     }
 
+    /// Time left until the first token misses its target.
+    pub fn target(&self) -> Duration {
+        let passed = identity::now().since(self.account.arrived);
+        Duration::from_millis(self.account.service.first_token_ms).saturating_sub(passed)
+    }
+
     /// Time left until the first token is of no use; a started stream gets a short time of its own.
     pub fn patience(&self, has_started: bool) -> Duration {
         let passed = identity::now().since(self.account.arrived);
--- a/crates/ffw-entry/src/generate/attempt.rs
+++ b/crates/ffw-entry/src/generate/attempt.rs
@@ -120,6 +120,7 @@
         tokens_in: work.tokens_in + resume_from,
         tokens_out: work.tokens_out - resume_from,
         waited: ffw_control::identity::now().since(account.arrived),
+        target: work.target(),
         patience: work.patience(resume_from > 0),
         prefix: work.prefix.clone(),
     };
--- a/crates/ffw-protocol/src/admission.rs
+++ b/crates/ffw-protocol/src/admission.rs
@@ -36,6 +36,8 @@
     pub tokens_out: u32,
     /// Time since the caller's request arrived.
     pub waited: Duration,
+    /// Time left until the first token misses its target; zero if it has.
+    pub target: Duration,
     /// Time left until the first token is of no use.
     pub patience: Duration,
     /// Hashes of the prompt's leading pieces, salted by customer, shortest first.
@@ -53,7 +55,8 @@
     Floor,
     /// Its customer had been served least for its weight.
     Share,
-    /// Its deadline is the nearest of its customer's.
+    /// Its target is the nearest of its customer's that can still be met, or none can be met and
+    /// its deadline is the nearest.
     Deadline,
     /// The one before it fits no backend server yet.
     Backfill,
--- a/crates/ffw-support/src/build.rs
+++ b/crates/ffw-support/src/build.rs
@@ -57,6 +57,7 @@
         tokens_in,
         tokens_out,
         waited: Duration::ZERO,
+        target: Duration::from_secs(30),
         patience: Duration::from_secs(30),
         prefix: Vec::new(),
     }
