--- a/crates/ffw-control/src/admission.rs
+++ b/crates/ffw-control/src/admission.rs
@@ -365,10 +365,7 @@
         let members = daemon.register.members(&lane.pool, role, &words);
         let live = members.into_iter().filter(|one| !one.leaving);
         let choices: Vec<Choice> = live
-            .map(|one| Choice {
-                load: crate::report::reported(daemon, &one.server.name),
-                server: one.server,
-            })
+            .map(|one| Choice { load: daemon.host.reported(&one.server.name), server: one.server })
             .collect();
         let chosen = match daemon.policy {
             Policy::RoundRobin => baseline::round_robin(&choices, turn),
--- a/crates/ffw-control/src/owner.rs
+++ b/crates/ffw-control/src/owner.rs
@@ -46,6 +46,14 @@
 pub struct Host {
     hosted: Mutex<Vec<Arc<Hosted>>>,
     own_words: Mutex<Vec<Arc<str>>>,
+    reported: Mutex<Vec<Reported>>,
+}
+
+/// Load of an engine as last reported.
+#[derive(Clone, Debug)]
+struct Reported {
+    server: Arc<str>,
+    load: u64,
 }
 
 /// One shard that this daemon owns.
@@ -104,6 +112,22 @@
         }
     }
 
+    /// Notes the load that an engine reports, for the baselines.
+    pub fn note_reported(&self, server: &Arc<str>, load: u64) {
+        let mut reported = self.reported.lock().unwrap_or_else(PoisonError::into_inner);
+        match reported.binary_search_by(|one| one.server.cmp(server)) {
+            Ok(at) => reported[at].load = load,
+            Err(at) => reported.insert(at, Reported { server: server.clone(), load }),
+        }
+    }
+
+    /// Load of an engine as last reported; 0 if it never was.
+    pub fn reported(&self, server: &str) -> u64 {
+        let reported = self.reported.lock().unwrap_or_else(PoisonError::into_inner);
+        let found = reported.binary_search_by(|one| (*one.server).cmp(server));
+        found.map_or(0, |at| reported[at].load)
+    }
+
     fn find(&self, pool: &str) -> Option<Arc<Hosted>> {
         let hosted = self.lock();
         let at = hosted.binary_search_by(|one| (*one.pool).cmp(pool)).ok()?;
--- a/crates/ffw-control/src/report.rs
+++ b/crates/ffw-control/src/report.rs
@@ -6,10 +6,7 @@
     ffw_decide::baseline::Policy,
     ffw_protocol::instance::{Instance, Role},
     ffw_runtime::{executor, timer},
-    std::{
-        sync::{Arc, Mutex, PoisonError},
-        time::Duration,
-    },
+    std::{sync::Arc, time::Duration},
 };
 
 /// Period of the reports.
@@ -18,15 +15,6 @@
 /// Period for the baselines, which decide by the reports alone.
 const BASELINE_PERIOD: Duration = Duration::from_millis(250);
 
-/// Load of each engine as last reported, for the baselines; in order of name.
-static REPORTED: Mutex<Vec<Reported>> = Mutex::new(Vec::new());
-
-#[derive(Clone, Debug)]
-struct Reported {
-    server: Arc<str>,
-    load: u64,
-}
-
 /// Reads reports for as long as the daemon runs.
 pub async fn run(daemon: Arc<Daemon>) {
     let mut cursors: Vec<Cursor> = Vec::new();
@@ -80,7 +68,8 @@
 ) -> Cursor {
     if let Ok(load) = engine::load(server.address).await {
         daemon.host.note_own_word(&server.name, load.leaving);
-        note_reported(&server.name, u64::from(load.running) + u64::from(load.queued_tokens));
+        let sum = u64::from(load.running) + u64::from(load.queued_tokens);
+        daemon.host.note_reported(&server.name, sum);
         if let Some(hosted) = &hosted {
             hosted.change(|shard| shard.note_load(identity::now(), &server.name, load.running));
         }
@@ -96,18 +85,3 @@
     });
     cursor
 }
-
-fn note_reported(server: &Arc<str>, load: u64) {
-    let mut reported = REPORTED.lock().unwrap_or_else(PoisonError::into_inner);
-    match reported.binary_search_by(|one| one.server.cmp(server)) {
-        Ok(at) => reported[at].load = load,
-        Err(at) => reported.insert(at, Reported { server: server.clone(), load }),
-    }
-}
-
-/// Load of an engine as last reported; 0 if it never was.
-pub fn reported(_daemon: &Daemon, server: &str) -> u64 {
-    let reported = REPORTED.lock().unwrap_or_else(PoisonError::into_inner);
-    let found = reported.binary_search_by(|one| (*one.server).cmp(server));
-    found.map_or(0, |at| reported[at].load)
-}
--- /dev/null
+++ b/crates/ffw-decide/src/shard/review.rs
@@ -0,0 +1,117 @@
+//! Looks through the queue for requests that can't be served before their deadline any more.
+
+use {
+    super::{Effect, Shard},
+    crate::estimate,
+    ffw_protocol::{
+        admission::{Ask, Basis, Cause, Refusal, Verdict},
+        time::Moment,
+    },
+    std::time::Duration,
+};
+
+/// Period between two looks at the whole queue for requests that can't be served any more.
+pub(super) const REVIEW_PERIOD: Duration = Duration::from_millis(25);
+
+/// Least time that a refused request is told to stay away.
+pub(super) const RETRY_MIN: Duration = Duration::from_millis(200);
+
+/// Most time that a refused request is told to stay away.
+const RETRY_MAX: Duration = Duration::from_secs(60);
+
+impl Shard {
+    /// Refuses at once whoever can't have its first token before its deadline.
+    pub(super) fn refuse_hopeless(&mut self, now: Moment) {
+        if now.since(self.reviewed_at) < REVIEW_PERIOD || self.waiting.is_empty() {
+            return;
+        }
+        self.reviewed_at = now;
+        let capacity = self.capacity(now);
+        if capacity.slots == 0 || capacity.prefills == 0 {
+            self.refuse_all(Cause::NoBackend);
+            return;
+        }
+        let mut queue: Vec<estimate::Load> =
+            self.waiting.iter().map(|one| self.load_of(&one.ask, self.is_late(now, one))).collect();
+        let utilisation = self.inflow.utilisation(now, &capacity);
+        let mut at = 0;
+        while at < self.waiting.len() {
+            let wait = estimate::wait(&queue, at, &capacity, utilisation);
+            let first_token = now + wait + self.own_time(&self.waiting[at].ask);
+            let deadline = self.waiting[at].deadline;
+            if first_token <= deadline {
+                at += 1;
+                continue;
+            }
+            queue.remove(at);
+            let retry_after = first_token.since(deadline).clamp(RETRY_MIN, RETRY_MAX);
+            self.refuse(now, at, Cause::Deadline, retry_after, first_token.since(now));
+        }
+    }
+
+    fn refuse_all(&mut self, cause: Cause) {
+        for one in std::mem::take(&mut self.waiting) {
+            let refusal = Refusal { cause, retry_after: RETRY_MIN * 5, basis: Basis::default() };
+            self.effects.push(Effect::Answer(one.ask.attempt, Verdict::Refusal(refusal)));
+        }
+    }
+
+    fn refuse(
+        &mut self,
+        now: Moment,
+        at: usize,
+        cause: Cause,
+        retry_after: Duration,
+        predicted: Duration,
+    ) {
+        let waiting = self.waiting.len() as u32;
+        let one = self.waiting.remove(at);
+        let basis = Basis {
+            waiting,
+            rank: one.ask.rank,
+            served: self.fairness.served(&one.ask.customer) as u64,
+            waited_ms: now.since(one.arrival).as_millis() as u64,
+            patience_ms: one.deadline.since(now).as_millis() as u64,
+            predicted_ms: predicted.as_millis() as u64,
+            ..Basis::default()
+        };
+        let refusal = Refusal { cause, retry_after, basis };
+        self.effects.push(Effect::Answer(one.ask.attempt, Verdict::Refusal(refusal)));
+    }
+
+    /// Gives all waiting requests back, to ask another owner.
+    pub fn give_up(&mut self, cause: Cause) -> Vec<Effect> {
+        self.refuse_all(cause);
+        std::mem::take(&mut self.effects)
+    }
+
+    fn capacity(&self, now: Moment) -> estimate::Capacity {
+        let live = || self.decodes.iter().filter(|(_, one)| !one.leaving);
+        let free: u32 = live().map(|(_, one)| one.slots_free(self.settings.slots)).sum();
+        let ends = live().flat_map(|(_, server)| {
+            let places = server.places.iter().filter_map(|key| self.places.get(*key));
+            places.map(|place| place.predicted_end(server.pace * self.output_share))
+        });
+        let next_slot =
+            if free > 0 { Duration::ZERO } else { ends.min().unwrap_or(now).since(now) };
+        estimate::Capacity {
+            slots: live().count() as u32 * self.settings.slots,
+            prefills: self.prefills.iter().filter(|(_, one)| !one.leaving).count() as u32,
+            next_slot,
+        }
+    }
+
+    pub(super) fn load_of(&self, ask: &Ask, is_late: bool) -> estimate::Load {
+        let prefill = self.settings.prefill_time(ask.tokens_in);
+        let tokens = f64::from(ask.tokens_out) * self.output_share;
+        let decode = self.settings.token_time.mul_f64(tokens);
+        estimate::Load {
+            rank: ask.rank,
+            customer: ask.customer.clone(),
+            weight: ask.weight,
+            hold: prefill + self.settings.transfer_time(ask.tokens_in) + decode,
+            prefill,
+            is_late,
+        }
+    }
+}
