--- a/crates/ffw-control/src/admission.rs
+++ b/crates/ffw-control/src/admission.rs
@@ -107,14 +107,23 @@
     }
 }
 
-/// A place that this entry holds. It must be released; dropping it without a release leaves it to
-/// the sweep.
+/// A place that this entry holds until it is released. Dropping it gives it back unconfirmed, so
+/// that the owner cancels what the engines may hold.
 #[derive(Debug)]
 pub struct Place {
     /// The grant.
     pub grant: Grant,
     attempt: Attempt,
     lane: Arc<Lane>,
+    is_released: bool,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        if !self.is_released {
+            self.give_back(0, false);
+        }
+    }
 }
 
 impl Place {
@@ -140,7 +149,12 @@
     }
 
     /// Gives the place back; `confirmed` says that both engines hold nothing of the attempt.
-    pub fn release(self, emitted: u32, confirmed: bool) {
+    pub fn release(mut self, emitted: u32, confirmed: bool) {
+        self.is_released = true;
+        self.give_back(emitted, confirmed);
+    }
+
+    fn give_back(&self, emitted: u32, confirmed: bool) {
         let attempt = self.attempt.clone();
         let mut state = self.lane.lock();
         state.open.retain(|one| one.ask.attempt != attempt);
@@ -216,7 +230,7 @@
         phase: Phase::Prefill,
         emitted: 0,
     });
-    Decision::Place(Place { grant, attempt, lane })
+    Decision::Place(Place { grant, attempt, lane, is_released: false })
 }
 
 async fn ask_once(daemon: &Arc<Daemon>, lane: &Arc<Lane>, ask: Ask) -> Option<Verdict> {
--- /dev/null
+++ b/crates/ffw-control/src/burn.rs
@@ -0,0 +1,46 @@
+//! Service-level burn of this daemon, for the report and for prometheus.
+
+use {
+    crate::{daemon::Daemon, identity},
+    ffw_decide::burn::WINDOWS,
+    ffw_peer::service::Burn,
+};
+
+/// Service-level counts of this daemon.
+pub fn rows(daemon: &Daemon) -> Vec<Burn> {
+    let now = identity::now();
+    let book = daemon.burn();
+    let mut rows = Vec::new();
+    for series in book.series() {
+        for window in WINDOWS {
+            let counts = series.over(now, window);
+            rows.push(Burn {
+                service: series.service.clone(),
+                customer: series.customer.clone(),
+                window_s: window.as_secs(),
+                total: counts.total,
+                missed: counts.missed,
+                first_token: counts.first_token,
+                between_tokens: counts.between_tokens,
+                unavailable: counts.unavailable,
+            });
+        }
+    }
+    rows
+}
+
+/// Brings the burn gauges up to date.
+pub fn export(daemon: &Daemon) {
+    let Some(snapshot) = daemon.register.config() else { return };
+    let now = identity::now();
+    let book = daemon.burn();
+    for series in book.series() {
+        let Some(service) = snapshot.deployment.service(&series.service) else { continue };
+        for window in WINDOWS {
+            let rate = series.over(now, window).burn_rate(service.objective);
+            let window = format!("{}m", window.as_secs() / 60);
+            let labels = [&*series.service, &*series.customer, &*window];
+            daemon.metrics.burn_rate.with_label_values(&labels).set((rate * 1_000.0) as i64);
+        }
+    }
+}
--- a/crates/ffw-control/src/calls.rs
+++ b/crates/ffw-control/src/calls.rs
@@ -1,11 +1,10 @@
 //! What this daemon answers when a peer calls.
 
 use {
-    crate::{daemon::Daemon, owner},
-    ffw_decide::burn,
+    crate::{burn, daemon::Daemon, owner},
     ffw_peer::{
         handler::{Handlers, Reply},
-        service::{Burn, Known, News, Roster, Status},
+        service::{Known, News, Roster, Status},
     },
     ffw_protocol::config::Version,
     std::sync::{Arc, atomic::Ordering},
@@ -35,7 +34,7 @@
         }),
         records_of: Box::new(move |request| ready(for_records.ledger.records_of(&request))),
         grants_of: Box::new(move |epoch| ready(for_grants.ledger.grants_of(epoch))),
-        burn: Box::new(move |()| ready(burn(&for_burn))),
+        burn: Box::new(move |()| ready(burn::rows(&for_burn))),
         status: Box::new(move |()| ready(status(&for_status))),
     }
 }
@@ -60,29 +59,6 @@
     daemon.register.config_number()
 }
 
-/// Service-level counts of this daemon.
-pub fn burn(daemon: &Daemon) -> Vec<Burn> {
-    let now = crate::identity::now();
-    let book = daemon.burn();
-    let mut rows = Vec::new();
-    for series in book.series() {
-        for window in burn::WINDOWS {
-            let counts = series.over(now, window);
-            rows.push(Burn {
-                service: series.service.clone(),
-                customer: series.customer.clone(),
-                window_s: window.as_secs(),
-                total: counts.total,
-                missed: counts.missed,
-                first_token: counts.first_token,
-                between_tokens: counts.between_tokens,
-                unavailable: counts.unavailable,
-            });
-        }
-    }
-    rows
-}
-
 /// State of this daemon.
 pub fn status(daemon: &Daemon) -> Status {
     let snapshot = daemon.register.config();
--- a/crates/ffw-control/src/lib.rs
+++ b/crates/ffw-control/src/lib.rs
@@ -2,6 +2,7 @@
 //! shards, sweeps of abandoned work, orders to engines, the ledger and service-level burn.
 
 pub mod admission;
+pub mod burn;
 pub mod calls;
 pub mod change;
 pub mod claim;
--- a/crates/ffw-entry/src/generate/attempt.rs
+++ b/crates/ffw-entry/src/generate/attempt.rs
@@ -93,11 +93,10 @@
     if place.grant.owner != work.account.daemon.identity.instance {
         work.account.note(attempt.number, Event::Granted(place.grant.clone()));
     }
-    timer::sleep(place.grant.start_in).await;
     let mut completion = completion(work, attempt, resume_from);
-    progress.place = Some(place);
+    let place = &*progress.place.insert(place);
+    timer::sleep(place.grant.start_in).await;
     progress.prefill_begun = true;
-    let Some(place) = &progress.place else { return Ok(()) };
     let handoff = prefill(place, &completion).await?;
     let expires = Instant::now() + Duration::from_millis(handoff.expires_ms);
     progress.prefilled = Some(handoff.clone());
--- a/crates/ffw-entry/src/health.rs
+++ b/crates/ffw-entry/src/health.rs
@@ -1,7 +1,7 @@
 //! The second listener: liveness, readiness and metrics.
 
 use {
-    ffw_control::daemon::Daemon,
+    ffw_control::{burn, daemon::Daemon},
     ffw_http::server::{self, Caller, Handle, Limits},
     http_types::{Request, Response},
     smol::net::TcpListener,
@@ -24,7 +24,10 @@
         "/readyz" if daemon.is_ready() => text(200, "ok\n"),
         "/readyz" if daemon.is_draining() => text(503, "shutting down\n"),
         "/readyz" => text(503, "no configuration is in force yet\n"),
-        "/metrics" => text(200, &daemon.metrics.text()),
+        "/metrics" => {
+            burn::export(daemon);
+            text(200, &daemon.metrics.text())
+        }
         _ => text(404, "not found\n"),
     }
 }
--- a/crates/ffw-operator/src/service.rs
+++ b/crates/ffw-operator/src/service.rs
@@ -15,7 +15,7 @@
     },
     convert::{status_of, to_burn, to_daemon, to_version},
     ffw_control::{
-        calls,
+        burn, calls,
         change::{self, Outcome},
         daemon::Daemon,
         identity, ledger, relay,
@@ -148,7 +148,7 @@
     /// Service-level counts of one daemon; none if it does not answer.
     async fn burn_of_daemon(&self, one: &Instance) -> Option<Vec<Burn>> {
         if one.name == self.daemon.identity.instance {
-            return Some(calls::burn(&self.daemon));
+            return Some(burn::rows(&self.daemon));
         }
         let asked =
             self.daemon.peers.call(one.address, PEER_TIMEOUT, async move |peer, context| {
--- a/crates/ffw-support/src/cluster/operator.rs
+++ b/crates/ffw-support/src/cluster/operator.rs
@@ -5,9 +5,9 @@
     ffw_operator::{
         channel::{self, Channel},
         generated::{
-            ApplyRequest, ChangeReply, DrainRequest, ExplainReply, ExplainRequest, HistoryReply,
-            HistoryRequest, StatusReply, StatusRequest, VerifyLedgerReply, VerifyLedgerRequest,
-            operator_client::OperatorClient,
+            ApplyRequest, BurnReply, BurnRequest, ChangeReply, DrainRequest, ExplainReply,
+            ExplainRequest, HistoryReply, HistoryRequest, StatusReply, StatusRequest,
+            VerifyLedgerReply, VerifyLedgerRequest, operator_client::OperatorClient,
         },
     },
     ffw_runtime::timer,
@@ -99,6 +99,13 @@
     client.explain(request(message, OPERATOR_KEY)).await.map(tonic::Response::into_inner)
 }
 
+/// The report on service-level burn.
+pub async fn burn(daemon: &Daemon) -> BurnReply {
+    let mut client = connect(daemon).await;
+    let call = client.burn(request(BurnRequest {}, OPERATOR_KEY));
+    call.await.expect("an answer").into_inner()
+}
+
 /// Checks the ledger.
 pub async fn verify_ledger(daemon: &Daemon) -> VerifyLedgerReply {
     let mut client = connect(daemon).await;
