Keep the places of an entry that renews though the list does not name it yet

Cause: the instance list lags, and an owner whose list did not show a fresh entry yet cancelled that entry's places and asks: a healthy stream ended. Found while reading. Ruled out: waiting for the list to settle (nobody knows when it has). Before: an_entry_that_renews_keeps_its_places_though_the_list_does_not_name_it failed at the first look. After: it passes; a place is given up by the list only after 2 s of silence, and an ask ends with its entry's connection. Conclusion: the list says who may be gone, the traffic says who is there.

--- a/crates/ffw-control/src/owner.rs
+++ b/crates/ffw-control/src/owner.rs
@@ -362,7 +362,7 @@
     state.shard.set_members(&members);
     // An empty list is a list that was not read yet; a daemon may also not see itself listed yet.
     if names.contains(&daemon.identity.instance) {
-        state.shard.retain_entries(&names);
+        state.shard.retain_entries(identity::now(), &names);
     }
 }
 
--- a/crates/ffw-decide/src/shard/renewal.rs
+++ b/crates/ffw-decide/src/shard/renewal.rs
@@ -10,6 +10,9 @@
     std::{sync::Arc, time::Duration},
 };
 
+/// Silence after which the places of an entry that is not listed are cancelled.
+const UNLISTED_SILENCE: Duration = Duration::from_secs(2);
+
 /// Full renewals in a row that must miss a place before it is taken for abandoned.
 const MISSES_MAX: u8 = 3;
 
@@ -79,9 +82,15 @@
         self.cancel_where(|one| one == attempt);
     }
 
-    /// Cancels what belongs to entries that the instance list does not name any more.
-    pub fn retain_entries(&mut self, names: &[Arc<str>]) {
-        self.cancel_where(|attempt| !names.contains(&attempt.request.instance));
+    /// Cancels places of entries that the instance list does not name. The list lags: an entry that
+    /// was heard of lately is there, and what waits ends with its entry's connection.
+    pub fn retain_entries(&mut self, now: Moment, names: &[Arc<str>]) {
+        let is_orphan = |place: &Place| {
+            let is_listed = names.contains(&place.ask.attempt.request.instance);
+            !is_listed && now.since(place.heard) > UNLISTED_SILENCE
+        };
+        let orphans = self.places.keys_where(is_orphan);
+        orphans.into_iter().for_each(|key| self.cancel(key));
     }
 
     fn cancel_where(&mut self, is_orphan: impl Fn(&Attempt) -> bool) {
--- a/crates/ffw-decide/tests/shard_policy.rs
+++ b/crates/ffw-decide/tests/shard_policy.rs
@@ -1,7 +1,7 @@
 //! The policy of a shard against exact engines in virtual time.
 
 use {
-    ffw_decide::shard::{Settings, Shard},
+    ffw_decide::shard::{Effect, Settings, Shard},
     ffw_protocol::{
         admission::{Ask, Cause, Reason},
         time::Moment,
@@ -239,3 +239,20 @@
     assert!(good >= 200, "{good} of 330 met their target");
     assert_eq!(wasted(&drive), 0);
 }
+
+#[test]
+fn an_entry_that_renews_keeps_its_places_though_the_list_does_not_name_it() {
+    let mut drive = Drive::new(build::settings(), 1, 1);
+    drive.ask(build::ask(1, "a", 0, 500, 100), 100);
+    for _ in 0..10 {
+        drive.pass(Duration::from_millis(100));
+        drive.shard.retain_entries(drive.now, &["entry-9".into()]);
+        assert_eq!(drive.shard.held(), 1, "a healthy place was cancelled at {:?}", drive.now);
+    }
+    // Nothing more is heard of it: now the list decides.
+    let mut shard = drive.shard.clone();
+    let later = drive.now + Duration::from_secs(3);
+    shard.retain_entries(later, &["entry-9".into()]);
+    let cancels = shard.step(later).into_iter().filter(|one| matches!(one, Effect::Cancel(..)));
+    assert_eq!(cancels.count(), 1);
+}
--- a/crates/ffw-decide/tests/shard_state_machine.rs
+++ b/crates/ffw-decide/tests/shard_state_machine.rs
@@ -249,8 +249,7 @@
                     .filter(|name| **name != &*gone)
                     .map(|name| (*name).into())
                     .collect();
-                sut.shard.retain_entries(&rest);
-                sut.waiting.retain(|attempt, _| attempt.request.instance != gone);
+                sut.shard.retain_entries(sut.now, &rest);
             }
             Transition::Report(at, running) => {
                 sut.shard.note_load(sut.now, &format!("decode-{at}"), running);
