--- a/crates/ffw-control/src/relay.rs
+++ b/crates/ffw-control/src/relay.rs
@@ -85,8 +85,7 @@
 /// Reads both lists before the daemon serves: from the platform, or in an outage from the peers.
 async fn start(daemon: &Arc<Daemon>) {
     loop {
-        let read = read_both(daemon).await;
-        match read {
+        match read_at_start(daemon).await {
             Ok(()) => return,
             Err(fault) => warn!("event=platform_unavailable error=\"{fault}\""),
         }
@@ -98,6 +97,18 @@
     }
 }
 
+/// Reads the platform, and before that the relays: a read of the platform may be stale, and a daemon
+/// must not serve an older version than its peers do.
+async fn read_at_start(daemon: &Daemon) -> Result<()> {
+    read_instances(daemon).await?;
+    for relay in relays(daemon) {
+        if relay.name != daemon.identity.instance {
+            pull(daemon, relay.address).await;
+        }
+    }
+    read_config(daemon).await.map(drop)
+}
+
 async fn read_both(daemon: &Daemon) -> Result<()> {
     read_instances(daemon).await?;
     read_config(daemon).await.map(drop)
