--- a/crates/ffw-decide/tests/claim_state_machine.rs
+++ b/crates/ffw-decide/tests/claim_state_machine.rs
@@ -134,7 +134,17 @@
             Step::Create(claim) => self.write(None, claim),
             Step::Replace(version, claim) => self.write(version.parse().ok(), claim),
             Step::Read => self.read(),
-            Step::Send => self.send(at),
+            Step::Send => {
+                let event = self.send(at);
+                // The caller may stop waiting while the call is under way.
+                if self.rng.gen_range(0..6) == 0 {
+                    let caller = &mut self.callers[at];
+                    caller.was_refused = false;
+                    caller.finish = Some(caller.machine.give_up());
+                    return;
+                }
+                event
+            }
             Step::Pause(_) => Event::Waited,
             Step::Finish(finish) => {
                 self.callers[at].finish = Some(finish);
--- a/crates/fireflyworks/tests/nothing_held.rs
+++ b/crates/fireflyworks/tests/nothing_held.rs
@@ -4,7 +4,7 @@
 use {
     ffw_runtime::{executor, timer},
     ffw_standin::{answer, engine::Faults},
-    ffw_support::cluster::{Cluster, Plan, send_all},
+    ffw_support::cluster::{Cluster, Plan, daemon::Daemon, send_all},
     rstest::rstest,
     std::time::Duration,
 };
@@ -41,6 +41,9 @@
         }
         send_all(calls).await;
         cluster.wait_for("held memory", BOUND, |one| one.held() == 0).await;
+        // Its entry has freed it at once; the sweep is for entries that are gone.
+        let is_swept = |daemon: &Daemon| daemon.log().contains("event=sweep_");
+        assert!(!cluster.daemons.iter().any(is_swept), "freed by the sweep only");
     });
 }
 
