Test that a wrong shared key opens no call of peers

Cause: with the check of the peer's proof taken out, no test failed: the one for peers sent noise, which is closed either way. Changed: a pool with another key calls a daemon and must be refused, and one with the right key must not be. Ruled out: the handshake itself; both sides check.

--- a/crates/fireflyworks/tests/callers.rs
+++ b/crates/fireflyworks/tests/callers.rs
@@ -2,6 +2,7 @@
 
 use {
     ffw_http::client::{self, Call},
+    ffw_peer::{handshake::Secret, link::Pool},
     ffw_runtime::timer,
     ffw_standin::caller,
     ffw_support::cluster::{Cluster, KEY, Plan},
@@ -132,3 +133,19 @@
         assert!(refused.iter().all(|one| &*one.run == "not run" && one.retry_after.is_some()));
     });
 }
+
+#[test]
+fn only_the_shared_key_opens_the_calls_of_peers() {
+    smol::block_on(async {
+        let cluster = Cluster::start(Plan::new(BINARY)).await;
+        let address = cluster.daemons[0].peers;
+        for (key, is_right) in [("a-shared-key-for-tests", true), ("another-key-altogether", false)]
+        {
+            let pool = Pool::new(Secret::new(key));
+            let asked = pool.call(address, Duration::from_secs(2), async move |peer, context| {
+                peer.status(context).await
+            });
+            assert_eq!(asked.await.is_ok(), is_right, "{key}");
+        }
+    });
+}
