Offer a version once to each relay

Cause: while a change waited for its daemons, the whole version was offered to each relay every 100 ms, also after it had confirmed. Ruled out: the pulls; they carry a version only to who lacks it.

--- a/crates/ffw-control/src/relay.rs
+++ b/crates/ffw-control/src/relay.rs
@@ -252,15 +252,20 @@
 }
 
 /// Offers the configuration in force to the relays of each data centre, from which the others take
-/// it over, and gives the live daemons that have it in force.
-pub async fn spread(daemon: &Arc<Daemon>, number: u64) -> Vec<Arc<str>> {
-    let Some(snapshot) = daemon.register.config() else { return Vec::new() };
+/// it over, and gives the live daemons that have it in force. Those that have confirmed before are
+/// not asked again: a version may be large.
+pub async fn spread(
+    daemon: &Arc<Daemon>,
+    number: u64,
+    mut confirmed: Vec<Arc<str>>,
+) -> Vec<Arc<str>> {
+    let Some(snapshot) = daemon.register.config() else { return confirmed };
     let roster = daemon.register.roster();
     let own = &daemon.identity.instance;
     let daemons = roster.instances.iter().filter(|one| one.role == Role::Entry && one.is_live());
     let mut asked = Vec::new();
     for one in daemons.cloned() {
-        if one.name == *own {
+        if one.name == *own || confirmed.contains(&one.name) {
             continue;
         }
         let is_relay = relays_of(daemon, &one.data_centre).iter().any(|r| r.name == one.name);
@@ -269,7 +274,9 @@
         let asking = executor::spawn(async move { offer(&daemon, one.address, version).await });
         asked.push(Asked { name: one.name, asking });
     }
-    let mut confirmed = vec![own.clone()];
+    if !confirmed.contains(own) {
+        confirmed.push(own.clone());
+    }
     for one in asked {
         if one.asking.await.is_some_and(|in_force| in_force >= number) {
             confirmed.push(one.name);
--- a/crates/ffw-operator/src/service.rs
+++ b/crates/ffw-operator/src/service.rs
@@ -112,8 +112,9 @@
     /// Offers a version to all daemons until each live one has it in force, or the time is over.
     async fn spread(&self, number: u64, wait: Duration) -> (Vec<String>, Vec<String>) {
         let began = Instant::now();
+        let mut confirmed = Vec::new();
         loop {
-            let confirmed = relay::spread(&self.daemon, number).await;
+            confirmed = relay::spread(&self.daemon, number, confirmed).await;
             let missing = self.live_daemons().into_iter().filter(|one| !confirmed.contains(one));
             let missing: Vec<Arc<str>> = missing.collect();
             if missing.is_empty() || began.elapsed() >= wait.min(WAIT_MAX) {
