--- a/crates/ffw-entry/src/generate/attempt.rs
+++ b/crates/ffw-entry/src/generate/attempt.rs
@@ -21,6 +21,7 @@
         executor,
         timer::{self, Activity},
     },
+    log::debug,
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -88,6 +89,7 @@
     progress: &mut Progress,
 ) -> Result<(), Failure> {
     let resume_from = delivered.count();
+    let began = Instant::now();
     let place = admit(work, attempt, resume_from).await?;
     // The owner has noted the grant; a second daemon holds it too if the owner is another one.
     if place.grant.owner != work.account.daemon.identity.instance {
@@ -97,12 +99,22 @@
     let place = &*progress.place.insert(place);
     timer::sleep(place.grant.start_in).await;
     progress.prefill_begun = true;
+    let admitted = began.elapsed();
     let handoff = prefill(place, &completion).await?;
     let expires = Instant::now() + Duration::from_millis(handoff.expires_ms);
     progress.prefilled = Some(handoff.clone());
     completion.kv_transfer_params = Some(handoff);
     place.note_phase(Phase::Transfer);
+    let prefilled = began.elapsed();
     transfer(place, &completion, expires).await?;
+    let transferred = began.elapsed();
+    debug!(
+        "event=attempt_steps attempt={} admit_us={} prefill_us={} transfer_us={}",
+        completion.request_id,
+        admitted.as_micros(),
+        (prefilled - admitted).as_micros(),
+        (transferred - prefilled).as_micros()
+    );
     progress.decoding = true;
     place.note_phase(Phase::Decode);
     decode(work, place, &completion, delivered).await
