Compare a thousand answers under faults of the streams

Changed: a test of ten batches of a hundred, with doubled, crossed and cut streams, each answer compared byte by byte.

--- a/crates/fireflyworks/tests/one_answer.rs
+++ b/crates/fireflyworks/tests/one_answer.rs
@@ -134,3 +134,27 @@
         cluster.wait_for("held memory", Duration::from_secs(8), |one| one.held() == 0).await;
     });
 }
+
+#[test]
+fn a_thousand_answers_are_exact_under_faults_of_the_streams() {
+    smol::block_on(async {
+        let cluster = Cluster::start(Plan::new(BINARY)).await;
+        for batch in 0..10 {
+            for node in &cluster.decodes {
+                node.service.set_faults(Faults {
+                    doubled: batch % 2 == 0,
+                    crossed: batch % 3 == 0,
+                    cut_streams: 2,
+                    cut_after: batch,
+                    ..Faults::default()
+                });
+            }
+            let mut calls = calls(&cluster, 100, 16);
+            for call in &mut calls {
+                call.prompt = format!("{} in batch {batch}", call.prompt).into();
+            }
+            let answers = send_all(calls.clone()).await;
+            assert_eq!(check_all(&calls, &answers), 100, "batch {batch}");
+        }
+    });
+}
