Try an address that is in use again for three seconds

The likely holder is a child of the test process between fork and exec, which keeps the probe's socket open; not shown by a trace. Ruled out: the kernel's outgoing ports (32768 and up; tests use 12000 to 32000) and a second daemon with the same port (numbers are given out once). Conclusion: a daemon that follows another on its address should wait too.

--- a/crates/fireflyworks/src/command/serve.rs
+++ b/crates/fireflyworks/src/command/serve.rs
@@ -28,6 +28,9 @@
     },
 };
 
+/// Time for which an address that is in use is tried again.
+const BIND_TIMEOUT: Duration = Duration::from_secs(3);
+
 /// Time for which a shutdown tries to store the ledger.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -82,10 +85,20 @@
 }
 
 async fn bind(address: SocketAddr, flag: &str) -> Result<TcpListener> {
-    let bound = server::bind(address).await;
+    let began = Instant::now();
+    let mut bound = server::bind(address).await;
+    // The process before this one may still be letting go of the address.
+    while bound.as_ref().is_err_and(is_in_use) && began.elapsed() < BIND_TIMEOUT {
+        timer::sleep(LOOK_PAUSE).await;
+        bound = server::bind(address).await;
+    }
     bound.wrap_err_with(|| format!("--{flag} {address} can't be bound"))
 }
 
+fn is_in_use(err: &std::io::Error) -> bool {
+    err.kind() == std::io::ErrorKind::AddrInUse
+}
+
 async fn serve(settings: Settings) -> Result<ExitCode> {
     let signals = shutdown::listen().wrap_err("installing signal handlers")?;
     let listeners = bind_all(&settings).await?;
