--- a/crates/ffw-control/src/admission.rs
+++ b/crates/ffw-control/src/admission.rs
@@ -121,7 +121,7 @@
 impl Drop for Place {
     fn drop(&mut self) {
         if !self.is_released {
-            self.give_back(0, false);
+            self.give_back(0, false, None);
         }
     }
 }
@@ -148,17 +148,18 @@
         }
     }
 
-    /// Gives the place back; `confirmed` says that both engines hold nothing of the attempt.
-    pub fn release(mut self, emitted: u32, confirmed: bool) {
+    /// Gives the place back; `confirmed` says that both engines hold nothing of the attempt, and
+    /// `failed` names the server that failed it.
+    pub fn release(mut self, emitted: u32, confirmed: bool, failed: Option<Arc<str>>) {
         self.is_released = true;
-        self.give_back(emitted, confirmed);
+        self.give_back(emitted, confirmed, failed);
     }
 
-    fn give_back(&self, emitted: u32, confirmed: bool) {
+    fn give_back(&self, emitted: u32, confirmed: bool, failed: Option<Arc<str>>) {
         let attempt = self.attempt.clone();
         let mut state = self.lane.lock();
         state.open.retain(|one| one.ask.attempt != attempt);
-        state.releases.push(Release { attempt, emitted, confirmed });
+        state.releases.push(Release { attempt, emitted, confirmed, failed });
         drop(state);
         self.lane.wake.try_send(()).ok();
     }
--- a/crates/ffw-control/src/calls.rs
+++ b/crates/ffw-control/src/calls.rs
@@ -49,7 +49,7 @@
     News {
         known: daemon.register.known(),
         config: config.map(|one| one.version.clone()),
-        roster: (roster.version > known.roster).then(|| Roster::clone(&roster)),
+        roster: roster.has_news_for(&known).then(|| Roster::clone(&roster)),
     }
 }
 
--- a/crates/ffw-control/src/daemon.rs
+++ b/crates/ffw-control/src/daemon.rs
@@ -18,9 +18,21 @@
     },
 };
 
+/// How requests come, and with that, who ends work at engines.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// Callers name declared services; engines are told to cancel, and decisions go to the ledger.
+    Declared,
+    /// Routes choose the pool; work ends with the connection that it came on, and decisions go to
+    /// the logs.
+    Routed,
+}
+
 /// State of one daemon.
 #[derive(Debug)]
 pub struct Daemon {
+    /// How requests come.
+    pub mode: Mode,
     /// Who it is.
     pub identity: Identity,
     /// Name of the deployment, under which its configuration is stored.
@@ -70,6 +82,8 @@
     pub seeds: Vec<SocketAddr>,
     /// How places are given.
     pub policy: Policy,
+    /// How requests come.
+    pub mode: Mode,
 }
 
 impl Daemon {
@@ -82,7 +96,8 @@
             Metrics::new().map_err(|err| Error::new(Kind::Internal, format!("metrics: {err}")))?;
         let identity = Identity::new(setup.instance, setup.data_centre);
         Ok(Arc::new(Daemon {
-            ledger: Ledger::new(&identity),
+            mode: setup.mode,
+            ledger: Ledger::new(&identity, setup.mode == Mode::Declared),
             identity,
             deployment: setup.deployment,
             store: Store { address: setup.platform },
--- a/crates/ffw-control/src/ledger.rs
+++ b/crates/ffw-control/src/ledger.rs
@@ -51,6 +51,7 @@
 /// Records of this process and copies of others'.
 #[derive(Debug)]
 pub struct Ledger {
+    is_kept: bool,
     own: Mutex<Chain>,
     copies: Mutex<Vec<Segment>>,
     wake: Sender<()>,
@@ -126,7 +127,7 @@
 
 impl Ledger {
     /// An empty chain.
-    pub fn new(identity: &Identity) -> Ledger {
+    pub fn new(identity: &Identity, is_kept: bool) -> Ledger {
         let own = Mutex::new(Chain {
             instance: identity.instance.clone(),
             incarnation: identity.incarnation,
@@ -137,11 +138,14 @@
             copied: 0,
         });
         let (wake, woken) = channel::bounded(1);
-        Ledger { own, copies: Mutex::default(), wake, woken }
+        Ledger { is_kept, own, copies: Mutex::default(), wake, woken }
     }
 
     /// Appends a record.
     pub fn note(&self, subject: &Subject, event: Event) {
+        if !self.is_kept {
+            return;
+        }
         let mut chain = self.own();
         let mut record = Record {
             number: chain.next,
--- a/crates/ffw-control/src/owner.rs
+++ b/crates/ffw-control/src/owner.rs
@@ -1,7 +1,11 @@
 //! Shards that this daemon owns: it runs their decisions and carries out what they order.
 
 use {
-    crate::{daemon::Daemon, identity, ledger::Subject},
+    crate::{
+        daemon::{Daemon, Mode},
+        identity,
+        ledger::Subject,
+    },
     ffw_backend::engine,
     ffw_decide::{baseline::Policy, shard},
     ffw_peer::service::{Renewed, ShardStatus},
@@ -419,7 +423,8 @@
         daemon.ledger.note(&subject, event);
     } else if is_grant {
         // Nobody waits any more, so nothing was started.
-        let release = Release { attempt: attempt.clone(), emitted: 0, confirmed: true };
+        let release =
+            Release { attempt: attempt.clone(), emitted: 0, confirmed: true, failed: None };
         let entry = attempt.request.instance.clone();
         let renewal = Renewal { entry, releases: vec![release], ..Renewal::default() };
         state.shard.renew(identity::now(), &renewal);
@@ -436,6 +441,10 @@
 
 /// Cancels an attempt at one engine until it has confirmed or left the list.
 pub async fn cancel_at(daemon: &Daemon, attempt: &Attempt, server: &Server) {
+    if daemon.mode == Mode::Routed {
+        // The work ended with the connection that it came on.
+        return;
+    }
     let name = engine::attempt_name(attempt);
     let mut failures = 0;
     loop {
--- a/crates/ffw-control/src/relay.rs
+++ b/crates/ffw-control/src/relay.rs
@@ -48,6 +48,16 @@
 }
 
 /// Asks a random daemon now and then, so that a version known anywhere spreads everywhere.
+/// Exchanges what is known with other daemons: the seeds until one has answered, then one daemon of
+/// the list each period.
+pub async fn exchange(daemon: Arc<Daemon>) {
+    while daemon.register.config_number() == 0 {
+        timer::sleep(RETRY_PAUSE).await;
+        start_from_peers(&daemon).await;
+    }
+    gossip(&daemon).await;
+}
+
 async fn gossip(daemon: &Daemon) {
     loop {
         timer::sleep(GOSSIP_PERIOD).await;
@@ -120,7 +130,7 @@
     let version = list.metadata.resource_version.clone();
     let instances = list.items.into_iter().map(|object| object.spec).collect();
     let number = version.parse().unwrap_or(0);
-    daemon.register.offer_roster(Roster { version: number, instances });
+    daemon.register.offer_roster(Roster::new(number, instances));
     Ok(version)
 }
 
--- a/crates/ffw-control/src/snapshot.rs
+++ b/crates/ffw-control/src/snapshot.rs
@@ -10,6 +10,7 @@
         config::Version,
         declaration::{Customer, Deployment, Pool, Service},
         instance::{Instance, Role},
+        route::{self, Limits, Route},
     },
     log::{error, info},
     std::{
@@ -37,9 +38,10 @@
     /// # Errors
     /// What is wrong with its declaration, in words.
     pub fn new(version: Version) -> Result<Snapshot, String> {
-        let deployment = version.deployment().map_err(|problems| {
+        let mut deployment = version.deployment().map_err(|problems| {
             problems.iter().map(ToString::to_string).collect::<Vec<_>>().join("; ")
         })?;
+        route::sort(&mut deployment.routes);
         let mut by_key: Vec<usize> = (0..deployment.customers.len()).collect();
         by_key.sort_by(|a, b| {
             let digest = |index: &usize| &deployment.customers[*index].key_sha256;
@@ -56,6 +58,16 @@
         found.ok().map(|at| &customers[self.by_key[at]])
     }
 
+    /// The route of a host and path.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        route::find(&self.deployment.routes, host, path)
+    }
+
+    /// Bounds of what callers of routes may send.
+    pub fn limits(&self) -> Limits {
+        self.deployment.limits.unwrap_or_default()
+    }
+
     /// Settings of a pool's shard.
     pub fn shard_settings(&self, pool: &Pool) -> shard::Settings {
         let classes = self.deployment.classes.iter();
@@ -95,6 +107,7 @@
 #[derive(Clone, Debug)]
 struct Ranking {
     key: Arc<str>,
+    /// Version of the daemons in the list.
     version: u64,
     daemons: Arc<[Instance]>,
 }
@@ -133,7 +146,8 @@
 
     /// Versions that this daemon knows.
     pub fn known(&self) -> Known {
-        Known { config: self.config_number(), roster: self.roster.load().version }
+        let roster = self.roster.load();
+        Known { config: self.config_number(), servers: roster.servers, daemons: roster.daemons }
     }
 
     /// The instance list.
@@ -141,14 +155,26 @@
         self.roster.load_full()
     }
 
-    /// Takes an instance list over if it is newer; answers whether it was.
-    pub fn offer_roster(&self, mut roster: Roster) -> bool {
+    /// Takes over each part of an instance list that is newer; answers whether one was.
+    pub fn offer_roster(&self, offered: Roster) -> bool {
         let _write = self.write.lock().unwrap_or_else(PoisonError::into_inner);
-        if roster.version <= self.roster.load().version {
+        let known = self.roster.load();
+        if !offered.has_news_for(&self.known()) {
             return false;
         }
-        roster.instances.sort_by(|a, b| a.name.cmp(&b.name));
-        self.roster.store(Arc::new(roster));
+        let of_part = |roster: &Roster, is_daemons: bool| {
+            let part =
+                roster.instances.iter().filter(|one| (one.role == Role::Entry) == is_daemons);
+            part.cloned().collect::<Vec<_>>()
+        };
+        let newer = |is_newer: bool| if is_newer { &offered } else { &**known };
+        let daemons = newer(offered.daemons > known.daemons);
+        let servers = newer(offered.servers > known.servers);
+        let mut instances = of_part(daemons, true);
+        instances.extend(of_part(servers, false));
+        instances.sort_by(|a, b| a.name.cmp(&b.name));
+        let (servers, daemons) = (servers.servers, daemons.daemons);
+        self.roster.store(Arc::new(Roster { servers, daemons, instances }));
         true
     }
 
@@ -156,10 +182,11 @@
     pub fn note_instance(&self, version: u64, name: &str, instance: Option<Instance>) {
         let _write = self.write.lock().unwrap_or_else(PoisonError::into_inner);
         let mut roster = Roster::clone(&self.roster.load());
-        if version <= roster.version {
+        if version <= roster.servers && version <= roster.daemons {
             return;
         }
-        roster.version = version;
+        roster.servers = roster.servers.max(version);
+        roster.daemons = roster.daemons.max(version);
         match (roster.instances.binary_search_by(|one| (*one.name).cmp(name)), instance) {
             (Ok(at), Some(instance)) => roster.instances[at] = instance,
             (Ok(at), None) => drop(roster.instances.remove(at)),
@@ -175,13 +202,13 @@
         let mut rankings = self.rankings.lock().unwrap_or_else(PoisonError::into_inner);
         let found = rankings.binary_search_by(|one| (*one.key).cmp(key));
         if let Ok(at) = found
-            && rankings[at].version == roster.version
+            && rankings[at].version == roster.daemons
         {
             return rankings[at].daemons.clone();
         }
         let ranked = rendezvous::rank(key, &roster.instances).into_iter();
         let daemons: Arc<[Instance]> = ranked.cloned().collect();
-        let version = roster.version;
+        let version = roster.daemons;
         let ranking = Ranking { key: key.into(), version, daemons: daemons.clone() };
         match found {
             Ok(at) => rankings[at] = ranking,
--- a/crates/ffw-control/tests/places.rs
+++ b/crates/ffw-control/tests/places.rs
@@ -3,7 +3,7 @@
 use {
     ffw_control::{
         admission::{self, Decision},
-        daemon::{Daemon, Setup},
+        daemon::{Daemon, Mode, Setup},
     },
     ffw_decide::baseline::Policy,
     ffw_peer::{handshake::Secret, link::Pool, service::Roster},
@@ -27,6 +27,7 @@
         peers: Pool::new(Secret::new("a-shared-key-for-tests")),
         seeds: Vec::new(),
         policy: Policy::RoundRobin,
+        mode: Mode::Declared,
     });
     let daemon = daemon.expect("a daemon");
     let engine = |name: &str, role: Role| Instance {
@@ -38,7 +39,7 @@
         state: State::Live,
     };
     let instances = vec![engine("decode-1", Role::Decode), engine("prefill-1", Role::Prefill)];
-    daemon.register.offer_roster(Roster { version: 1, instances });
+    daemon.register.offer_roster(Roster::new(1, instances));
     daemon
 }
 
--- /dev/null
+++ b/crates/ffw-decide/src/budget.rs
@@ -0,0 +1,88 @@
+//! The budget of repeated sends that all daemons share.
+//!
+//! Each daemon keeps to the share that its own requests earn and to its part of the slack, so that
+//! the sum over all daemons stays within the budget without a message between them.
+
+use {
+    ffw_protocol::time::Moment,
+    std::{collections::VecDeque, sync::Arc, time::Duration},
+};
+
+/// Parts of a window that are counted together.
+const PARTS: u32 = 10;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Part {
+    start: Moment,
+    requests: u32,
+    repeats: u32,
+}
+
+#[derive(Clone, Debug)]
+struct Account {
+    pool: Arc<str>,
+    parts: VecDeque<Part>,
+}
+
+/// Requests and repeats of one daemon, by pool.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    ratio: f64,
+    window: Duration,
+    accounts: Vec<Account>,
+}
+
+impl Budget {
+    /// A budget of `ratio` repeats a request within any `window`.
+    pub fn new(ratio: f64, window: Duration) -> Budget {
+        Budget { ratio, window, accounts: Vec::new() }
+    }
+
+    /// Notes a request for a pool.
+    pub fn note_request(&mut self, now: Moment, pool: &Arc<str>) {
+        self.part(now, pool).requests += 1;
+    }
+
+    /// Takes a repeat from the budget; answers whether there was one. `slack` is this daemon's part
+    /// of the repeats beyond the share of requests.
+    pub fn take(&mut self, now: Moment, pool: &Arc<str>, slack: f64) -> bool {
+        let (ratio, window) = (self.ratio, self.window);
+        let account = self.account(now, pool);
+        let sum = |count: fn(&Part) -> u32| account.parts.iter().map(count).sum::<u32>();
+        let allowed = ratio * f64::from(sum(|part| part.requests)) + slack;
+        debug_assert!(!window.is_zero(), "a budget needs a window");
+        let is_allowed = f64::from(sum(|part| part.repeats) + 1) <= allowed;
+        if is_allowed {
+            self.part(now, pool).repeats += 1;
+        }
+        is_allowed
+    }
+
+    fn account(&mut self, now: Moment, pool: &Arc<str>) -> &mut Account {
+        let at = match self.accounts.binary_search_by(|one| one.pool.cmp(pool)) {
+            Ok(at) => at,
+            Err(at) => {
+                let account = Account { pool: pool.clone(), parts: VecDeque::new() };
+                self.accounts.insert(at, account);
+                at
+            }
+        };
+        let window = self.window;
+        let account = &mut self.accounts[at];
+        while account.parts.front().is_some_and(|part| now.since(part.start) > window) {
+            account.parts.pop_front();
+        }
+        account
+    }
+
+    fn part(&mut self, now: Moment, pool: &Arc<str>) -> &mut Part {
+        let length = self.window / PARTS;
+        let account = self.account(now, pool);
+        let is_current = account.parts.back().is_some_and(|part| now.since(part.start) < length);
+        if !is_current {
+            account.parts.push_back(Part { start: now, ..Part::default() });
+        }
+        let last = account.parts.len() - 1;
+        &mut account.parts[last]
+    }
+}
--- a/crates/ffw-decide/src/lib.rs
+++ b/crates/ffw-decide/src/lib.rs
@@ -2,7 +2,9 @@
 //! random numbers, so that a test can run any history at full speed.
 
 pub mod arena;
+pub mod balance;
 pub mod baseline;
+pub mod budget;
 pub mod burn;
 pub mod cache;
 pub mod claim;
--- a/crates/ffw-decide/src/shard/place.rs
+++ b/crates/ffw-decide/src/shard/place.rs
@@ -107,14 +107,18 @@
     let pieces = settings.pieces_of(ask);
     let mut best: Option<Plan> = None;
     let mut blocked = Blocked::NoServer;
-    let live = prefills.iter().filter(|(_, one)| !one.leaving);
+    let live = || prefills.iter().filter(|(_, one)| !one.leaving);
+    let all_rest = live().all(|(_, one)| one.rest.is_resting(now));
+    let live = live().filter(|(_, one)| all_rest || !one.rest.is_resting(now));
     let Some((prefill, work)) = live
         .map(|one| (one.0, Work::of(ask, settings, one.1)))
         .min_by_key(|(_, work)| work.end(now))
     else {
         return Err(Blocked::NoServer);
     };
-    for (decode, server) in decodes.iter().filter(|(_, one)| !one.leaving) {
+    let live = || decodes.iter().filter(|(_, one)| !one.leaving);
+    let all_rest = live().all(|(_, one)| one.rest.is_resting(now));
+    for (decode, server) in live().filter(|(_, one)| all_rest || !one.rest.is_resting(now)) {
         let room = room(now, server, pieces, settings, places);
         let ready = match room {
             Room::At(at) => at.max(server.link_free_at),
--- a/crates/ffw-decide/src/shard/renewal.rs
+++ b/crates/ffw-decide/src/shard/renewal.rs
@@ -122,12 +122,24 @@
     fn release(&mut self, now: Moment, release: &Release) {
         self.withdraw(&release.attempt);
         let Some(key) = self.find(&release.attempt) else { return };
+        if let Some(failed) = &release.failed {
+            self.note_failure(now, failed);
+        }
         if let Some(place) = self.places.get_mut(key) {
             place.emitted = place.emitted.max(release.emitted);
         }
         if release.confirmed { self.end_place(key, Some(now)) } else { self.cancel(key) }
     }
 
+    fn note_failure(&mut self, now: Moment, server: &str) {
+        if let Some(prefill) = self.prefills.values_mut().find(|one| &*one.server.name == server) {
+            prefill.rest.note_failure(now);
+        }
+        if let Some(decode) = self.decodes.values_mut().find(|one| &*one.server.name == server) {
+            decode.rest.note_failure(now);
+        }
+    }
+
     fn note_progress(&mut self, now: Moment, progress: &Progress) {
         let Some(key) = self.find(&progress.ask.attempt) else {
             self.take_over(now, progress);
@@ -151,6 +163,9 @@
         }
         if before.phase < Phase::Decode && after.phase == Phase::Decode {
             self.reflow_link(now, after.decode);
+            if let Some(decode) = self.decodes.get_mut(after.decode) {
+                decode.rest.note_success();
+            }
         }
     }
 
@@ -164,6 +179,7 @@
         }
         let Some(prefill) = place.prefill else { return };
         let Some(server) = self.prefills.get_mut(prefill) else { return };
+        server.rest.note_success();
         server.learn(place.prefill_end.since(place.start), now.since(place.start));
         let late = now.since(place.prefill_end);
         let early = place.prefill_end.since(now);
--- a/crates/ffw-decide/src/shard/server.rs
+++ b/crates/ffw-decide/src/shard/server.rs
@@ -13,6 +13,36 @@
 /// Span over which releases may still show in a lagging load report.
 const REPORT_LAG: Duration = Duration::from_millis(1_000);
 
+/// Time for which a server is passed over after a failure; doubles with each further one.
+const REST_FIRST: Duration = Duration::from_millis(300);
+const REST_MAX: Duration = Duration::from_secs(4);
+
+/// Failures of a server in a row, and until when it is passed over for them.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Rest {
+    failures: u32,
+    until: Moment,
+}
+
+impl Rest {
+    /// Notes a failure.
+    pub fn note_failure(&mut self, now: Moment) {
+        self.failures += 1;
+        let rest = REST_FIRST * 2_u32.saturating_pow(self.failures.min(8) - 1);
+        self.until = now + rest.min(REST_MAX);
+    }
+
+    /// Notes that the server did its work.
+    pub fn note_success(&mut self) {
+        *self = Rest::default();
+    }
+
+    /// Whether the server is passed over.
+    pub fn is_resting(&self, now: Moment) -> bool {
+        now < self.until
+    }
+}
+
 /// A prefill server. It works through one prompt at a time.
 #[derive(Clone, Debug)]
 pub struct Prefill {
@@ -28,6 +58,8 @@
     pub slowness: f64,
     /// Requests that its load report shows beyond the places known here.
     pub foreign: u32,
+    /// Its failures.
+    pub rest: Rest,
 }
 
 impl Prefill {
@@ -40,6 +72,7 @@
             hints: Hints::default(),
             slowness: 1.0,
             foreign: 0,
+            rest: Rest::default(),
         }
     }
 
@@ -74,6 +107,8 @@
     pub foreign: u32,
     /// Moments of the latest releases, which a lagging report may not show yet.
     pub released: Vec<Moment>,
+    /// Its failures.
+    pub rest: Rest,
 }
 
 impl Decode {
@@ -88,6 +123,7 @@
             pace: pace.as_secs_f64(),
             foreign: 0,
             released: Vec::new(),
+            rest: Rest::default(),
         }
     }
 
--- a/crates/ffw-decide/tests/shard_state_machine.rs
+++ b/crates/ffw-decide/tests/shard_state_machine.rs
@@ -217,7 +217,8 @@
             Transition::Release(at, confirmed) => {
                 if let Some(attempt) = sut.pick(at) {
                     let emitted = sut.held[&attempt].emitted;
-                    let release = Release { attempt: attempt.clone(), emitted, confirmed };
+                    let release =
+                        Release { attempt: attempt.clone(), emitted, confirmed, failed: None };
                     let mut renewal = sut.renewal(&attempt.request.instance);
                     renewal.releases.push(release);
                     sut.shard.renew(sut.now, &renewal);
--- a/crates/ffw-entry/src/generate/attempt.rs
+++ b/crates/ffw-entry/src/generate/attempt.rs
@@ -269,7 +269,7 @@
     }
     let Some(place) = progress.place else { return };
     if is_whole || !progress.prefill_begun {
-        place.release(emitted, true);
+        place.release(emitted, true, None);
         return;
     }
     executor::detach(cancel(work.account.daemon.clone(), attempt.clone(), place, emitted));
@@ -288,5 +288,5 @@
         owner::cancel_at(&daemon, &attempt, &grant.decode),
     )
     .await;
-    place.release(emitted, true);
+    place.release(emitted, true, None);
 }
--- /dev/null
+++ b/crates/ffw-http/src/framing.rs
@@ -0,0 +1,189 @@
+//! Where the body of a message ends, and the decoder that finds the end.
+
+use crate::message::{Malformed, Request, Response};
+
+/// Longest line that gives the size of a chunk, and longest trailer, in bytes.
+const MAX_LINE: usize = 1_024;
+
+/// How the end of a body is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Framing {
+    /// By its length; 0 for no body.
+    Length(u64),
+    /// By the chunk of length 0.
+    Chunked,
+    /// By the end of the connection.
+    UntilClose,
+}
+
+impl Framing {
+    /// Framing of a request's body.
+    ///
+    /// # Errors
+    /// The fields contradict each other, so that another reader might find another end.
+    pub fn of_request(head: &Request) -> Result<Framing, Malformed> {
+        let length = declared_length(head.fields.all("content-length"))?;
+        let codings: Vec<&[u8]> = head.fields.all("transfer-encoding").collect();
+        match (codings.as_slice(), length) {
+            ([], length) => Ok(Framing::Length(length.unwrap_or(0))),
+            (_, Some(_)) => Err(Malformed("both a length and a transfer coding are given")),
+            (_, None) if head.minor == 0 => Err(Malformed("HTTP/1.0 has no transfer coding")),
+            ([one], None) if one.eq_ignore_ascii_case(b"chunked") => Ok(Framing::Chunked),
+            _ => Err(Malformed("the transfer coding is not `chunked`")),
+        }
+    }
+
+    /// Framing of the body of an answer to a request of this method.
+    ///
+    /// # Errors
+    /// The fields contradict each other.
+    pub fn of_response(head: &Response, method: &str) -> Result<Framing, Malformed> {
+        if method == "HEAD" || matches!(head.status, 100..=199 | 204 | 304) {
+            return Ok(Framing::Length(0));
+        }
+        let length = declared_length(head.fields.all("content-length"))?;
+        let codings: Vec<&[u8]> = head.fields.all("transfer-encoding").collect();
+        match (codings.as_slice(), length) {
+            ([], Some(length)) => Ok(Framing::Length(length)),
+            ([], None) => Ok(Framing::UntilClose),
+            ([one], None) if one.eq_ignore_ascii_case(b"chunked") => Ok(Framing::Chunked),
+            _ => Err(Malformed("the answer's length and transfer coding contradict each other")),
+        }
+    }
+}
+
+fn declared_length<'a>(values: impl Iterator<Item = &'a [u8]>) -> Result<Option<u64>, Malformed> {
+    let mut declared = None;
+    for value in values {
+        let is_number = !value.is_empty() && value.iter().all(u8::is_ascii_digit);
+        let text = std::str::from_utf8(value).unwrap_or_default();
+        let length = text.parse().ok().filter(|_| is_number);
+        let length: u64 = length.ok_or(Malformed("the length is no number"))?;
+        if declared.is_some_and(|known| known != length) {
+            return Err(Malformed("two different lengths are given"));
+        }
+        declared = Some(length);
+    }
+    Ok(declared)
+}
+
+/// What a decoder found at the start of some bytes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// This many bytes of the body, which may be 0, after `skip` bytes of framing.
+    Part {
+        /// Bytes of framing.
+        skip: usize,
+        /// Bytes of the body.
+        length: usize,
+    },
+    /// The body has ended, after `skip` bytes of framing.
+    End {
+        /// Bytes of framing.
+        skip: usize,
+    },
+    /// More bytes are needed.
+    More,
+}
+
+/// Finds the parts of a body and its end.
+#[derive(Clone, Debug)]
+pub struct Decoder {
+    state: State,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    Length(u64),
+    ChunkSize,
+    ChunkData(u64),
+    ChunkEnd,
+    Trailer,
+    UntilClose,
+    Ended,
+}
+
+impl Decoder {
+    /// A decoder at the start of a body.
+    pub fn new(framing: Framing) -> Decoder {
+        let state = match framing {
+            Framing::Length(0) => State::Ended,
+            Framing::Length(length) => State::Length(length),
+            Framing::Chunked => State::ChunkSize,
+            Framing::UntilClose => State::UntilClose,
+        };
+        Decoder { state }
+    }
+
+    /// Whether the end of the body was found.
+    pub fn has_ended(&self) -> bool {
+        self.state == State::Ended
+    }
+
+    /// Whether the end of the connection is the end of the body.
+    pub fn ends_with_connection(&self) -> bool {
+        self.state == State::UntilClose
+    }
+
+    /// Looks at the bytes that follow; the caller consumes what the step names.
+    ///
+    /// # Errors
+    /// The framing is broken.
+    pub fn step(&mut self, bytes: &[u8]) -> Result<Step, Malformed> {
+        match self.state {
+            State::Ended => Ok(Step::End { skip: 0 }),
+            _ if bytes.is_empty() => Ok(Step::More),
+            State::UntilClose => Ok(Step::Part { skip: 0, length: bytes.len() }),
+            State::Length(left) => {
+                let length = bytes.len().min(usize::try_from(left).unwrap_or(usize::MAX));
+                let left = left - length as u64;
+                self.state = if left == 0 { State::Ended } else { State::Length(left) };
+                Ok(Step::Part { skip: 0, length })
+            }
+            State::ChunkData(left) => {
+                let length = bytes.len().min(usize::try_from(left).unwrap_or(usize::MAX));
+                let left = left - length as u64;
+                self.state = if left == 0 { State::ChunkEnd } else { State::ChunkData(left) };
+                Ok(Step::Part { skip: 0, length })
+            }
+            State::ChunkSize => self.chunk_size(bytes),
+            State::ChunkEnd => match bytes {
+                [b'\r', b'\n', ..] => {
+                    self.state = State::ChunkSize;
+                    Ok(Step::Part { skip: 2, length: 0 })
+                }
+                [b'\r'] => Ok(Step::More),
+                _ => Err(Malformed("a chunk is longer than its size")),
+            },
+            State::Trailer => self.trailer(bytes),
+        }
+    }
+
+    fn chunk_size(&mut self, bytes: &[u8]) -> Result<Step, Malformed> {
+        match httparse::parse_chunk_size(bytes) {
+            Ok(httparse::Status::Complete((skip, 0))) => {
+                self.state = State::Trailer;
+                Ok(Step::Part { skip, length: 0 })
+            }
+            Ok(httparse::Status::Complete((skip, size))) => {
+                self.state = State::ChunkData(size);
+                Ok(Step::Part { skip, length: 0 })
+            }
+            Ok(httparse::Status::Partial) if bytes.len() < MAX_LINE => Ok(Step::More),
+            _ => Err(Malformed("the size of a chunk is malformed")),
+        }
+    }
+
+    fn trailer(&mut self, bytes: &[u8]) -> Result<Step, Malformed> {
+        let Some(at) = bytes.iter().position(|byte| *byte == b'\n') else {
+            return if bytes.len() < MAX_LINE { Ok(Step::More) } else { Err(TRAILER) };
+        };
+        if matches!(&bytes[..at], [] | [b'\r']) {
+            self.state = State::Ended;
+            return Ok(Step::End { skip: at + 1 });
+        }
+        Ok(Step::Part { skip: at + 1, length: 0 })
+    }
+}
+
+const TRAILER: Malformed = Malformed("the trailer is too long");
--- a/crates/ffw-peer/src/service.rs
+++ b/crates/ffw-peer/src/service.rs
@@ -27,8 +27,10 @@
 pub struct Known {
     /// Number of its configuration version.
     pub config: u64,
-    /// Version of its instance list.
-    pub roster: u64,
+    /// Version of its list of backend servers.
+    pub servers: u64,
+    /// Version of its list of daemons.
+    pub daemons: u64,
 }
 
 /// What is newer than a caller's [`Known`].
@@ -42,15 +44,30 @@
     pub roster: Option<Roster>,
 }
 
-/// The platform's instance list at one version.
+/// The platform's instance list. Daemons and backend servers may be read one after the other, so
+/// each part has its version.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Roster {
-    /// Version of the list, as the platform numbers it.
-    pub version: u64,
+    /// Version of the backend servers, as the platform numbers it.
+    pub servers: u64,
+    /// Version of the daemons, as the platform numbers it.
+    pub daemons: u64,
     /// Instances in order of name.
     pub instances: Vec<Instance>,
 }
 
+impl Roster {
+    /// A list of which both parts were read at one version.
+    pub fn new(version: u64, instances: Vec<Instance>) -> Roster {
+        Roster { servers: version, daemons: version, instances }
+    }
+
+    /// Whether a part is newer than another list's.
+    pub fn has_news_for(&self, known: &Known) -> bool {
+        self.servers > known.servers || self.daemons > known.daemons
+    }
+}
+
 /// State of one daemon, for operators.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Status {
--- a/crates/ffw-protocol/src/admission.rs
+++ b/crates/ffw-protocol/src/admission.rs
@@ -191,6 +191,9 @@
     pub emitted: u32,
     /// Whether the decode server's memory is known to be free.
     pub confirmed: bool,
+    /// A server that failed and is to be passed over for a while.
+    #[serde(default)]
+    pub failed: Option<Arc<str>>,
 }
 
 /// What an entry tells an owner at once: renewals and ends.
--- a/crates/ffw-protocol/src/declaration.rs
+++ b/crates/ffw-protocol/src/declaration.rs
@@ -2,6 +2,7 @@
 //! and customers, as one TOML file a deployment.
 
 use {
+    crate::route::{Limits, Route},
     serde::{Deserialize, Serialize},
     std::{fmt, sync::Arc, time::Duration},
 };
@@ -30,6 +31,12 @@
     /// Customers and their keys.
     #[serde(default, rename = "customer")]
     pub customers: Vec<Customer>,
+    /// Routes of requests that name no service.
+    #[serde(default, rename = "route")]
+    pub routes: Vec<Route>,
+    /// Bounds of what callers of routes may send.
+    #[serde(default)]
+    pub limits: Option<Limits>,
 }
 
 /// A model.
@@ -81,6 +88,9 @@
     /// Time for which a prefill result survives, in milliseconds.
     #[serde(default = "result_ms")]
     pub result_ms: u32,
+    /// Output tokens in one event of a stream.
+    #[serde(default = "event_tokens")]
+    pub event_tokens: u32,
     /// Whether the members refuse an order with an old fencing number.
     #[serde(default)]
     pub fences: bool,
@@ -94,6 +104,10 @@
     50
 }
 
+fn event_tokens() -> u32 {
+    1
+}
+
 fn result_ms() -> u32 {
     800
 }
@@ -279,6 +293,7 @@
         self.pools.iter().for_each(|pool| self.check_pool(pool, &mut found));
         self.services.iter().for_each(|service| self.check_service(service, &mut found));
         self.customers.iter().for_each(|customer| self.check_customer(customer, &mut found));
+        self.routes.iter().for_each(|route| self.check_route(route, &mut found));
         self.check_floors(&mut found);
         found
     }
@@ -368,6 +383,23 @@
         }
     }
 
+    fn check_route(&self, route: &Route, found: &mut Vec<Problem>) {
+        let thing: Arc<str> = format!("route {}", route.name).into();
+        for share in &route.pools {
+            if self.pool(&share.pool).is_none() {
+                let message = format!("names pool `{}`, which is not declared", share.pool);
+                found.push(problem(thing.clone(), message));
+            }
+        }
+        if route.pools.iter().all(|share| share.weight == 0) {
+            found.push(problem(thing.clone(), "needs a pool with a weight above 0"));
+        }
+        let is_prefix = route.prefix.starts_with('/') && route.prefix.ends_with('/');
+        if !is_prefix {
+            found.push(problem(thing, "`prefix` must begin and end with a slash"));
+        }
+    }
+
     fn check_floors(&self, found: &mut Vec<Problem>) {
         let sum: f64 = self.classes.iter().map(|class| class.floor).sum();
         let each_in_range = self.classes.iter().all(|class| (0.0..=1.0).contains(&class.floor));
--- a/crates/ffw-protocol/src/lib.rs
+++ b/crates/ffw-protocol/src/lib.rs
@@ -10,4 +10,5 @@
 pub mod instance;
 pub mod ledger;
 pub mod prefix;
+pub mod route;
 pub mod time;
--- /dev/null
+++ b/crates/ffw-route/src/caller.rs
@@ -0,0 +1,319 @@
+//! A caller's connection: requests are read one after the other, matched with a route, and
+//! answered. Filters may end a request before it is served.
+
+use {
+    crate::{
+        answer::{self, After},
+        dialect::Intent,
+        gate::Gate,
+        plain, stream,
+    },
+    ffw_control::snapshot::Snapshot,
+    ffw_http::{
+        connection::{Connection, Fault},
+        framing::{Decoder, Framing},
+        message::Request,
+    },
+    ffw_protocol::{
+        error::{Error, Kind, Run},
+        route::{Limits, Route},
+    },
+    ffw_runtime::timer,
+    log::{debug, info},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Pause between two looks at an idle connection's limits.
+const IDLE_LOOK: Duration = Duration::from_millis(250);
+
+/// Time for which an idle connection is kept after the daemon has begun to shut down.
+const IDLE_DRAINING: Duration = Duration::from_millis(2_500);
+
+/// Time for which a connection whose request was not read is drained.
+const LINGER: Duration = Duration::from_secs(2);
+
+/// Longest time for the body of a request.
+const BODY_LIMIT: Duration = Duration::from_secs(10);
+
+/// Time after which a caller that was refused for want of a configuration or memory may come back.
+const RETRY_AFTER: Duration = Duration::from_millis(500);
+
+/// A request that has passed the filters.
+#[derive(Debug)]
+pub(crate) struct Exchange {
+    /// Head as the caller sent it.
+    pub(crate) head: Request,
+    /// Whole body.
+    pub(crate) body: Vec<u8>,
+    /// What the head says.
+    pub(crate) intent: Intent,
+    /// Its route.
+    pub(crate) route: Route,
+    /// The pool that serves it.
+    pub(crate) pool: Arc<str>,
+    /// Configuration under which it is served.
+    pub(crate) snapshot: Arc<Snapshot>,
+    /// When its head was read.
+    pub(crate) began: Instant,
+    /// When it must have its answer.
+    pub(crate) deadline: Instant,
+}
+
+impl Exchange {
+    /// Whether its time is over.
+    pub(crate) fn is_over(&self) -> bool {
+        Instant::now() >= self.deadline
+    }
+
+    /// Time that is left.
+    pub(crate) fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+}
+
+/// Serves a connection until it ends.
+pub(crate) async fn serve(gate: Arc<Gate>, mut caller: Connection) {
+    loop {
+        let limits = current_limits(&gate);
+        let head = match next_head(&gate, &mut caller, &limits).await {
+            Ok(Some(head)) => head,
+            Ok(None) => return,
+            Err(error) => return refuse_unread(caller, &error).await,
+        };
+        let _counted = gate.begin_request();
+        match serve_one(&gate, &mut caller, head).await {
+            End::Keep => {}
+            End::Close => return,
+            End::Unread => return caller.linger(LINGER).await,
+        }
+    }
+}
+
+/// What becomes of a connection after a request.
+enum End {
+    Keep,
+    Close,
+    /// The request was not read to its end.
+    Unread,
+}
+
+fn current_limits(gate: &Gate) -> Limits {
+    gate.daemon.register.config().map_or(Limits::default(), |snapshot| snapshot.limits())
+}
+
+/// Waits for the head of the next request; `None` if the connection ends without one.
+async fn next_head(
+    gate: &Gate,
+    caller: &mut Connection,
+    limits: &Limits,
+) -> Result<Option<Request>, Error> {
+    if !wait_for_request(gate, caller).await {
+        return Ok(None);
+    }
+    let limit = Duration::from_millis(limits.header_ms);
+    let bytes = usize::try_from(limits.header_bytes).unwrap_or(usize::MAX);
+    match timer::timeout(limit, caller.read_request(bytes)).await {
+        Some(Ok(head)) => Ok(Some(head)),
+        Some(Err(Fault::Closed | Fault::Broken(_))) => Ok(None),
+        Some(Err(Fault::TooLarge)) => Err(Error::new(Kind::TooLarge, "the head is too large")),
+        Some(Err(fault)) => Err(Error::new(Kind::Malformed, fault.to_string())),
+        None => Err(Error::new(Kind::Timeout, "the head came too slowly").run(Run::Not)),
+    }
+}
+
+/// Waits for the first byte of a request; answers whether it came. The limit is looked up again and
+/// again, as the configuration may change it meanwhile.
+async fn wait_for_request(gate: &Gate, caller: &mut Connection) -> bool {
+    let began = Instant::now();
+    let mut draining_since = None;
+    loop {
+        match timer::timeout(IDLE_LOOK, caller.wait_readable()).await {
+            Some(readable) => return readable.is_ok(),
+            None if gate.daemon.is_draining() => {
+                let since = *draining_since.get_or_insert_with(Instant::now);
+                if since.elapsed() >= IDLE_DRAINING {
+                    return false;
+                }
+            }
+            None => {
+                let limit = Duration::from_millis(current_limits(gate).idle_ms);
+                if began.elapsed() >= limit {
+                    return false;
+                }
+            }
+        }
+    }
+}
+
+async fn refuse_unread(mut caller: Connection, error: &Error) {
+    let (head, body) = answer::of_error(error);
+    let request = Request::new("GET", "/");
+    info!("event=request_unreadable error=\"{error}\"");
+    match answer::write(&mut caller, &request, head, &body, After::Close).await {
+        Ok(()) => caller.linger(LINGER).await,
+        Err(err) => debug!("event=caller_gone error=\"{err}\""),
+    }
+}
+
+async fn serve_one(gate: &Arc<Gate>, caller: &mut Connection, head: Request) -> End {
+    let began = Instant::now();
+    let (exchange, _room) = match accept(gate, caller, &head, began).await {
+        Ok(accepted) => accepted,
+        Err(Rejected { error, is_read }) => {
+            return refuse(gate, caller, &head, &error, is_read).await;
+        }
+    };
+    if exchange.route.is_stream {
+        return match stream::serve(gate, &exchange, caller).await {
+            stream::End::Whole(After::Keep) => End::Keep,
+            stream::End::Whole(After::Close) | stream::End::Cut => End::Close,
+            stream::End::Failed(error) => refuse(gate, caller, &head, &error, true).await,
+        };
+    }
+    serve_plain(gate, &exchange, caller).await
+}
+
+async fn serve_plain(gate: &Gate, exchange: &Exchange, caller: &mut Connection) -> End {
+    let serving = async { Some(plain::serve(gate, exchange).await) };
+    let watcher = caller.watcher();
+    let gone = async {
+        watcher.closed().await;
+        None
+    };
+    let served = smol::future::or(serving, gone).await;
+    let head = &exchange.head;
+    match served {
+        None => {
+            debug!("event=caller_gone request={}", exchange.intent.id);
+            End::Close
+        }
+        Some(Err(error)) => refuse(gate, caller, head, &error, true).await,
+        Some(Ok(served)) => {
+            let mut answer = served.head;
+            answer.fields.remove_hop_by_hop();
+            answer.fields.remove("content-length");
+            let after = after(gate, head);
+            let written = answer::write(caller, head, answer, &served.body, after).await;
+            end(written.is_ok(), after)
+        }
+    }
+}
+
+fn end(is_written: bool, after: After) -> End {
+    if is_written && after == After::Keep { End::Keep } else { End::Close }
+}
+
+/// Whether the connection takes another request.
+pub(crate) fn after(gate: &Gate, head: &Request) -> After {
+    let keeps = head.keeps_connection() && !gate.daemon.is_draining();
+    if keeps { After::Keep } else { After::Close }
+}
+
+async fn refuse(
+    gate: &Gate,
+    caller: &mut Connection,
+    head: &Request,
+    error: &Error,
+    is_read: bool,
+) -> End {
+    let id = (gate.dialect.read_intent)(head).map(|intent| intent.id).unwrap_or_default();
+    info!("event=request_failed request={id} target={} error=\"{error}\"", head.path());
+    let (answer, body) = answer::of_error(error);
+    let after = if is_read { after(gate, head) } else { After::Close };
+    let written = answer::write(caller, head, answer, &body, after).await;
+    if written.is_ok() && !is_read { End::Unread } else { end(written.is_ok(), after) }
+}
+
+/// A request that ends at a filter.
+struct Rejected {
+    error: Error,
+    /// Whether its body was read, so that the connection may go on.
+    is_read: bool,
+}
+
+fn unread(error: Error) -> Rejected {
+    Rejected { error, is_read: false }
+}
+
+/// Runs the filters: framing, configuration, route, body, size.
+async fn accept<'a>(
+    gate: &'a Gate,
+    caller: &mut Connection,
+    head: &Request,
+    began: Instant,
+) -> Result<(Exchange, crate::gate::Held<'a>), Rejected> {
+    let malformed = |cause: &dyn std::fmt::Display| Error::new(Kind::Malformed, cause.to_string());
+    let framing = Framing::of_request(head).map_err(|cause| unread(malformed(&cause)))?;
+    let snapshot = gate.daemon.register.config().ok_or_else(|| {
+        let error = Error::new(Kind::NotReady, "no configuration is known yet");
+        unread(error.retry_after(RETRY_AFTER))
+    })?;
+    let limits = snapshot.limits();
+    let intent = (gate.dialect.read_intent)(head).map_err(|cause| unread(malformed(&cause)))?;
+    let body_limit = usize::try_from(limits.body_bytes).unwrap_or(usize::MAX);
+    let (body, room) = read_body(gate, caller, head, framing, body_limit).await.map_err(unread)?;
+    let rejected = |error| Rejected { error, is_read: true };
+    let host = host_of(head).map_err(rejected)?;
+    let route = snapshot.route(&host, head.path()).cloned().ok_or_else(|| {
+        let version = snapshot.version.number;
+        let message = format!("no route for {host}{} in version {version}", head.path());
+        rejected(Error::new(Kind::NotFound, message))
+    })?;
+    let pool = route.pool(gate.next_turn()).cloned().ok_or_else(|| {
+        rejected(Error::new(Kind::NoBackend, format!("route {} has no pool", route.name)))
+    })?;
+    gate.note_request(&pool);
+    let limit = route.timeout().min(intent.deadline.unwrap_or(Duration::MAX));
+    let deadline = began + limit;
+    let head = head.clone();
+    let exchange = Exchange { head, body, intent, route, pool, snapshot, began, deadline };
+    Ok((exchange, room))
+}
+
+async fn read_body<'a>(
+    gate: &'a Gate,
+    caller: &mut Connection,
+    head: &Request,
+    framing: Framing,
+    limit: usize,
+) -> Result<(Vec<u8>, crate::gate::Held<'a>), Error> {
+    let too_large = || Error::new(Kind::TooLarge, format!("the body is larger than {limit} bytes"));
+    let declared = match framing {
+        Framing::Length(length) => usize::try_from(length).unwrap_or(usize::MAX),
+        _ => 0,
+    };
+    if declared > limit {
+        return Err(too_large());
+    }
+    let Some(room) = gate.reserve(declared) else {
+        let error = Error::new(Kind::Overloaded, "no memory for the body");
+        return Err(error.retry_after(RETRY_AFTER));
+    };
+    let mut decoder = Decoder::new(framing);
+    if !decoder.has_ended() && head.fields.has_token("expect", "100-continue") {
+        let interim = b"HTTP/1.1 100 Continue\r\n\r\n";
+        let written = caller.write(interim, answer::UNREAD_LIMIT).await;
+        written.map_err(|err| Error::new(Kind::CallerGone, err.to_string()))?;
+    }
+    let reading = caller.read_body(&mut decoder, limit);
+    match timer::timeout(BODY_LIMIT, reading).await {
+        Some(Ok(body)) => Ok((body, room)),
+        Some(Err(Fault::TooLarge)) => Err(too_large()),
+        Some(Err(fault)) => Err(Error::new(Kind::Malformed, format!("bad body: {fault}"))),
+        None => Err(Error::new(Kind::Timeout, "the body came too slowly").run(Run::Not)),
+    }
+}
+
+/// The host that a request names, in lower case and without its port.
+fn host_of(head: &Request) -> Result<String, Error> {
+    let mut hosts = head.fields.all("host");
+    let host = hosts.next().and_then(|host| std::str::from_utf8(host).ok());
+    let (Some(host), None) = (host, hosts.next()) else {
+        return Err(Error::new(Kind::Malformed, "the request names no host, or two"));
+    };
+    let name = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    Ok(name.trim().to_ascii_lowercase())
+}
--- /dev/null
+++ b/crates/ffw-route/src/gate.rs
@@ -0,0 +1,143 @@
+//! What all routed requests of a daemon share.
+
+use {
+    crate::dialect::Dialect,
+    ffw_control::daemon::Daemon,
+    ffw_decide::{balance::Balance, budget::Budget},
+    ffw_http::pool::Pool,
+    ffw_protocol::instance::Role,
+    ffw_runtime::timer,
+    std::{
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicU64, AtomicUsize, Ordering},
+        },
+        time::Duration,
+    },
+};
+
+/// Period at which what is kept of vanished servers is dropped.
+const TIDY_PERIOD: Duration = Duration::from_secs(2);
+
+/// State of the routed requests.
+#[derive(Debug)]
+pub struct Gate {
+    /// The daemon.
+    pub daemon: Arc<Daemon>,
+    /// How heads are spelled.
+    pub dialect: Dialect,
+    /// Idle connections to backend servers.
+    pub idle: Pool,
+    /// Limits of repeated sends.
+    pub limits: Limits,
+    balance: Mutex<Balance>,
+    budget: Mutex<Budget>,
+    turn: AtomicU64,
+    in_flight: AtomicUsize,
+    buffered: AtomicUsize,
+}
+
+/// Limits that the deployment sets.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Share of the requests to a pool that may be sent once more.
+    pub retry_ratio: f64,
+    /// Sends beyond that share in one window, over all daemons.
+    pub retry_slack: f64,
+    /// Window of the two.
+    pub retry_window: Duration,
+    /// Bytes of bodies that may be held at once.
+    pub buffered_bytes: usize,
+    /// Callers' connections at once.
+    pub connections: usize,
+}
+
+/// Counts up while it lives.
+#[derive(Debug)]
+pub struct Held<'a> {
+    counter: &'a AtomicUsize,
+    amount: usize,
+}
+
+impl Drop for Held<'_> {
+    fn drop(&mut self) {
+        self.counter.fetch_sub(self.amount, Ordering::SeqCst);
+    }
+}
+
+impl Gate {
+    /// The state of a daemon that has served nothing yet.
+    pub fn new(daemon: Arc<Daemon>, dialect: Dialect, limits: Limits) -> Arc<Gate> {
+        Arc::new(Gate {
+            daemon,
+            dialect,
+            idle: Pool::default(),
+            limits,
+            balance: Mutex::default(),
+            budget: Mutex::new(Budget::new(limits.retry_ratio, limits.retry_window)),
+            turn: AtomicU64::new(u64::from(rand::random::<u32>())),
+            in_flight: AtomicUsize::new(0),
+            buffered: AtomicUsize::new(0),
+        })
+    }
+
+    /// Plain servers and what is known of each.
+    pub fn balance(&self) -> MutexGuard<'_, Balance> {
+        self.balance.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Notes a request for a pool.
+    pub fn note_request(&self, pool: &Arc<str>) {
+        self.budget().note_request(ffw_control::identity::now(), pool);
+    }
+
+    /// Takes one repeated send to a pool from the budget; answers whether it may be made.
+    pub fn take_repeat(&self, pool: &Arc<str>) -> bool {
+        let roster = self.daemon.register.roster();
+        let daemons = roster.instances.iter().filter(|one| one.role == Role::Entry).count();
+        let slack = self.limits.retry_slack / daemons.max(1) as f64;
+        self.budget().take(ffw_control::identity::now(), pool, slack)
+    }
+
+    fn budget(&self) -> MutexGuard<'_, Budget> {
+        self.budget.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// A number that differs from call to call.
+    pub fn next_turn(&self) -> u64 {
+        self.turn.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Requests that are not answered to their end.
+    pub fn in_flight(&self) -> usize {
+        self.in_flight.load(Ordering::SeqCst)
+    }
+
+    /// Counts a request while the guard lives.
+    pub fn begin_request(&self) -> Held<'_> {
+        hold(&self.in_flight, 1)
+    }
+
+    /// Reserves room for a body while the guard lives; `None` if there is none.
+    pub fn reserve(&self, bytes: usize) -> Option<Held<'_>> {
+        let held = hold(&self.buffered, bytes);
+        (self.buffered.load(Ordering::SeqCst) <= self.limits.buffered_bytes).then_some(held)
+    }
+}
+
+fn hold(counter: &AtomicUsize, amount: usize) -> Held<'_> {
+    counter.fetch_add(amount, Ordering::SeqCst);
+    Held { counter, amount }
+}
+
+/// Drops what is kept of servers that have left the list.
+pub async fn tidy(gate: Arc<Gate>) {
+    loop {
+        timer::sleep(TIDY_PERIOD).await;
+        let roster = gate.daemon.register.roster();
+        let is_listed =
+            |name: &str| roster.instances.binary_search_by(|one| (*one.name).cmp(name)).is_ok();
+        gate.idle.retain(is_listed);
+        gate.balance().retain(is_listed);
+    }
+}
--- /dev/null
+++ b/crates/ffw-route/src/lib.rs
@@ -0,0 +1,11 @@
+//! Routed requests: a caller's request is matched with a route, sent to a backend server of the
+//! route's pool, and its answer is passed on as the server gave it.
+
+pub mod answer;
+pub mod caller;
+pub mod dialect;
+pub mod gate;
+mod plain;
+pub mod server;
+mod stream;
+mod transport;
--- /dev/null
+++ b/crates/ffw-route/src/plain.rs
@@ -0,0 +1,162 @@
+//! Plain requests: sent to one server, and to another one only if the first is known not to have
+//! run it, or if running it twice does no harm.
+
+use {
+    crate::{
+        caller::Exchange,
+        dialect::Step,
+        gate::Gate,
+        transport::{self, Failure, Outgoing, Whole},
+    },
+    ffw_control::identity,
+    ffw_decide::balance::{Candidate, Outcome},
+    ffw_http::message::Response,
+    ffw_protocol::{
+        admission::Server,
+        declaration::Repeat,
+        error::{Error, Kind, Run},
+        instance::{Instance, Role},
+    },
+    log::info,
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Largest answer of a plain server, in bytes.
+const ANSWER_BYTES: usize = 8 << 20;
+
+/// Idle time up to which a kept connection carries a request that may be repeated.
+const REUSE_REPEATABLE: Duration = Duration::from_secs(2);
+
+/// Idle time up to which a kept connection carries a request that may run once at most.
+const REUSE_ONCE: Duration = Duration::from_millis(250);
+
+/// Time after which a refused caller may come back.
+const RETRY_AFTER: Duration = Duration::from_millis(250);
+
+/// A whole answer for the caller.
+pub(crate) struct Served {
+    pub(crate) head: Response,
+    pub(crate) body: Vec<u8>,
+}
+
+/// Serves a plain request.
+///
+/// # Errors
+/// What the caller is told instead of a server's answer.
+pub(crate) async fn serve(gate: &Gate, exchange: &Exchange) -> Result<Served, Error> {
+    let mut tried: Vec<Arc<str>> = Vec::new();
+    let mut sends = 0;
+    loop {
+        let Some(server) = choose(gate, exchange, &tried) else {
+            let message = format!("no server of pool {} can take the request", exchange.pool);
+            return Err(Error::new(Kind::NoBackend, message).retry_after(RETRY_AFTER));
+        };
+        tried.push(server.name.clone());
+        let began = Instant::now();
+        let result = send(gate, exchange, &server).await;
+        note_end(gate, &server, began, &result);
+        sends += u32::from(!matches!(result, Err(Failure::Unreached(_))));
+        let is_last = sends >= exchange.route.attempts || exchange.is_over();
+        let error = match judge(exchange, &server, result) {
+            Judged::Final(served) => return served,
+            Judged::Again(error) => error,
+        };
+        let id = &exchange.intent.id;
+        info!("event=attempt_failed request={id} server={} error=\"{error}\"", server.name);
+        let is_unsent = sends == 0;
+        if is_last || !is_unsent && !gate.take_repeat(&exchange.pool) {
+            return Err(error);
+        }
+    }
+}
+
+/// What an attempt means for the caller.
+enum Judged {
+    /// This is its answer.
+    Final(Result<Served, Error>),
+    /// Another server may be tried; the error if none is.
+    Again(Error),
+}
+
+fn judge(exchange: &Exchange, server: &Server, result: Result<Whole, Failure>) -> Judged {
+    let may_repeat = exchange.route.repeat == Repeat::Idempotent;
+    let failed = |kind: Kind, message: String, run: Run| {
+        let message = format!("backend server {}: {message}", server.name);
+        let error = Error::new(kind, message).run(run).retry_after(RETRY_AFTER);
+        let again = run == Run::Not || may_repeat && kind != Kind::Timeout;
+        if again { Judged::Again(error) } else { Judged::Final(Err(error)) }
+    };
+    match result {
+        Err(Failure::Unreached(cause)) => failed(Kind::BackendRefused, cause, Run::Not),
+        Err(Failure::Broken(cause)) => failed(Kind::BackendFailed, cause, Run::Unknown),
+        Err(Failure::Late) => failed(Kind::Timeout, "no answer in time".into(), Run::Unknown),
+        Ok(whole) if whole.note.is_not_run => {
+            failed(Kind::BackendRefused, format!("refused with {}", whole.head.status), Run::Not)
+        }
+        Ok(whole) => match whole.fault() {
+            Some(fault) => failed(Kind::BackendFailed, fault.into(), Run::Unknown),
+            // These statuses promise that the request did not run, which the server has not said.
+            None if matches!(whole.head.status, 408 | 421 | 429 | 503) => {
+                let message = format!("answered {} without saying more", whole.head.status);
+                failed(Kind::BackendFailed, message, Run::Unknown)
+            }
+            None if whole.head.status >= 500 && may_repeat => {
+                failed(Kind::BackendFailed, format!("answered {}", whole.head.status), Run::Ran)
+            }
+            None => Judged::Final(Ok(Served { head: whole.head, body: whole.body })),
+        },
+    }
+}
+
+async fn send(gate: &Gate, exchange: &Exchange, server: &Server) -> Result<Whole, Failure> {
+    let may_repeat = exchange.route.repeat == Repeat::Idempotent;
+    let outgoing = Outgoing {
+        server,
+        head: &exchange.head,
+        body: &exchange.body,
+        id: &exchange.intent.id,
+        step: Step::Run,
+        last_event: exchange.intent.last_event,
+        deadline: exchange.deadline,
+        head_by: exchange.deadline,
+        reuse: if may_repeat { REUSE_REPEATABLE } else { REUSE_ONCE },
+    };
+    let answer = transport::call(gate, &outgoing).await?;
+    if let Some(load) = answer.note.load {
+        let slots = f64::from(load.slots.max(1));
+        let share = f64::from(load.running + load.waiting) / slots;
+        gate.balance().note_load(identity::now(), &server.name, share);
+    }
+    answer.into_whole(gate, ANSWER_BYTES, exchange.deadline).await
+}
+
+fn note_end(gate: &Gate, server: &Server, began: Instant, result: &Result<Whole, Failure>) {
+    let outcome = match result {
+        Ok(whole) if whole.note.is_not_run => Outcome::Rejected,
+        Ok(whole) if whole.fault().is_some() || whole.head.status >= 500 => Outcome::Failed,
+        Ok(_) => Outcome::Answered(began.elapsed()),
+        Err(_) => Outcome::Failed,
+    };
+    gate.balance().end(identity::now(), &server.name, outcome);
+}
+
+fn choose(gate: &Gate, exchange: &Exchange, tried: &[Arc<str>]) -> Option<Server> {
+    let roster = gate.daemon.register.roster();
+    let is_candidate = |one: &&Instance| {
+        one.role == Role::Plain
+            && one.pool == exchange.pool
+            && !gate.daemon.register.is_leaving(one, &[])
+    };
+    let open: Vec<&Instance> = roster.instances.iter().filter(is_candidate).collect();
+    let own = &gate.daemon.identity.data_centre;
+    let to_candidate =
+        |one: &&Instance| Candidate { name: one.name.clone(), is_local: one.data_centre == *own };
+    let candidates: Vec<Candidate> = open.iter().map(to_candidate).collect();
+    let turn = gate.next_turn();
+    let name = gate.balance().choose(identity::now(), &candidates, tried, turn)?;
+    let chosen = open.iter().find(|one| one.name == name)?;
+    Some(Server { name, address: chosen.address })
+}
--- /dev/null
+++ b/crates/ffw-route/src/stream.rs
@@ -0,0 +1,322 @@
+//! Streams: a place is asked for, the prompt is read at its prefill server, and the events come from
+//! its decode server. A run that ends before its stream does is followed by another one where the
+//! route allows that.
+
+mod relay;
+
+use {
+    crate::{
+        answer::After,
+        caller::{self, Exchange},
+        dialect::{Source, Step, Tokens},
+        gate::Gate,
+        transport::{self, Answer, Failure, Outgoing},
+    },
+    ffw_control::admission::{self, Decision, Place},
+    ffw_http::connection::Connection,
+    ffw_protocol::{
+        admission::{Ask, Attempt, Phase, Refusal, Server},
+        error::{Error, Kind, Result, Run},
+        id,
+    },
+    ffw_runtime::timer,
+    log::{debug, info},
+    relay::{Relay, RelayEnd},
+    std::time::{Duration, Instant},
+};
+
+/// Places that are asked for on behalf of one request.
+const PLACES_MAX: u32 = 3;
+
+/// Time between the first event at its server and at the caller.
+const TRANSIT: Duration = Duration::from_millis(30);
+
+/// Time for a prefill beyond what its length takes.
+const PREFILL_SLACK: Duration = Duration::from_millis(400);
+
+/// Factor on the time that the length of a prompt takes, up to which a prefill is waited for.
+const PREFILL_FACTOR: u32 = 4;
+
+/// Time for the head of a stream after its prompt was read.
+const FIRST_EVENT_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// Shortest silence after which callers give a stream up.
+const PATIENCE_MIN: Duration = Duration::from_secs(2);
+
+/// Silences after which callers give a stream up, in targets and in pauses.
+const PATIENCE_TARGETS: u32 = 4;
+const PATIENCE_GAPS: u32 = 8;
+
+/// Idle time up to which a kept connection carries a call to an engine.
+const REUSE: Duration = Duration::from_secs(1);
+
+/// Time after which a caller may come back if nothing better is known.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// How a stream ended.
+pub(crate) enum End {
+    /// The caller has its whole answer.
+    Whole(After),
+    /// The answer was broken off.
+    Cut,
+    /// Nothing was sent to the caller, who is to be told this.
+    Failed(Error),
+}
+
+/// Serves a stream.
+pub(crate) async fn serve(gate: &Gate, exchange: &Exchange, caller: &mut Connection) -> End {
+    let watcher = caller.watcher();
+    let mut stream = Stream { gate, exchange, relay: Relay::new(exchange, caller), is_run: false };
+    let left = exchange.left();
+    let ended = {
+        let running = async { Some(stream.run().await) };
+        let gone = async {
+            watcher.closed().await;
+            None
+        };
+        timer::timeout(left, smol::future::or(running, gone)).await
+    };
+    let id = &exchange.intent.id;
+    match ended {
+        Some(Some(end)) => end,
+        Some(None) => {
+            debug!("event=caller_gone request={id}");
+            End::Cut
+        }
+        None => {
+            info!("event=stream_overdue request={id} begun={}", stream.relay.has_begun());
+            let run = if stream.is_run { Run::Unknown } else { Run::Not };
+            let message = "the time of the request is over";
+            let error = Error::new(Kind::Timeout, message).run(run).retry_after(RETRY_AFTER);
+            stream.relay.fail(error)
+        }
+    }
+}
+
+struct Stream<'a> {
+    gate: &'a Gate,
+    exchange: &'a Exchange,
+    relay: Relay<'a>,
+    /// Whether a decode server may have begun to run it.
+    is_run: bool,
+}
+
+/// Why one place did not bring the stream to its end.
+struct Setback {
+    error: Error,
+    /// Server that failed, if it is to be passed over for a while.
+    server: Option<Server>,
+    /// Whether another place may be tried.
+    may_repeat: bool,
+}
+
+impl Stream<'_> {
+    async fn run(&mut self) -> End {
+        let mut places = 0;
+        loop {
+            let place = match self.place(places).await {
+                Ok(place) => place,
+                Err(error) => return self.relay.fail(error),
+            };
+            places += 1;
+            let setback = match self.try_place(&place).await {
+                Ok(after) => {
+                    place.release(self.relay.emitted(), true, None);
+                    return End::Whole(after);
+                }
+                Err(setback) => setback,
+            };
+            let Setback { error, server, may_repeat } = setback;
+            let id = &self.exchange.intent.id;
+            let events = self.relay.events();
+            info!(
+                "event=place_failed request={id} place={places} events={events} error=\"{error}\""
+            );
+            place.release(self.relay.emitted(), true, server.map(|server| server.name));
+            let repeats = may_repeat
+                && places < PLACES_MAX
+                && !self.exchange.is_over()
+                && self.gate.take_repeat(&self.exchange.pool);
+            if !repeats {
+                return self.relay.fail(error);
+            }
+        }
+    }
+
+    /// Asks for a place; `number` parts the places of one request.
+    async fn place(&self, number: u32) -> Result<Place> {
+        let daemon = &self.gate.daemon;
+        let attempt = Attempt { request: daemon.identity.next_request(), number };
+        let ask = self.ask(attempt.request, number)?;
+        match admission::place(daemon, &self.exchange.pool, ask).await? {
+            Decision::Place(place) => Ok(place),
+            Decision::Refusal(refusal) => Err(refused(&refusal)),
+        }
+    }
+
+    fn ask(&self, request: id::Request, number: u32) -> Result<Ask> {
+        let route = &self.exchange.route;
+        let no_size = || Error::new(Kind::Malformed, "a request to a model gives its sizes");
+        let Tokens { prompt, output, .. } = self.exchange.intent.tokens.ok_or_else(no_size)?;
+        let since = self.relay.silent_since();
+        let target = if self.relay.has_begun() {
+            Duration::from_millis(route.gap_ms)
+        } else {
+            route.target()
+        };
+        let patience = PATIENCE_MIN
+            .max(route.target() * PATIENCE_TARGETS)
+            .max(Duration::from_millis(route.gap_ms) * PATIENCE_GAPS);
+        let left = |span: Duration| span.saturating_sub(since.elapsed() + TRANSIT);
+        Ok(Ask {
+            attempt: Attempt { request, number },
+            customer: route.name.clone(),
+            weight: 1,
+            service: route.name.clone(),
+            rank: route.rank,
+            tokens_in: prompt + self.relay.emitted(),
+            tokens_out: output.saturating_sub(self.relay.emitted()),
+            waited: Duration::ZERO,
+            target: left(target),
+            patience: left(patience).min(self.exchange.left()),
+            prefix: Vec::new(),
+        })
+    }
+
+    async fn try_place(&mut self, place: &Place) -> std::result::Result<After, Setback> {
+        timer::sleep(place.grant.start_in).await;
+        let source = self.prefill(place).await?;
+        place.note_phase(Phase::Transfer);
+        let answer = self.decode(place, &source).await?;
+        place.note_phase(Phase::Decode);
+        let end = self.relay.pass_on(self.gate, answer, place).await;
+        let decode = &place.grant.decode;
+        match end {
+            RelayEnd::Whole => Ok(caller::after(self.gate, &self.exchange.head)),
+            RelayEnd::CallerGone => Err(Setback {
+                error: Error::new(Kind::CallerGone, "the caller does not read"),
+                server: None,
+                may_repeat: false,
+            }),
+            RelayEnd::Broken(cause) => {
+                let message = format!("backend server {}: {cause}", decode.name);
+                Err(Setback {
+                    error: Error::new(Kind::BackendFailed, message),
+                    server: Some(decode.clone()),
+                    may_repeat: self.exchange.route.is_resumable,
+                })
+            }
+        }
+    }
+
+    async fn prefill(&self, place: &Place) -> std::result::Result<Source, Setback> {
+        let server = &place.grant.prefill;
+        let head_by = Instant::now() + self.prefill_limit();
+        let outgoing = self.outgoing(server, Step::Prefill, head_by);
+        let whole = match transport::call(self.gate, &outgoing).await {
+            Ok(answer) => answer.into_whole(self.gate, 64 << 10, head_by).await,
+            Err(failure) => Err(failure),
+        };
+        let unread = |server: Option<&Server>, cause: String| Setback {
+            error: Error::new(Kind::BackendRefused, format!("prefill: {cause}"))
+                .run(if self.is_run { Run::Unknown } else { Run::Not })
+                .retry_after(RETRY_AFTER),
+            server: server.cloned(),
+            may_repeat: true,
+        };
+        let whole = whole.map_err(|failure| unread(Some(server), failure.to_string()))?;
+        if whole.head.status != 200 {
+            let cause = format!("{} answered {}", server.name, whole.head.status);
+            let failed = (!whole.note.is_not_run).then_some(server);
+            return Err(unread(failed, cause));
+        }
+        let handle = (self.gate.dialect.read_handle)(&whole.body);
+        let handle = handle.map_err(|cause| unread(Some(server), cause.to_string()))?;
+        Ok(Source { address: server.address, handle })
+    }
+
+    fn prefill_limit(&self) -> Duration {
+        let pool = self.exchange.snapshot.deployment.pool(&self.exchange.pool);
+        let rate = pool.map_or(1, |pool| pool.prefill_rate.max(1));
+        let tokens = self.exchange.intent.tokens.map_or(0, |tokens| tokens.prompt);
+        let span = Duration::from_secs_f64(f64::from(tokens) / f64::from(rate));
+        PREFILL_SLACK + span * PREFILL_FACTOR
+    }
+
+    async fn decode(
+        &mut self,
+        place: &Place,
+        source: &Source,
+    ) -> std::result::Result<Answer, Setback> {
+        let server = &place.grant.decode;
+        let head_by = Instant::now() + FIRST_EVENT_LIMIT;
+        let outgoing = self.outgoing(server, Step::Decode(source), head_by);
+        let result = transport::call(self.gate, &outgoing).await;
+        let may_resume = self.exchange.route.is_resumable;
+        let message = |cause: String| format!("backend server {}: {cause}", server.name);
+        let was_run = self.is_run;
+        let not_run = |cause: String, server: Option<Server>| Setback {
+            error: Error::new(Kind::BackendRefused, message(cause))
+                .run(if was_run { Run::Unknown } else { Run::Not })
+                .retry_after(RETRY_AFTER),
+            server,
+            may_repeat: true,
+        };
+        let answer = match result {
+            Ok(answer) if answer.note.is_not_run => {
+                let cause = format!("refused with {}", answer.head.status);
+                answer.into_whole(self.gate, 64 << 10, head_by).await.ok();
+                return Err(not_run(cause, None));
+            }
+            Ok(answer) => answer,
+            Err(Failure::Unreached(cause)) => return Err(not_run(cause, Some(server.clone()))),
+            Err(failure @ (Failure::Broken(_) | Failure::Late)) => {
+                self.is_run = true;
+                return Err(Setback {
+                    error: Error::new(Kind::BackendFailed, message(failure.to_string())),
+                    server: Some(server.clone()),
+                    may_repeat: may_resume,
+                });
+            }
+        };
+        self.is_run = true;
+        let fault = transport::fault(&answer.head, &answer.note);
+        let cause = match fault {
+            None if answer.head.status == 200 => return Ok(answer),
+            None => format!("answered {}", answer.head.status),
+            Some(fault) => fault.to_owned(),
+        };
+        Err(Setback {
+            error: Error::new(Kind::BackendFailed, message(cause)),
+            server: Some(server.clone()),
+            may_repeat: may_resume,
+        })
+    }
+
+    fn outgoing<'a>(
+        &'a self,
+        server: &'a Server,
+        step: Step<'a>,
+        head_by: Instant,
+    ) -> Outgoing<'a> {
+        Outgoing {
+            server,
+            head: &self.exchange.head,
+            body: &self.exchange.body,
+            id: &self.exchange.intent.id,
+            step,
+            last_event: self.relay.last_event(),
+            deadline: self.exchange.deadline,
+            head_by: head_by.min(self.exchange.deadline),
+            reuse: REUSE,
+        }
+    }
+}
+
+fn refused(refusal: &Refusal) -> Error {
+    let message = format!(
+        "refused: {:?}, {} waiting, predicted {} ms",
+        refusal.cause, refusal.basis.waiting, refusal.basis.predicted_ms
+    );
+    Error::new(Kind::Overloaded, message).retry_after(refusal.retry_after)
+}
--- /dev/null
+++ b/crates/ffw-route/src/stream/relay.rs
@@ -0,0 +1,193 @@
+//! Passes the events of a stream on to its caller, whole events only, across several runs.
+
+use {
+    super::End,
+    crate::{
+        answer::{self, After, UNREAD_LIMIT},
+        caller::{self, Exchange},
+        gate::Gate,
+        transport::Answer,
+    },
+    ffw_control::admission::Place,
+    ffw_http::connection::Connection,
+    ffw_protocol::error::Error,
+    ffw_runtime::timer,
+    std::time::{Duration, Instant},
+};
+
+/// Silence of a decode server after which its run is given up.
+const SILENCE_LIMIT: Duration = Duration::from_millis(2_000);
+
+/// Largest event, in bytes.
+const EVENT_BYTES: usize = 1 << 20;
+
+/// How a run ended.
+pub(super) enum RelayEnd {
+    /// The stream came to its end.
+    Whole,
+    /// The run ended before its stream.
+    Broken(String),
+    /// The caller does not take its events.
+    CallerGone,
+}
+
+/// The caller's side of a stream.
+pub(super) struct Relay<'a> {
+    exchange: &'a Exchange,
+    caller: &'a mut Connection,
+    has_begun: bool,
+    last_event: Option<u64>,
+    events: u32,
+    event_tokens: u32,
+    passed_at: Instant,
+}
+
+impl<'a> Relay<'a> {
+    pub(super) fn new(exchange: &'a Exchange, caller: &'a mut Connection) -> Relay<'a> {
+        let pool = exchange.snapshot.deployment.pool(&exchange.pool);
+        Relay {
+            exchange,
+            caller,
+            has_begun: false,
+            last_event: exchange.intent.last_event,
+            events: 0,
+            event_tokens: pool.map_or(1, |pool| pool.event_tokens),
+            passed_at: exchange.began,
+        }
+    }
+
+    /// Whether the head of the answer was sent.
+    pub(super) fn has_begun(&self) -> bool {
+        self.has_begun
+    }
+
+    /// Id of the last event that the caller has.
+    pub(super) fn last_event(&self) -> Option<u64> {
+        self.last_event
+    }
+
+    /// Events that were passed on.
+    pub(super) fn events(&self) -> u32 {
+        self.events
+    }
+
+    /// Tokens that were passed on.
+    pub(super) fn emitted(&self) -> u32 {
+        self.events * self.event_tokens
+    }
+
+    /// When the caller got its last event, or its request came.
+    pub(super) fn silent_since(&self) -> Instant {
+        self.passed_at
+    }
+
+    /// Ends the stream with an error: as an answer if nothing was sent yet, or else by breaking the
+    /// connection off.
+    pub(super) fn fail(&mut self, error: Error) -> End {
+        if !self.has_begun {
+            return End::Failed(error);
+        }
+        if self.exchange.head.minor == 0 {
+            // To HTTP/1.0, the end of the connection would be the end of a whole answer.
+            self.caller.reset_on_close();
+        }
+        End::Cut
+    }
+
+    /// Passes the events of one run on.
+    pub(super) async fn pass_on(
+        &mut self,
+        gate: &Gate,
+        mut answer: Answer,
+        place: &Place,
+    ) -> RelayEnd {
+        let mut unsent: Vec<u8> = Vec::new();
+        loop {
+            let reading = answer.connection.read_part(&mut answer.decoder);
+            let part = match timer::timeout(SILENCE_LIMIT, reading).await {
+                None => return RelayEnd::Broken("no event in time".into()),
+                Some(Err(fault)) => return RelayEnd::Broken(fault.to_string()),
+                Some(Ok(part)) => part,
+            };
+            let Some(part) = part else { break };
+            unsent.extend_from_slice(&part);
+            if unsent.len() > EVENT_BYTES {
+                return RelayEnd::Broken("an event is too large".into());
+            }
+            let whole = whole_events(&unsent);
+            if whole == 0 {
+                continue;
+            }
+            let events: Vec<u8> = unsent.drain(..whole).collect();
+            self.note_events(&events);
+            place.note_emitted(self.emitted());
+            if self.send(gate, &answer, &events).await.is_err() {
+                return RelayEnd::CallerGone;
+            }
+        }
+        if !unsent.is_empty() {
+            return RelayEnd::Broken("the stream ended within an event".into());
+        }
+        if self.finish(gate, &answer).await.is_err() {
+            return RelayEnd::CallerGone;
+        }
+        answer.keep(gate);
+        RelayEnd::Whole
+    }
+
+    fn note_events(&mut self, events: &[u8]) {
+        let text = String::from_utf8_lossy(events);
+        let ids = text.lines().filter_map(|line| line.strip_prefix("id:"));
+        for id in ids {
+            self.events += 1;
+            if let Ok(id) = id.trim().parse() {
+                self.last_event = Some(id);
+            }
+        }
+        self.passed_at = Instant::now();
+    }
+
+    async fn send(&mut self, gate: &Gate, answer: &Answer, events: &[u8]) -> std::io::Result<()> {
+        let mut bytes = self.head(gate, answer);
+        if self.exchange.head.minor == 0 {
+            bytes.extend_from_slice(events);
+        } else {
+            bytes.extend_from_slice(format!("{:x}\r\n", events.len()).as_bytes());
+            bytes.extend_from_slice(events);
+            bytes.extend_from_slice(b"\r\n");
+        }
+        self.caller.write(&bytes, UNREAD_LIMIT).await
+    }
+
+    async fn finish(&mut self, gate: &Gate, answer: &Answer) -> std::io::Result<()> {
+        let mut bytes = self.head(gate, answer);
+        if self.exchange.head.minor > 0 {
+            bytes.extend_from_slice(b"0\r\n\r\n");
+        }
+        self.caller.write(&bytes, UNREAD_LIMIT).await
+    }
+
+    /// The head of the answer, unless it was sent before: that of the first run.
+    fn head(&mut self, gate: &Gate, answer: &Answer) -> Vec<u8> {
+        if std::mem::replace(&mut self.has_begun, true) {
+            return Vec::new();
+        }
+        let mut head = answer.head.clone();
+        head.fields.remove_hop_by_hop();
+        head.fields.remove("content-length");
+        let request = &self.exchange.head;
+        if request.minor > 0 {
+            head.fields.set("Transfer-Encoding", "chunked");
+            answer::set_connection(&mut head, request, caller::after(gate, request));
+        } else {
+            answer::set_connection(&mut head, request, After::Close);
+        }
+        head.to_bytes()
+    }
+}
+
+/// Length of the whole events at the start of some bytes.
+fn whole_events(bytes: &[u8]) -> usize {
+    let ends = |at: usize| bytes[..at].ends_with(b"\n\n") || bytes[..at].ends_with(b"\n\r\n");
+    (0..=bytes.len()).rev().find(|at| ends(*at)).unwrap_or(0)
+}
--- /dev/null
+++ b/crates/ffw-route/src/transport.rs
@@ -0,0 +1,221 @@
+//! One call to a backend server, and what its end proves about the work.
+
+use {
+    crate::{
+        dialect::{Call, Note, Step},
+        gate::Gate,
+    },
+    ffw_http::{
+        connection::{self, Connection},
+        framing::{Decoder, Framing},
+        message::{Request, Response},
+    },
+    ffw_protocol::admission::Server,
+    ffw_runtime::{meter::Wire, timer},
+    std::{
+        fmt,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time to wait for a connection.
+const CONNECT_LIMIT: Duration = Duration::from_millis(300);
+
+/// Time after which unacknowledged bytes break a connection to a backend server.
+const SILENCE: Duration = Duration::from_millis(2_500);
+
+/// Largest head of an answer, in bytes.
+const HEAD_BYTES: usize = 32 << 10;
+
+/// Answers to other requests that are passed over on one connection.
+const FOREIGN_MAX: u32 = 4;
+
+/// Largest answer to another request that is passed over, in bytes.
+const FOREIGN_BYTES: usize = 1 << 20;
+
+/// Part of a server's time for idle connections that is used.
+const IDLE_SHARE: f64 = 0.5;
+
+/// Time for which an idle connection is kept if its server names none.
+const IDLE_LIFE: Duration = Duration::from_secs(4);
+
+/// A call to make.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Outgoing<'a> {
+    /// Server that is to take it.
+    pub(crate) server: &'a Server,
+    /// The caller's head.
+    pub(crate) head: &'a Request,
+    /// The caller's body.
+    pub(crate) body: &'a [u8],
+    /// Id that the answer must bear.
+    pub(crate) id: &'a str,
+    /// What the server is to do.
+    pub(crate) step: Step<'a>,
+    /// Last event that the caller has.
+    pub(crate) last_event: Option<u64>,
+    /// When the caller's time is over.
+    pub(crate) deadline: Instant,
+    /// Latest moment for the head of the answer.
+    pub(crate) head_by: Instant,
+    /// Idle time up to which a kept connection may be used.
+    pub(crate) reuse: Duration,
+}
+
+/// Why a call gave no answer.
+#[derive(Debug)]
+pub(crate) enum Failure {
+    /// No byte of the request was handed over.
+    Unreached(String),
+    /// The server may have run the request.
+    Broken(String),
+    /// No answer came in time; the server may have run the request.
+    Late,
+}
+
+impl fmt::Display for Failure {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Failure::Unreached(cause) => write!(f, "not reached: {cause}"),
+            Failure::Broken(cause) => write!(f, "broken: {cause}"),
+            Failure::Late => f.write_str("no answer in time"),
+        }
+    }
+}
+
+/// An answer whose body is still to be read.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    /// Head.
+    pub(crate) head: Response,
+    /// What the head says.
+    pub(crate) note: Note,
+    /// Decoder of the body.
+    pub(crate) decoder: Decoder,
+    /// Connection on which the body comes.
+    pub(crate) connection: Connection,
+    is_sent_whole: bool,
+    server: Arc<str>,
+}
+
+/// Makes a call and waits for the head of the answer that belongs to it.
+pub(crate) async fn call(gate: &Gate, outgoing: &Outgoing<'_>) -> Result<Answer, Failure> {
+    let mut connection = connect(gate, outgoing).await?;
+    let left = outgoing.deadline.saturating_duration_since(Instant::now());
+    let call = Call {
+        server: &outgoing.server.name,
+        left,
+        step: outgoing.step,
+        last_event: outgoing.last_event,
+        body_bytes: outgoing.body.len(),
+    };
+    let mut bytes = (gate.dialect.write_call)(outgoing.head, &call).to_bytes();
+    bytes.extend_from_slice(outgoing.body);
+    let limit = outgoing.head_by.saturating_duration_since(Instant::now());
+    let exchanging = exchange(gate, &mut connection, outgoing, &bytes);
+    let (head, note, is_sent_whole) = match timer::timeout(limit, exchanging).await {
+        Some(exchanged) => exchanged.map_err(|fault| Failure::Broken(fault.to_string()))?,
+        None => return Err(Failure::Late),
+    };
+    let framing = Framing::of_response(&head, &outgoing.head.method);
+    let framing = framing.map_err(|malformed| Failure::Broken(malformed.to_string()))?;
+    let (decoder, server) = (Decoder::new(framing), outgoing.server.name.clone());
+    Ok(Answer { head, note, decoder, connection, is_sent_whole, server })
+}
+
+async fn connect(gate: &Gate, outgoing: &Outgoing<'_>) -> Result<Connection, Failure> {
+    if let Some(kept) = gate.idle.take(&outgoing.server.name, outgoing.reuse).await {
+        return Ok(kept);
+    }
+    let left = outgoing.head_by.saturating_duration_since(Instant::now());
+    let limit = CONNECT_LIMIT.min(left);
+    let opened = Connection::open(outgoing.server.address, Wire::Request, limit, SILENCE).await;
+    opened.map_err(|err| Failure::Unreached(err.to_string()))
+}
+
+async fn exchange(
+    gate: &Gate,
+    connection: &mut Connection,
+    outgoing: &Outgoing<'_>,
+    bytes: &[u8],
+) -> Result<(Response, Note, bool), connection::Fault> {
+    let (mut head, is_sent_whole) = connection.exchange(bytes, HEAD_BYTES).await?;
+    for _ in 0..FOREIGN_MAX {
+        let note = (gate.dialect.read_note)(&head);
+        let is_foreign = note.id.as_ref().is_some_and(|id| **id != *outgoing.id);
+        if !is_foreign {
+            return Ok((head, note, is_sent_whole));
+        }
+        let mut decoder = Decoder::new(Framing::of_response(&head, &outgoing.head.method)?);
+        connection.read_body(&mut decoder, FOREIGN_BYTES).await?;
+        head = connection.read_response(HEAD_BYTES).await?;
+    }
+    Err(connection::Fault::TooLarge)
+}
+
+impl Answer {
+    /// Reads the whole body, and keeps the connection for further requests if it may be kept.
+    pub(crate) async fn into_whole(
+        mut self,
+        gate: &Gate,
+        limit: usize,
+        by: Instant,
+    ) -> Result<Whole, Failure> {
+        let left = by.saturating_duration_since(Instant::now());
+        let reading = self.connection.read_body(&mut self.decoder, limit);
+        let body = match timer::timeout(left, reading).await {
+            Some(body) => body.map_err(|fault| Failure::Broken(fault.to_string()))?,
+            None => return Err(Failure::Late),
+        };
+        let (head, note) = (self.head.clone(), self.note.clone());
+        self.keep(gate);
+        Ok(Whole { head, note, body })
+    }
+
+    /// Keeps the connection for further requests if its last answer ended cleanly.
+    pub(crate) fn keep(self, gate: &Gate) {
+        let may_keep = self.is_sent_whole
+            && self.head.keeps_connection()
+            && self.decoder.has_ended()
+            && !self.connection.has_pending();
+        if may_keep {
+            let life = self.note.keeps.map_or(IDLE_LIFE, |span| span.mul_f64(IDLE_SHARE));
+            gate.idle.put(&self.server, self.connection, life);
+        }
+    }
+}
+
+/// A whole answer.
+#[derive(Clone, Debug)]
+pub(crate) struct Whole {
+    /// Head.
+    pub(crate) head: Response,
+    /// What the head says.
+    pub(crate) note: Note,
+    /// Body.
+    pub(crate) body: Vec<u8>,
+}
+
+impl Whole {
+    /// Why the answer can't be passed on, if it can't: a success must bear the server's signature
+    /// and the id of its request.
+    pub(crate) fn fault(&self) -> Option<&'static str> {
+        fault(&self.head, &self.note)
+    }
+}
+
+/// Why an answer with this head can't be passed on, if it can't.
+pub(crate) fn fault(head: &Response, note: &Note) -> Option<&'static str> {
+    let is_success = (200..300).contains(&head.status);
+    if head.fields.has("content-encoding") {
+        return Some("the body is encoded");
+    }
+    if is_success && !note.is_signed {
+        return Some("a success without signature");
+    }
+    if is_success && note.id.is_none() {
+        return Some("a success without request id");
+    }
+    None
+}
--- a/crates/ffw-support/src/drive.rs
+++ b/crates/ffw-support/src/drive.rs
@@ -204,7 +204,8 @@
     fn end(&mut self, index: usize, end: End) {
         let one = self.running.remove(index);
         let emitted = if matches!(end, End::Answered(_)) { one.output } else { 0 };
-        let release = Release { attempt: one.ask.attempt.clone(), emitted, confirmed: true };
+        let release =
+            Release { attempt: one.ask.attempt.clone(), emitted, confirmed: true, failed: None };
         let renewal = Renewal { releases: vec![release], ..self.renewal(false) };
         self.shard.renew(self.now, &renewal);
         self.ended.push(Outcome { ask: one.ask, end });
--- a/crates/fireflyworks/src/command.rs
+++ b/crates/fireflyworks/src/command.rs
@@ -9,6 +9,7 @@
 pub mod history;
 pub mod ledger;
 pub mod plan;
+pub mod route;
 pub mod serve;
 pub mod status;
 
@@ -43,7 +44,7 @@
 }
 
 /// All commands, in order of name.
-pub const ALL: [Entry; 11] = [
+pub const ALL: [Entry; 12] = [
     apply::ENTRY,
     burn::ENTRY,
     check::ENTRY,
@@ -53,6 +54,7 @@
     history::ENTRY,
     ledger::ENTRY,
     plan::ENTRY,
+    route::ENTRY,
     serve::ENTRY,
     status::ENTRY,
 ];
--- /dev/null
+++ b/crates/fireflyworks/src/command/route.rs
@@ -0,0 +1,134 @@
+//! `fireflyworks route`: the daemon on the users' platform, which tells it all but its shared key.
+
+use {
+    super::{Entry, Example},
+    crate::logs,
+    clap::{Arg, ArgMatches, Command},
+    eyre::{Result, WrapErr as _},
+    ffw_control::{
+        calls,
+        daemon::{Daemon, Mode, Setup},
+        owner, relay,
+    },
+    ffw_decide::baseline::Policy,
+    ffw_http::server as listener,
+    ffw_peer::{handshake::Secret, link::Pool},
+    ffw_route::{
+        gate::{self, Gate, Limits},
+        server,
+    },
+    ffw_runtime::{executor, shutdown, timer},
+    fireflyworks_platform::{announce, dialect::DIALECT, follow, settings::Settings, store::Store},
+    log::{LevelFilter, info},
+    std::{
+        process::ExitCode,
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time after SIGTERM for which new connections may still come.
+const INGRESS_LAG: Duration = Duration::from_millis(3_200);
+
+/// Time before the end of the grace at which the process ends by itself.
+const GRACE_MARGIN: Duration = Duration::from_millis(500);
+
+/// Pause between two looks at what a shutdown waits for.
+const LOOK_PAUSE: Duration = Duration::from_millis(50);
+
+/// Share of the memory that bodies may take.
+const BODY_SHARE: usize = 4;
+
+/// The command.
+pub const ENTRY: Entry = Entry {
+    name: "route",
+    about: "Run the daemon from the platform's settings file",
+    examples: &[Example {
+        what: "Serve with the settings file that FIREFLYWORKS_NODE_FILE names",
+        line: "fireflyworks route --peer-secret 0123456789abcdef",
+    }],
+    arguments,
+    run,
+};
+
+fn arguments(command: Command) -> Command {
+    let secret = Arg::new("peer-secret")
+        .long("peer-secret")
+        .env("FIREFLYWORKS_PEER_SECRET")
+        .hide_env_values(true)
+        .required(true)
+        .help("Key that all daemons of the deployment share, at least 16 bytes");
+    let level = Arg::new("log-level")
+        .long("log-level")
+        .env("FIREFLYWORKS_LOG_LEVEL")
+        .default_value("info")
+        .help("error, warn, info, debug or trace");
+    command.arg(secret).arg(level)
+}
+
+fn run(matches: &ArgMatches) -> Result<ExitCode> {
+    let text = |name: &str| matches.get_one::<String>(name).cloned().unwrap_or_default();
+    let level: LevelFilter = text("log-level").parse().wrap_err("--log-level")?;
+    let secret = text("peer-secret");
+    eyre::ensure!(secret.len() >= 16, "--peer-secret: at least 16 bytes are needed");
+    let settings = Settings::read()?;
+    logs::start(level);
+    executor::run(serve(settings, Secret::new(&secret))).wrap_err("the daemon ended early")?
+}
+
+async fn serve(settings: Settings, secret: Secret) -> Result<ExitCode> {
+    let signals = shutdown::listen().wrap_err("installing signal handlers")?;
+    let callers = listener::bind(settings.callers).await.wrap_err("address for callers")?;
+    let readiness = listener::bind(settings.readiness).await.wrap_err("address for readiness")?;
+    let peers = listener::bind(settings.peers).await.wrap_err("address for peers")?;
+    let daemon = Daemon::new(Setup {
+        instance: settings.instance.clone(),
+        data_centre: settings.data_centre.clone(),
+        deployment: "platform".into(),
+        platform: settings.store,
+        peers: Pool::new(secret.clone()),
+        seeds: settings.seeds.clone(),
+        policy: Policy::Owner,
+        mode: Mode::Routed,
+    })?;
+    let incarnation = daemon.identity.incarnation;
+    info!("event=started instance={} incarnation={incarnation:x}", settings.instance);
+    executor::detach(ffw_peer::server::serve(peers, secret, calls::handlers(&daemon)));
+    let store = Arc::new(Store::new(settings.store));
+    follow::start(&daemon, &store);
+    let (name, data_centre) = (settings.instance.clone(), settings.data_centre.clone());
+    executor::detach(announce::announce(store.clone(), name, settings.peers, data_centre));
+    executor::detach(relay::exchange(daemon.clone()));
+    executor::detach(owner::run_hosting(daemon.clone()));
+    let gate = Gate::new(daemon.clone(), DIALECT, limits(&settings));
+    executor::detach(gate::tidy(gate.clone()));
+    executor::detach(server::serve_readiness(gate.clone(), readiness));
+    executor::detach(server::serve(gate.clone(), callers));
+    signals.recv().await.ok();
+    shut_down(&gate, settings.grace).await;
+    announce::retire(&store, &settings.instance).await;
+    info!("event=shutdown_done open={}", gate.in_flight());
+    Ok(ExitCode::SUCCESS)
+}
+
+fn limits(settings: &Settings) -> Limits {
+    Limits {
+        retry_ratio: settings.retry_ratio,
+        retry_slack: settings.retry_slack,
+        retry_window: settings.retry_window,
+        buffered_bytes: settings.memory_bytes / BODY_SHARE,
+        connections: settings.sockets / 2,
+    }
+}
+
+/// Not ready first; then what still comes is served, and what is open ends, within the grace.
+async fn shut_down(gate: &Gate, grace: Duration) {
+    info!("event=shutdown_begun open={}", gate.in_flight());
+    gate.daemon.drain();
+    let began = Instant::now();
+    let last = grace.saturating_sub(GRACE_MARGIN);
+    let first = INGRESS_LAG.min(last);
+    while began.elapsed() < first || gate.in_flight() > 0 && began.elapsed() < last {
+        timer::sleep(LOOK_PAUSE).await;
+    }
+}
--- a/crates/fireflyworks/src/command/serve.rs
+++ b/crates/fireflyworks/src/command/serve.rs
@@ -10,7 +10,7 @@
     eyre::{Result, WrapErr as _},
     ffw_control::{
         calls,
-        daemon::{Daemon, Setup},
+        daemon::{Daemon, Mode, Setup},
         ledger, order, owner, relay, report, sweep,
     },
     ffw_entry::{entry, health},
@@ -111,6 +111,7 @@
         peers: Pool::new(secret.clone()),
         seeds: settings.seed_peers.clone(),
         policy: settings.admission,
+        mode: Mode::Declared,
     })?;
     info!(
         "event=started instance={} incarnation={:x}",
