Take no request that can't be finished while shutting down, and handle SIGHUP

Change: SIGHUP reads the settings again and logs what differs; the listener closes 3.2 s after SIGTERM, and a request that would not end within the grace is refused at once.

--- a/crates/ffw-control/src/daemon.rs
+++ b/crates/ffw-control/src/daemon.rs
@@ -11,10 +11,8 @@
     ffw_protocol::error::{Error, Kind, Result},
     std::{
         net::SocketAddr,
-        sync::{
-            Arc, Mutex, MutexGuard, PoisonError,
-            atomic::{AtomicBool, AtomicU64, Ordering},
-        },
+        sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, atomic::AtomicU64},
+        time::{Duration, Instant},
     },
 };
 
@@ -62,7 +60,7 @@
     /// Requests in flight.
     pub open: AtomicU64,
     burn: Mutex<Book>,
-    draining: AtomicBool,
+    draining_since: OnceLock<Instant>,
 }
 
 /// What a daemon is built from.
@@ -112,7 +110,7 @@
             turn: AtomicU64::new(0),
             open: AtomicU64::new(0),
             burn: Mutex::default(),
-            draining: AtomicBool::new(false),
+            draining_since: OnceLock::new(),
         }))
     }
 
@@ -123,12 +121,17 @@
 
     /// Whether the daemon is shutting down.
     pub fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::SeqCst)
+        self.draining_since.get().is_some()
+    }
+
+    /// Time since the daemon began to shut down; zero if it has not.
+    pub fn draining_for(&self) -> Duration {
+        self.draining_since.get().map_or(Duration::ZERO, Instant::elapsed)
     }
 
     /// Starts to shut down: the daemon owns no shard and is not ready any more.
     pub fn drain(&self) {
-        self.draining.store(true, Ordering::SeqCst);
+        self.draining_since.get_or_init(Instant::now);
     }
 
     /// Whether callers may be sent here.
--- a/crates/ffw-route/src/caller.rs
+++ b/crates/ffw-route/src/caller.rs
@@ -41,6 +41,9 @@
 /// Time after which a caller that was refused for want of a configuration or memory may come back.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Time after which a caller may come back to another daemon.
+const DRAINING_RETRY_AFTER: Duration = Duration::from_millis(20);
+
 /// A request that has passed the filters.
 #[derive(Debug)]
 pub(crate) struct Exchange {
@@ -265,6 +268,10 @@
     let pool = route.pool(gate.next_turn()).cloned().ok_or_else(|| {
         rejected(Error::new(Kind::NoBackend, format!("route {} has no pool", route.name)))
     })?;
+    if !gate.can_finish(route.is_stream) {
+        let error = Error::new(Kind::Draining, "this daemon ends before the request would");
+        return Err(rejected(error.retry_after(DRAINING_RETRY_AFTER)));
+    }
     gate.note_request(&pool);
     let limit = route.timeout().min(intent.deadline.unwrap_or(Duration::MAX));
     let deadline = began + limit;
--- a/crates/ffw-route/src/gate.rs
+++ b/crates/ffw-route/src/gate.rs
@@ -50,8 +50,19 @@
     pub buffered_bytes: usize,
     /// Callers' connections at once.
     pub connections: usize,
+    /// Time between the signal to end and the end of the process.
+    pub grace: Duration,
 }
 
+/// Time after the signal to end for which new connections may still come.
+pub const INGRESS_LAG: Duration = Duration::from_millis(3_200);
+
+/// Time before the end of a process that a stream needs to come to its end.
+const STREAM_TIME: Duration = Duration::from_millis(5_500);
+
+/// Time before the end of a process that a plain request needs to come to its end.
+const PLAIN_TIME: Duration = Duration::from_millis(1_500);
+
 /// Counts up while it lives.
 #[derive(Debug)]
 pub struct Held<'a> {
@@ -103,6 +114,12 @@
         self.budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Whether a request that comes now can be answered before this process ends.
+    pub fn can_finish(&self, is_stream: bool) -> bool {
+        let needed = if is_stream { STREAM_TIME } else { PLAIN_TIME };
+        !self.daemon.is_draining() || self.daemon.draining_for() + needed < self.limits.grace
+    }
+
     /// A number that differs from call to call.
     pub fn next_turn(&self) -> u64 {
         self.turn.fetch_add(1, Ordering::Relaxed)
--- a/crates/ffw-route/src/server.rs
+++ b/crates/ffw-route/src/server.rs
@@ -4,7 +4,7 @@
     crate::{
         answer::{self, After},
         caller,
-        gate::Gate,
+        gate::{Gate, INGRESS_LAG},
     },
     ffw_control::burn,
     ffw_http::{connection::Connection, message::Response},
@@ -23,6 +23,9 @@
 /// Time after which unacknowledged bytes break a caller's connection.
 const SILENCE: Duration = Duration::from_secs(10);
 
+/// Pause between two looks whether the daemon shuts down.
+const ACCEPT_LOOK: Duration = Duration::from_millis(500);
+
 /// Pause after a listener has failed, for example for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -32,13 +35,14 @@
 /// Time for which a connection of the platform may stay idle.
 const PROBE_IDLE: Duration = Duration::from_secs(30);
 
-/// Serves callers for as long as the process lives.
+/// Serves callers until the daemon has been shutting down for so long that no more come.
 pub async fn serve(gate: Arc<Gate>, listener: TcpListener) {
     let open = Arc::new(AtomicUsize::new(0));
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(err) => {
+    while gate.daemon.draining_for() < INGRESS_LAG {
+        let stream = match timer::timeout(ACCEPT_LOOK, listener.accept()).await {
+            None => continue,
+            Some(Ok((stream, _))) => stream,
+            Some(Err(err)) => {
                 warn!("event=accept_failed error=\"{err}\"");
                 timer::sleep(ACCEPT_PAUSE).await;
                 continue;
--- a/crates/fireflyworks/src/command/route.rs
+++ b/crates/fireflyworks/src/command/route.rs
@@ -17,9 +17,13 @@
         gate::{self, Gate, Limits},
         server,
     },
-    ffw_runtime::{executor, shutdown, timer},
+    ffw_runtime::{
+        executor,
+        shutdown::{self, Signal},
+        timer,
+    },
     fireflyworks_platform::{announce, dialect::DIALECT, follow, settings::Settings, store::Store},
-    log::{LevelFilter, info},
+    log::{LevelFilter, info, warn},
     std::{
         process::ExitCode,
         sync::Arc,
@@ -27,9 +31,6 @@
     },
 };
 
-/// Time after SIGTERM for which new connections may still come.
-const INGRESS_LAG: Duration = Duration::from_millis(3_200);
-
 /// Time before the end of the grace at which the process ends by itself.
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
 
@@ -104,13 +105,25 @@
     executor::detach(gate::tidy(gate.clone()));
     executor::detach(server::serve_readiness(gate.clone(), readiness));
     executor::detach(server::serve(gate.clone(), callers));
-    signals.recv().await.ok();
+    while let Ok(Signal::Reload) = signals.recv().await {
+        reload(&settings);
+    }
     shut_down(&gate, settings.grace).await;
     announce::retire(&store, &settings.instance).await;
     info!("event=shutdown_done open={}", gate.in_flight());
     Ok(ExitCode::SUCCESS)
 }
 
+/// Reads the settings file again. What it says is used at the next start; until then, the log says
+/// what has changed.
+fn reload(known: &Settings) {
+    match Settings::read() {
+        Ok(read) if read == *known => info!("event=reloaded changed=nothing"),
+        Ok(read) => info!("event=reloaded changed=settings known={known:?} read={read:?}"),
+        Err(fault) => warn!("event=reload_failed error=\"{fault}\""),
+    }
+}
+
 fn limits(settings: &Settings) -> Limits {
     Limits {
         retry_ratio: settings.retry_ratio,
@@ -118,6 +131,7 @@
         retry_window: settings.retry_window,
         buffered_bytes: settings.memory_bytes / BODY_SHARE,
         connections: settings.sockets / 2,
+        grace: settings.grace.saturating_sub(GRACE_MARGIN),
     }
 }
 
@@ -127,7 +141,7 @@
     gate.daemon.drain();
     let began = Instant::now();
     let last = grace.saturating_sub(GRACE_MARGIN);
-    let first = INGRESS_LAG.min(last);
+    let first = gate::INGRESS_LAG.min(last);
     while began.elapsed() < first || gate.in_flight() > 0 && began.elapsed() < last {
         timer::sleep(LOOK_PAUSE).await;
     }
--- a/crates/fireflyworks/src/command/serve.rs
+++ b/crates/fireflyworks/src/command/serve.rs
@@ -17,9 +17,13 @@
     ffw_http::server::{self, Handle},
     ffw_operator::service::Service,
     ffw_peer::{handshake::Secret, link::Pool},
-    ffw_runtime::{executor, shutdown, timer},
+    ffw_runtime::{
+        executor,
+        shutdown::{self, Signal},
+        timer,
+    },
     log::{info, warn},
-    smol::net::TcpListener,
+    smol::{channel::Receiver, net::TcpListener},
     std::{
         net::SocketAddr,
         process::ExitCode,
@@ -125,9 +129,9 @@
     start_controllers(&daemon);
     let entry = entry::Entry::new(daemon.clone(), settings.limits);
     executor::detach(entry.clone().serve(listeners.callers));
-    signals.recv().await.ok();
+    wait_for_stop(&signals).await;
     let interrupted = async {
-        signals.recv().await.ok();
+        wait_for_stop(&signals).await;
         warn!("event=shutdown_forced");
         ExitCode::FAILURE
     };
@@ -135,6 +139,13 @@
     Ok(smol::future::or(shutting_down, interrupted).await)
 }
 
+/// Waits for the signal to end; flags and environment of a running process do not change.
+async fn wait_for_stop(signals: &Receiver<Signal>) {
+    while let Ok(Signal::Reload) = signals.recv().await {
+        info!("event=reloaded changed=nothing");
+    }
+}
+
 fn start_controllers(daemon: &Arc<Daemon>) {
     executor::detach(relay::run(daemon.clone()));
     executor::detach(owner::run_hosting(daemon.clone()));
