--- a/crates/ffw-control/src/calls.rs
+++ b/crates/ffw-control/src/calls.rs
@@ -54,8 +54,7 @@
 }
 
 fn offer_config(daemon: &Daemon, version: Version) -> u64 {
-    daemon.register.offer(version);
-    daemon.metrics.config_version.set(daemon.register.config_number() as i64);
+    daemon.take_config(version);
     daemon.register.config_number()
 }
 
--- a/crates/ffw-control/src/daemon.rs
+++ b/crates/ffw-control/src/daemon.rs
@@ -8,7 +8,10 @@
     ffw_decide::{baseline::Policy, burn::Book},
     ffw_peer::link::Pool,
     ffw_platform::store::Store,
-    ffw_protocol::error::{Error, Kind, Result},
+    ffw_protocol::{
+        config::Version,
+        error::{Error, Kind, Result},
+    },
     std::{
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, atomic::AtomicU64},
@@ -119,6 +122,13 @@
         self.burn.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Takes a configuration over if it is newer; answers whether it was.
+    pub fn take_config(&self, version: Version) -> bool {
+        let is_newer = self.register.offer(version);
+        self.metrics.config_version.set(self.register.config_number() as i64);
+        is_newer
+    }
+
     /// Whether the daemon is shutting down.
     pub fn is_draining(&self) -> bool {
         self.draining_since.get().is_some()
--- a/crates/ffw-control/src/relay.rs
+++ b/crates/ffw-control/src/relay.rs
@@ -144,8 +144,8 @@
 }
 
 fn take_config(daemon: &Daemon, name: &str, version: Version) {
-    if *name == *daemon.deployment && daemon.register.offer(version) {
-        daemon.metrics.config_version.set(daemon.register.config_number() as i64);
+    if *name == *daemon.deployment {
+        daemon.take_config(version);
     }
 }
 
--- a/crates/ffw-decide/src/lib.rs
+++ b/crates/ffw-decide/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod config;
 pub mod estimate;
 pub mod lease;
+pub mod listing;
 pub mod order;
 pub mod rendezvous;
 pub mod retry;
--- a/crates/ffw-operator/src/service.rs
+++ b/crates/ffw-operator/src/service.rs
@@ -82,7 +82,7 @@
             Outcome::Accepted(version) => {
                 let number = version.number;
                 info!("event=config_accepted version={number} change={id} author={author}");
-                self.daemon.register.offer(version.clone());
+                self.daemon.take_config(version.clone());
                 let (confirmed, unconfirmed) = self.spread(number, wait).await;
                 Ok(Response::new(ChangeReply {
                     accepted: true,
--- a/crates/ffw-route/src/stream.rs
+++ b/crates/ffw-route/src/stream.rs
@@ -121,6 +121,7 @@
             places += 1;
             let setback = match self.try_place(&place).await {
                 Ok(after) => {
+                    self.log_served(&place);
                     place.release(self.relay.emitted(), true, None);
                     return End::Whole(after);
                 }
@@ -143,6 +144,28 @@
         }
     }
 
+    fn log_served(&self, place: &Place) {
+        let Exchange { intent, route, began, .. } = self.exchange;
+        let Some(tokens) = intent.tokens else { return };
+        let grant = &place.grant;
+        debug!(
+            "event=stream_served request={} route={} prefill={} decode={} prompt={} output={} \
+             hint={:?} events={} ms={} reason={:?} waited_ms={} waiting={}",
+            intent.id,
+            route.name,
+            grant.prefill.name,
+            grant.decode.name,
+            tokens.prompt,
+            tokens.output,
+            tokens.output_hint,
+            self.relay.events(),
+            began.elapsed().as_millis(),
+            grant.reason,
+            grant.basis.waited_ms,
+            grant.basis.waiting,
+        );
+    }
+
     /// Asks for a place; `number` parts the places of one request.
     async fn place(&self, number: u32) -> Result<Place> {
         let daemon = &self.gate.daemon;
