Give places by the memory that a request is expected to take

Change: shard::memory follows the tokens of the running requests to the end of each; the output is expected between the caller's estimate and what answers had lately. Pools of the product's own engines keep the strict reservation: no_prefill_is_wasted_at_any_load failed while they did not.

--- a/crates/ffw-bench/src/experiment/reference.rs
+++ b/crates/ffw-bench/src/experiment/reference.rs
@@ -18,6 +18,7 @@
         slots: engine.slots,
         pieces: engine.pieces,
         piece_tokens: engine.piece_tokens,
+        memory_grows: false,
         prefill_rate: engine.prefill_rate,
         link_rate: engine.link_rate,
         token_time: engine.token_time,
--- a/crates/ffw-decide/src/shard.rs
+++ b/crates/ffw-decide/src/shard.rs
@@ -8,6 +8,7 @@
 
 pub mod invariant;
 mod members;
+pub mod memory;
 pub mod place;
 mod queue;
 mod renewal;
@@ -45,6 +46,8 @@
     pub pieces: u32,
     /// Tokens in a piece.
     pub piece_tokens: u32,
+    /// Whether memory is taken as tokens are made, rather than all of it at the start.
+    pub memory_grows: bool,
     /// Prompt tokens a second of a prefill server.
     pub prefill_rate: u32,
     /// Prompt tokens a second of a decode server's link.
--- a/crates/ffw-decide/src/shard/place.rs
+++ b/crates/ffw-decide/src/shard/place.rs
@@ -3,6 +3,7 @@
 use {
     super::{
         Settings,
+        memory::{self, Hold},
         server::{Decode, Prefill},
     },
     crate::arena::{Arena, Key},
@@ -16,6 +17,9 @@
 /// How far ahead of its start a prefill may be granted.
 pub const START_HORIZON: Duration = Duration::from_millis(20);
 
+/// Part of an answer that has outrun its estimate by which it is expected to go on.
+const OVERRUN_PART: u32 = 5;
+
 /// What a granted attempt holds until it is released.
 #[derive(Clone, Debug)]
 pub struct Place {
@@ -27,6 +31,8 @@
     pub decode: Key<Decode>,
     /// Pieces reserved at the decode server.
     pub pieces: u32,
+    /// Output tokens that it is expected to make.
+    pub expected: u32,
     /// Step that it is in.
     pub phase: Phase,
     /// Output tokens so far.
@@ -54,9 +60,25 @@
 impl Place {
     /// When its slot is free at the latest, at the server's pace.
     pub fn predicted_end(&self, pace: f64) -> Moment {
-        let left = self.ask.tokens_out.saturating_sub(self.emitted);
         let base = if self.phase == Phase::Decode { self.heard } else { self.transfer_end };
-        base + Duration::from_secs_f64(f64::from(left) * pace)
+        base + Duration::from_secs_f64(f64::from(self.expected_left()) * pace)
+    }
+
+    /// Output tokens that are still expected: the longer an answer has gone on beyond its estimate,
+    /// the longer it is likely to go on.
+    fn expected_left(&self) -> u32 {
+        let most = self.ask.tokens_out.saturating_sub(self.emitted);
+        let left = self.expected.saturating_sub(self.emitted);
+        left.max(self.emitted / OVERRUN_PART).min(most)
+    }
+
+    /// Memory that it is expected to hold from now on.
+    fn hold(&self, now: Moment, pace: f64) -> Hold {
+        let since =
+            if self.phase == Phase::Decode { now.since(self.heard) } else { Duration::ZERO };
+        let unheard = since.as_secs_f64() / pace.max(1e-6);
+        let tokens = f64::from(self.ask.tokens_in) + f64::from(self.emitted) + unheard;
+        Hold { tokens, end: self.predicted_end(pace).max(now) }
     }
 }
 
@@ -77,6 +99,8 @@
     pub transfer_end: Moment,
     /// Prompt tokens thought to be cached.
     pub cached: u32,
+    /// Output tokens that it is expected to make.
+    pub expected: u32,
     /// Free slots of the decode server before.
     pub slots_free: u32,
 }
@@ -99,6 +123,7 @@
 pub fn search(
     now: Moment,
     ask: &Ask,
+    expected: u32,
     settings: &Settings,
     prefills: &Arena<Prefill>,
     decodes: &Arena<Decode>,
@@ -119,7 +144,11 @@
     let live = || decodes.iter().filter(|(_, one)| !one.leaving);
     let all_rest = live().all(|(_, one)| one.rest.is_resting(now));
     for (decode, server) in live().filter(|(_, one)| all_rest || !one.rest.is_resting(now)) {
-        let room = room(now, server, pieces, settings, places);
+        let room = if settings.memory_grows {
+            growing_room(now, server, ask, expected, settings, places)
+        } else {
+            room(now, server, pieces, settings, places)
+        };
         let ready = match room {
             Room::At(at) => at.max(server.link_free_at),
             Room::Never => Moment::NEVER,
@@ -137,6 +166,7 @@
                     prefill_end,
                     transfer_end: transfer_start + settings.transfer_time(ask.tokens_in),
                     cached: work.cached,
+                    expected,
                     slots_free: server.slots_free(settings.slots),
                 };
                 if best.is_none_or(|other| is_better(&plan, &other)) {
@@ -144,8 +174,9 @@
                 }
             }
             Err(at) => {
-                let lacks_memory = server.slots_free(settings.slots) > 0
-                    && server.pieces + pieces > settings.pieces;
+                let has_slot = server.slots_free(settings.slots) > 0;
+                let lacks_memory =
+                    has_slot && (settings.memory_grows || server.pieces + pieces > settings.pieces);
                 blocked = sooner(blocked, at, lacks_memory);
             }
         }
@@ -202,6 +233,36 @@
 }
 
 /// When the server has a slot and the memory, counting on the ends that are due first.
+/// Room at a server whose requests take memory as they make tokens.
+fn growing_room(
+    now: Moment,
+    server: &Decode,
+    ask: &Ask,
+    expected: u32,
+    settings: &Settings,
+    places: &Arena<Place>,
+) -> Room {
+    let pace = server.pace;
+    let open = server.places.iter().filter_map(|key| places.get(*key));
+    let mut holds: Vec<Hold> = open.map(|place| place.hold(now, pace)).collect();
+    holds.sort_unstable_by_key(|hold| hold.end);
+    // The slot of the first that ends, if all are taken.
+    let taken = holds.len() + server.foreign as usize;
+    let excess = (taken + 1).saturating_sub(settings.slots as usize);
+    let slot_at = match excess {
+        0 => now,
+        _ if excess > holds.len() => return Room::Never,
+        _ => holds[excess - 1].end,
+    };
+    let capacity = f64::from(settings.pieces) * f64::from(settings.piece_tokens);
+    let span = Duration::from_secs_f64(f64::from(expected) * pace);
+    let tokens = f64::from(ask.tokens_in);
+    match memory::fits_at(now, &holds, tokens, span, pace, capacity) {
+        Some(at) => Room::At(at.max(slot_at)),
+        None => Room::Never,
+    }
+}
+
 fn room(
     now: Moment,
     server: &Decode,
--- a/crates/ffw-decide/src/shard/queue.rs
+++ b/crates/ffw-decide/src/shard/queue.rs
@@ -104,7 +104,8 @@
     fn search(&self, now: Moment, index: usize) -> Result<Plan, Blocked> {
         let ask = &self.waiting[index].ask;
         let (prefills, decodes) = (&self.prefills, &self.decodes);
-        place::search(now, ask, &self.settings, prefills, decodes, &self.places)
+        let expected = self.planned_output(ask);
+        place::search(now, ask, expected, &self.settings, prefills, decodes, &self.places)
     }
 
     /// Whether the best place now, or the next one, comes too late for the target.
@@ -144,6 +145,23 @@
             + self.settings.token_time
     }
 
+    /// Output tokens that an answer is expected to have: between the caller's estimate and what
+    /// answers had lately, as neither is exact.
+    pub(super) fn expected_output(&self, ask: &Ask) -> u32 {
+        let usual = f64::from(ask.tokens_out) * self.output_share;
+        let expected = match ask.output_hint {
+            Some(hint) => (f64::from(hint.max(1)) * usual).sqrt(),
+            None => usual,
+        };
+        (expected as u32).clamp(1, ask.tokens_out.max(1))
+    }
+
+    /// Output tokens that a place is planned for: all that were asked for, where the memory for them
+    /// is taken at the start.
+    pub(super) fn planned_output(&self, ask: &Ask) -> u32 {
+        if self.settings.memory_grows { self.expected_output(ask) } else { ask.tokens_out }
+    }
+
     fn pick(&self, candidates: &[Candidate], passed: &[usize]) -> Option<Pick> {
         if passed.is_empty() {
             return self.fairness.pick(candidates);
@@ -181,6 +199,7 @@
             prefill: Some(plan.prefill),
             decode: plan.decode,
             pieces: plan.pieces,
+            expected: plan.expected,
             phase: Phase::Prefill,
             emitted: 0,
             start: plan.start,
--- a/crates/ffw-decide/src/shard/renewal.rs
+++ b/crates/ffw-decide/src/shard/renewal.rs
@@ -212,6 +212,7 @@
             prefill,
             decode,
             pieces: self.settings.pieces_of(&ask),
+            expected: self.planned_output(&ask),
             phase: progress.phase,
             emitted: progress.emitted,
             start: now,
--- a/crates/ffw-decide/src/shard/review.rs
+++ b/crates/ffw-decide/src/shard/review.rs
@@ -88,9 +88,11 @@
     fn capacity(&self, now: Moment) -> estimate::Capacity {
         let live = || self.decodes.iter().filter(|(_, one)| !one.leaving);
         let free: u32 = live().map(|(_, one)| one.slots_free(self.settings.slots)).sum();
+        // Places that are planned for all that was asked for mostly end sooner.
+        let share = if self.settings.memory_grows { 1.0 } else { self.output_share };
         let ends = live().flat_map(|(_, server)| {
             let places = server.places.iter().filter_map(|key| self.places.get(*key));
-            places.map(|place| place.predicted_end(server.pace * self.output_share))
+            places.map(|place| place.predicted_end(server.pace * share))
         });
         let next_slot =
             if free > 0 { Duration::ZERO } else { ends.min().unwrap_or(now).since(now) };
@@ -103,8 +105,7 @@
 
     pub(super) fn load_of(&self, ask: &Ask, is_late: bool) -> estimate::Load {
         let prefill = self.settings.prefill_time(ask.tokens_in);
-        let tokens = f64::from(ask.tokens_out) * self.output_share;
-        let decode = self.settings.token_time.mul_f64(tokens);
+        let decode = self.settings.token_time * self.expected_output(ask);
         estimate::Load {
             rank: ask.rank,
             customer: ask.customer.clone(),
--- a/crates/ffw-protocol/src/admission.rs
+++ b/crates/ffw-protocol/src/admission.rs
@@ -34,6 +34,9 @@
     pub tokens_in: u32,
     /// Most output tokens that may follow.
     pub tokens_out: u32,
+    /// Caller's estimate of the output tokens; right in the middle, and often far off.
+    #[serde(default)]
+    pub output_hint: Option<u32>,
     /// Time since the caller's request arrived.
     pub waited: Duration,
     /// Time left until the first token misses its target; zero if it has.
--- a/crates/ffw-protocol/src/declaration.rs
+++ b/crates/ffw-protocol/src/declaration.rs
@@ -88,6 +88,10 @@
     /// Time for which a prefill result survives, in milliseconds.
     #[serde(default = "result_ms")]
     pub result_ms: u32,
+    /// Whether an engine takes memory as tokens are made, rather than as much as was asked for when
+    /// the request begins.
+    #[serde(default)]
+    pub memory_grows: bool,
     /// Output tokens in one event of a stream.
     #[serde(default = "event_tokens")]
     pub event_tokens: u32,
--- a/crates/ffw-route/src/stream.rs
+++ b/crates/ffw-route/src/stream.rs
@@ -180,7 +180,8 @@
     fn ask(&self, request: id::Request, number: u32) -> Result<Ask> {
         let route = &self.exchange.route;
         let no_size = || Error::new(Kind::Malformed, "a request to a model gives its sizes");
-        let Tokens { prompt, output, .. } = self.exchange.intent.tokens.ok_or_else(no_size)?;
+        let Tokens { prompt, output, output_hint } =
+            self.exchange.intent.tokens.ok_or_else(no_size)?;
         let since = self.relay.silent_since();
         let target = if self.relay.has_begun() {
             Duration::from_millis(route.gap_ms)
@@ -199,6 +200,7 @@
             rank: route.rank,
             tokens_in: prompt + self.relay.emitted(),
             tokens_out: output.saturating_sub(self.relay.emitted()),
+            output_hint: output_hint.map(|hint| hint.saturating_sub(self.relay.emitted())),
             waited: Duration::ZERO,
             target: left(target),
             patience: left(patience).min(self.exchange.left()),
