Tell apart how a server failed, and probe it before a prompt is risked on it

Change: the entry says how a server failed. A replaced one is passed over for 10 s, a full one for 150 ms, a broken one until it answers a probe; a prefill server is passed over after two results in a row that could not be had. Where no prefill server is left, decode servers read prompts themselves.

--- a/crates/ffw-bench/src/experiment/reference.rs
+++ b/crates/ffw-bench/src/experiment/reference.rs
@@ -19,6 +19,7 @@
         pieces: engine.pieces,
         piece_tokens: engine.piece_tokens,
         memory_grows: false,
+        decode_reads: false,
         prefill_rate: engine.prefill_rate,
         link_rate: engine.link_rate,
         token_time: engine.token_time,
--- a/crates/ffw-control/src/admission.rs
+++ b/crates/ffw-control/src/admission.rs
@@ -7,8 +7,8 @@
     ffw_peer::service::Renewed,
     ffw_protocol::{
         admission::{
-            Ask, Attempt, Basis, Cause, Grant, Phase, Progress, Reason, Refusal, Release, Renewal,
-            Verdict,
+            Ask, Attempt, Basis, Cause, Failed, Grant, Phase, Progress, Reason, Refusal, Release,
+            Renewal, Verdict,
         },
         error::{Error, Kind, Result},
         instance::{Instance, Role},
@@ -150,12 +150,12 @@
 
     /// Gives the place back; `confirmed` says that both engines hold nothing of the attempt, and
     /// `failed` names the server that failed it.
-    pub fn release(mut self, emitted: u32, confirmed: bool, failed: Option<Arc<str>>) {
+    pub fn release(mut self, emitted: u32, confirmed: bool, failed: Option<Failed>) {
         self.is_released = true;
         self.give_back(emitted, confirmed, failed);
     }
 
-    fn give_back(&self, emitted: u32, confirmed: bool, failed: Option<Arc<str>>) {
+    fn give_back(&self, emitted: u32, confirmed: bool, failed: Option<Failed>) {
         let attempt = self.attempt.clone();
         let mut state = self.lane.lock();
         state.open.retain(|one| one.ask.attempt != attempt);
--- a/crates/ffw-control/src/owner.rs
+++ b/crates/ffw-control/src/owner.rs
@@ -159,6 +159,11 @@
         self.lock().shard.overloaded()
     }
 
+    /// Engines that are passed over until they answer a probe, which is due now.
+    pub fn probes_due(&self) -> Vec<Server> {
+        self.lock().shard.probes_due(identity::now())
+    }
+
     /// Attempts whose entry has not been heard of them for the given time.
     pub fn silent(&self, span: Duration) -> Vec<Attempt> {
         self.lock().shard.silent(identity::now(), span)
--- a/crates/ffw-control/src/snapshot.rs
+++ b/crates/ffw-control/src/snapshot.rs
@@ -76,6 +76,7 @@
             pieces: pool.pieces,
             piece_tokens: pool.piece_tokens,
             memory_grows: pool.memory_grows,
+            decode_reads: pool.decode_reads,
             prefill_rate: pool.prefill_rate,
             link_rate: pool.link_rate,
             token_time: Duration::from_millis(u64::from(pool.token_ms)),
--- a/crates/ffw-decide/src/budget.rs
+++ b/crates/ffw-decide/src/budget.rs
@@ -43,17 +43,16 @@
         self.part(now, pool).requests += 1;
     }
 
-    /// Takes a repeat from the budget; answers whether there was one. `slack` is this daemon's part
-    /// of the repeats beyond the share of requests.
-    pub fn take(&mut self, now: Moment, pool: &Arc<str>, slack: f64) -> bool {
-        let (ratio, window) = (self.ratio, self.window);
+    /// Takes `calls` repeated calls from the budget; answers whether they may be made. `slack` is
+    /// this daemon's part of the repeats beyond the share of requests.
+    pub fn take(&mut self, now: Moment, pool: &Arc<str>, calls: u32, slack: f64) -> bool {
+        let ratio = self.ratio;
         let account = self.account(now, pool);
         let sum = |count: fn(&Part) -> u32| account.parts.iter().map(count).sum::<u32>();
         let allowed = ratio * f64::from(sum(|part| part.requests)) + slack;
-        debug_assert!(!window.is_zero(), "a budget needs a window");
-        let is_allowed = f64::from(sum(|part| part.repeats) + 1) <= allowed;
+        let is_allowed = f64::from(sum(|part| part.repeats) + calls) <= allowed;
         if is_allowed {
-            self.part(now, pool).repeats += 1;
+            self.part(now, pool).repeats += calls;
         }
         is_allowed
     }
--- a/crates/ffw-decide/src/shard.rs
+++ b/crates/ffw-decide/src/shard.rs
@@ -48,6 +48,8 @@
     pub piece_tokens: u32,
     /// Whether memory is taken as tokens are made, rather than all of it at the start.
     pub memory_grows: bool,
+    /// Whether a decode server can read a prompt itself.
+    pub decode_reads: bool,
     /// Prompt tokens a second of a prefill server.
     pub prefill_rate: u32,
     /// Prompt tokens a second of a decode server's link.
--- a/crates/ffw-decide/src/shard/place.rs
+++ b/crates/ffw-decide/src/shard/place.rs
@@ -17,6 +17,9 @@
 /// How far ahead of its start a prefill may be granted.
 pub const START_HORIZON: Duration = Duration::from_millis(20);
 
+/// Time to read a prompt at a decode server over that at a prefill server.
+const DECODE_READ_FACTOR: u32 = 2;
+
 /// Part of an answer that has outrun its estimate by which it is expected to go on.
 const OVERRUN_PART: u32 = 5;
 
@@ -85,8 +88,8 @@
 /// A place that a search found.
 #[derive(Clone, Copy, Debug)]
 pub struct Plan {
-    /// Prefill server.
-    pub prefill: Key<Prefill>,
+    /// Prefill server; none if the decode server reads the prompt itself.
+    pub prefill: Option<Key<Prefill>>,
     /// Decode server.
     pub decode: Key<Decode>,
     /// Pieces to reserve.
@@ -135,11 +138,11 @@
     let live = || prefills.iter().filter(|(_, one)| !one.leaving);
     let all_rest = live().all(|(_, one)| one.rest.is_resting(now));
     let live = live().filter(|(_, one)| all_rest || !one.rest.is_resting(now));
-    let Some((prefill, work)) = live
-        .map(|one| (one.0, Work::of(ask, settings, one.1)))
-        .min_by_key(|(_, work)| work.end(now))
-    else {
-        return Err(Blocked::NoServer);
+    let works = live.map(|one| (Some(one.0), Work::of(ask, settings, one.1)));
+    let (prefill, work) = match works.min_by_key(|(_, work)| work.end(now)) {
+        Some(best) => best,
+        None if settings.decode_reads => (None, Work::at_decode(now, ask, settings)),
+        None => return Err(Blocked::NoServer),
     };
     let live = || decodes.iter().filter(|(_, one)| !one.leaving);
     let all_rest = live().all(|(_, one)| one.rest.is_resting(now));
@@ -214,6 +217,12 @@
         Work { free_at: server.free_at, span, cached }
     }
 
+    /// Reading the prompt at the decode server.
+    fn at_decode(now: Moment, ask: &Ask, settings: &Settings) -> Work {
+        let span = settings.prefill_time(ask.tokens_in) * DECODE_READ_FACTOR;
+        Work { free_at: now, span, cached: 0 }
+    }
+
     fn end(&self, now: Moment) -> Moment {
         self.free_at.max(now) + self.span
     }
--- a/crates/ffw-decide/src/shard/queue.rs
+++ b/crates/ffw-decide/src/shard/queue.rs
@@ -178,17 +178,17 @@
         let basis = self.basis(now, index, plan);
         let waiting = self.waiting.remove(index);
         self.granted += 1;
-        let (Some(prefill), Some(decode)) =
-            (self.prefills.get_mut(plan.prefill), self.decodes.get(plan.decode))
-        else {
-            return;
-        };
-        prefill.free_at = plan.prefill_end;
+        let Some(decode) = self.decodes.get(plan.decode) else { return };
+        let mut reader = decode.server.clone();
+        if let Some(prefill) = plan.prefill.and_then(|key| self.prefills.get_mut(key)) {
+            prefill.free_at = plan.prefill_end;
+            reader = prefill.server.clone();
+        }
         let grant = Grant {
             owner: self.owner.clone(),
             epoch: self.epoch,
             number: self.granted,
-            prefill: prefill.server.clone(),
+            prefill: reader,
             decode: decode.server.clone(),
             pieces: plan.pieces,
             start_in: plan.start.since(now),
@@ -196,7 +196,7 @@
             basis,
         };
         let place = Place {
-            prefill: Some(plan.prefill),
+            prefill: plan.prefill,
             decode: plan.decode,
             pieces: plan.pieces,
             expected: plan.expected,
--- a/crates/ffw-decide/src/shard/renewal.rs
+++ b/crates/ffw-decide/src/shard/renewal.rs
@@ -1,10 +1,14 @@
 //! What entries tell of their places: progress, ends, and silence.
 
 use {
-    super::{Effect, Entry, Shard, place::Place, server::Decode},
+    super::{
+        Effect, Entry, Shard,
+        place::Place,
+        server::{Decode, Rest},
+    },
     crate::arena::Key,
     ffw_protocol::{
-        admission::{Ask, Attempt, Phase, Progress, Release, Renewal},
+        admission::{Ask, Attempt, Failed, Failing, Phase, Progress, Release, Renewal, Server},
         time::Moment,
     },
     std::{sync::Arc, time::Duration},
@@ -123,7 +127,7 @@
         self.withdraw(&release.attempt);
         let Some(key) = self.find(&release.attempt) else { return };
         if let Some(failed) = &release.failed {
-            self.note_failure(now, failed);
+            self.note_failed(now, key, failed);
         }
         if let Some(place) = self.places.get_mut(key) {
             place.emitted = place.emitted.max(release.emitted);
@@ -131,12 +135,42 @@
         if release.confirmed { self.end_place(key, Some(now)) } else { self.cancel(key) }
     }
 
-    fn note_failure(&mut self, now: Moment, server: &str) {
-        if let Some(prefill) = self.prefills.values_mut().find(|one| &*one.server.name == server) {
-            prefill.rest.note_failure(now);
+    fn note_failed(&mut self, now: Moment, place: Key<Place>, failed: &Failed) {
+        let prefill = self.places.get(place).and_then(|place| place.prefill);
+        if let Some(rest) = self.rest_of(&failed.server) {
+            match failed.how {
+                Failing::Broken => rest.note_failure(now),
+                Failing::Replaced => rest.note_replaced(now),
+                Failing::Refused => rest.note_refused(now),
+            }
+        }
+        // A decode server also refuses if it can't have the prompt from the prefill server.
+        if failed.how == Failing::Refused
+            && let Some(prefill) = prefill.and_then(|key| self.prefills.get_mut(key))
+            && prefill.server.name != failed.server
+        {
+            prefill.note_result(now, false);
         }
-        if let Some(decode) = self.decodes.values_mut().find(|one| &*one.server.name == server) {
-            decode.rest.note_failure(now);
+    }
+
+    fn rest_of(&mut self, server: &str) -> Option<&mut Rest> {
+        let prefill = self.prefills.values_mut().find(|one| &*one.server.name == server);
+        let decode = self.decodes.values_mut().find(|one| &*one.server.name == server);
+        prefill.map(|one| &mut one.rest).or(decode.map(|one| &mut one.rest))
+    }
+
+    /// Servers that are passed over until they answer a probe, which is due now.
+    pub fn probes_due(&self, now: Moment) -> Vec<Server> {
+        let prefills = self.prefills.iter().map(|(_, one)| (&one.server, &one.rest));
+        let decodes = self.decodes.iter().map(|(_, one)| (&one.server, &one.rest));
+        let due = prefills.chain(decodes).filter(|(_, rest)| rest.is_probe_due(now));
+        due.map(|(server, _)| server.clone()).collect()
+    }
+
+    /// Takes the outcome of a probe over.
+    pub fn note_probe(&mut self, now: Moment, server: &str, is_sound: bool) {
+        if let Some(rest) = self.rest_of(server) {
+            rest.note_probe(now, is_sound);
         }
     }
 
@@ -166,6 +200,9 @@
             if let Some(decode) = self.decodes.get_mut(after.decode) {
                 decode.rest.note_success();
             }
+            if let Some(prefill) = after.prefill.and_then(|key| self.prefills.get_mut(key)) {
+                prefill.note_result(now, true);
+            }
         }
     }
 
--- a/crates/ffw-decide/src/shard/review.rs
+++ b/crates/ffw-decide/src/shard/review.rs
@@ -27,7 +27,7 @@
         }
         self.reviewed_at = now;
         let capacity = self.capacity(now);
-        if capacity.slots == 0 || capacity.prefills == 0 {
+        if capacity.slots == 0 || capacity.prefills == 0 && !self.settings.decode_reads {
             self.refuse_all(Cause::NoBackend);
             return;
         }
--- a/crates/ffw-decide/src/shard/server.rs
+++ b/crates/ffw-decide/src/shard/server.rs
@@ -17,11 +17,23 @@
 const REST_FIRST: Duration = Duration::from_millis(300);
 const REST_MAX: Duration = Duration::from_secs(4);
 
+/// Time for which a server that has no room is passed over.
+const REFUSED_REST: Duration = Duration::from_millis(150);
+
+/// Time for which a server is passed over whose address another one has.
+const REPLACED_REST: Duration = Duration::from_secs(10);
+
+/// Prompts in a row that were read at a prefill server and could not be had from it, after which it
+/// is passed over.
+const UNUSABLE_RESULTS: u32 = 2;
+
 /// Failures of a server in a row, and until when it is passed over for them.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Rest {
     failures: u32,
     until: Moment,
+    /// Whether it must answer a probe before it is used again.
+    needs_probe: bool,
 }
 
 impl Rest {
@@ -30,6 +42,31 @@
         self.failures += 1;
         let rest = REST_FIRST * 2_u32.saturating_pow(self.failures.min(8) - 1);
         self.until = now + rest.min(REST_MAX);
+        self.needs_probe = true;
+    }
+
+    /// Notes that another server has its address.
+    pub fn note_replaced(&mut self, now: Moment) {
+        self.until = now + REPLACED_REST;
+    }
+
+    /// Notes that the server has no room.
+    pub fn note_refused(&mut self, now: Moment) {
+        self.until = self.until.max(now + REFUSED_REST);
+    }
+
+    /// Notes the outcome of a probe.
+    pub fn note_probe(&mut self, now: Moment, is_sound: bool) {
+        if is_sound {
+            self.needs_probe = false;
+        } else {
+            self.note_failure(now);
+        }
+    }
+
+    /// Whether its time has passed and it waits for a probe.
+    pub fn is_probe_due(&self, now: Moment) -> bool {
+        self.needs_probe && now >= self.until
     }
 
     /// Notes that the server did its work.
@@ -39,7 +76,7 @@
 
     /// Whether the server is passed over.
     pub fn is_resting(&self, now: Moment) -> bool {
-        now < self.until
+        now < self.until || self.needs_probe
     }
 }
 
@@ -60,6 +97,8 @@
     pub foreign: u32,
     /// Its failures.
     pub rest: Rest,
+    /// Prompts in a row that could not be had from it after it had read them.
+    pub unusable: u32,
 }
 
 impl Prefill {
@@ -73,6 +112,15 @@
             slowness: 1.0,
             foreign: 0,
             rest: Rest::default(),
+            unusable: 0,
+        }
+    }
+
+    /// Notes whether a prompt that it had read could be had from it.
+    pub fn note_result(&mut self, now: Moment, is_usable: bool) {
+        self.unusable = if is_usable { 0 } else { self.unusable + 1 };
+        if self.unusable >= UNUSABLE_RESULTS {
+            self.rest.note_failure(now);
         }
     }
 
--- /dev/null
+++ b/crates/ffw-decide/tests/retry_budget.rs
@@ -0,0 +1,43 @@
+//! The budget of repeated calls, kept by each daemon for its part.
+
+use {
+    ffw_decide::budget::Budget,
+    ffw_protocol::time::Moment,
+    std::{sync::Arc, time::Duration},
+};
+
+const WINDOW: Duration = Duration::from_secs(10);
+
+fn pool() -> Arc<str> {
+    "p".into()
+}
+
+#[test]
+fn repeats_stay_within_ratio_and_slack_in_every_window() {
+    let mut budget = Budget::new(0.2, WINDOW);
+    let mut taken: Vec<Moment> = Vec::new();
+    let mut asked: Vec<Moment> = Vec::new();
+    for step in 0..4_000_u64 {
+        let now = Moment::from_millis(step * 10);
+        if step % 4 == 0 {
+            budget.note_request(now, &pool());
+            asked.push(now);
+        }
+        if budget.take(now, &pool(), 2, 7.0) {
+            taken.extend([now, now]);
+        }
+        let within = |times: &[Moment]| times.iter().filter(|at| now.since(**at) < WINDOW).count();
+        let allowed = 0.2 * within(&asked) as f64 + 7.0;
+        assert!(within(&taken) as f64 <= allowed + 1.0, "at {now:?}");
+    }
+    assert!(taken.len() > 100, "the budget was hardly used: {}", taken.len());
+}
+
+#[test]
+fn a_place_takes_both_of_its_calls_or_none() {
+    let mut budget = Budget::new(0.2, WINDOW);
+    let now = Moment::from_millis(1);
+    assert!(budget.take(now, &pool(), 2, 3.0));
+    assert!(!budget.take(now, &pool(), 2, 3.0));
+    assert!(budget.take(now, &pool(), 1, 3.0));
+}
--- /dev/null
+++ b/crates/ffw-decide/tests/shard_failures.rs
@@ -0,0 +1,144 @@
+//! Servers that did not do their part: each is passed over for a time that fits what it did, and no
+//! prompt is read to find out whether it is back.
+
+use {
+    ffw_decide::shard::{Effect, Members, Settings, Shard},
+    ffw_protocol::{
+        admission::{Failed, Failing, Grant, Phase, Progress, Release, Renewal, Verdict},
+        time::Moment,
+    },
+    ffw_support::build,
+    std::time::Duration,
+};
+
+struct Pool {
+    shard: Shard,
+    now: Moment,
+    next: u64,
+}
+
+impl Pool {
+    fn new(prefills: usize, decodes: usize) -> Pool {
+        let now = Moment::from_millis(1_000);
+        let settings = Settings { memory_grows: true, decode_reads: true, ..build::settings() };
+        let mut shard = Shard::new(now, "owner".into(), 1, settings);
+        shard.settle(now);
+        shard.set_members(&build::members(prefills, decodes));
+        Pool { shard, now, next: 1 }
+    }
+
+    fn pass(&mut self, millis: u64) {
+        self.now = self.now + Duration::from_millis(millis);
+    }
+
+    /// Asks for a place and gives the grant.
+    fn grant(&mut self) -> Grant {
+        let ask = build::ask(self.next, "a", 1, 100, 10);
+        self.next += 1;
+        self.shard.ask(self.now, ask);
+        let effects = self.shard.step(self.now);
+        let grant = effects.into_iter().find_map(|effect| match effect {
+            Effect::Answer(_, Verdict::Grant(grant)) => Some(grant),
+            _ => None,
+        });
+        grant.expect("a grant")
+    }
+
+    /// Gives the place of the last grant back.
+    fn end(&mut self, failed: Option<Failed>) {
+        let attempt = build::attempt("entry-1", self.next - 1);
+        let release = Release { attempt, emitted: 0, confirmed: true, failed };
+        let renewal = Renewal {
+            entry: "entry-1".into(),
+            incarnation: 1,
+            releases: vec![release],
+            ..Renewal::default()
+        };
+        self.shard.renew(self.now, &renewal);
+    }
+
+    fn fail(&mut self, server: &str, how: Failing) {
+        self.end(Some(Failed { server: server.into(), how }));
+    }
+
+    /// Tells that the place of the last grant makes tokens.
+    fn decoding(&mut self, grant: &Grant) {
+        let ask = build::ask(self.next - 1, "a", 1, 100, 10);
+        let progress = Progress {
+            ask,
+            prefill: grant.prefill.name.clone(),
+            decode: grant.decode.name.clone(),
+            phase: Phase::Decode,
+            emitted: 1,
+        };
+        let renewal = Renewal {
+            entry: "entry-1".into(),
+            incarnation: 1,
+            progress: vec![progress],
+            ..Renewal::default()
+        };
+        self.shard.renew(self.now, &renewal);
+    }
+}
+
+#[test]
+fn a_broken_server_is_used_again_only_after_a_probe() {
+    let mut pool = Pool::new(1, 2);
+    let first = pool.grant();
+    let broken = first.decode.name.clone();
+    pool.fail(&broken, Failing::Broken);
+    pool.pass(60_000);
+    assert_eq!(pool.shard.probes_due(pool.now).len(), 1);
+    assert_ne!(pool.grant().decode.name, broken);
+    pool.end(None);
+    pool.shard.note_probe(pool.now, &broken, true);
+    assert!(pool.shard.probes_due(pool.now).is_empty());
+    let used: Vec<_> = (0..2).map(|_| pool.grant().decode.name).collect();
+    assert!(used.contains(&broken), "the server is not used after a good probe: {used:?}");
+}
+
+#[test]
+fn a_server_whose_address_another_one_has_is_passed_over_without_probes() {
+    let mut pool = Pool::new(1, 2);
+    let gone = pool.grant().decode.name;
+    pool.fail(&gone, Failing::Replaced);
+    pool.pass(5_000);
+    assert!(pool.shard.probes_due(pool.now).is_empty());
+    assert_ne!(pool.grant().decode.name, gone);
+}
+
+#[test]
+fn a_prefill_server_whose_results_cannot_be_had_is_passed_over() {
+    let mut pool = Pool::new(1, 4);
+    for _ in 0..2 {
+        let grant = pool.grant();
+        assert_eq!(&*grant.prefill.name, "prefill-0");
+        let decode = grant.decode.name.clone();
+        pool.fail(&decode, Failing::Refused);
+    }
+    assert!(pool.shard.probes_due(pool.now + Duration::from_secs(1)).len() == 1);
+}
+
+#[test]
+fn results_that_can_be_had_keep_a_prefill_server_in_use() {
+    let mut pool = Pool::new(1, 4);
+    for _ in 0..4 {
+        let grant = pool.grant();
+        pool.decoding(&grant);
+        pool.end(None);
+        let grant = pool.grant();
+        pool.fail(&grant.decode.name, Failing::Refused);
+        pool.pass(500);
+    }
+    assert!(pool.shard.probes_due(pool.now + Duration::from_secs(10)).is_empty());
+}
+
+#[test]
+fn without_prefill_servers_the_decode_server_reads_the_prompt() {
+    let mut pool = Pool::new(0, 1);
+    let grant = pool.grant();
+    assert_eq!(grant.prefill.name, grant.decode.name);
+    pool.end(None);
+    pool.shard.set_members(&Members { prefills: Vec::new(), ..build::members(0, 1) });
+    assert_eq!(&*pool.grant().decode.name, "decode-0");
+}
--- a/crates/ffw-protocol/src/admission.rs
+++ b/crates/ffw-protocol/src/admission.rs
@@ -194,9 +194,29 @@
     pub emitted: u32,
     /// Whether the decode server's memory is known to be free.
     pub confirmed: bool,
-    /// A server that failed and is to be passed over for a while.
+    /// A server that did not do its part.
     #[serde(default)]
-    pub failed: Option<Arc<str>>,
+    pub failed: Option<Failed>,
+}
+
+/// A server that did not do its part of an attempt.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Failed {
+    /// Name of the server.
+    pub server: Arc<str>,
+    /// What it did.
+    pub how: Failing,
+}
+
+/// How a server did not do its part.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Failing {
+    /// It could not be reached, broke off, or gave no answer in time.
+    Broken,
+    /// Another server has its address.
+    Replaced,
+    /// It said that it has no room, or can't have the KV cache of the prompt.
+    Refused,
 }
 
 /// What an entry tells an owner at once: renewals and ends.
--- a/crates/ffw-protocol/src/declaration.rs
+++ b/crates/ffw-protocol/src/declaration.rs
@@ -92,6 +92,9 @@
     /// the request begins.
     #[serde(default)]
     pub memory_grows: bool,
+    /// Whether a decode engine can read a prompt itself, at half the rate of a prefill engine.
+    #[serde(default)]
+    pub decode_reads: bool,
     /// Output tokens in one event of a stream.
     #[serde(default = "event_tokens")]
     pub event_tokens: u32,
--- a/crates/ffw-route/src/dialect.rs
+++ b/crates/ffw-route/src/dialect.rs
@@ -105,6 +105,8 @@
     pub read_handle: fn(&[u8]) -> Result<Arc<str>, Malformed>,
     /// Writes a call that frees a handle.
     pub write_free: fn(&str) -> Request,
+    /// Writes a call that asks the named engine whether it is there.
+    pub write_probe: fn(&str) -> Request,
     /// Path of the question whether this daemon is ready.
     pub ready_path: &'static str,
 }
--- /dev/null
+++ b/crates/ffw-route/src/engine.rs
@@ -0,0 +1,44 @@
+//! Calls to engines that belong to no request: probes of those that failed.
+
+use {
+    crate::{gate::Gate, transport},
+    ffw_control::{identity, owner::Hosted},
+    ffw_protocol::admission::Server,
+    ffw_runtime::{executor, timer},
+    log::info,
+    std::{sync::Arc, time::Duration},
+};
+
+/// Period at which engines that wait for a probe are looked for.
+const LOOK_PERIOD: Duration = Duration::from_millis(100);
+
+/// Time for the answer to a probe.
+const PROBE_LIMIT: Duration = Duration::from_millis(400);
+
+/// Probes the engines of the shards that this daemon owns, once each is due.
+pub async fn run_probes(gate: Arc<Gate>) {
+    loop {
+        timer::sleep(LOOK_PERIOD).await;
+        for hosted in gate.daemon.host.shards() {
+            let mut probes = Vec::new();
+            for server in hosted.probes_due() {
+                let (gate, hosted) = (gate.clone(), hosted.clone());
+                probes.push(executor::spawn(async move { probe(&gate, &hosted, &server).await }));
+            }
+            for probe in probes {
+                probe.await;
+            }
+        }
+    }
+}
+
+async fn probe(gate: &Gate, hosted: &Hosted, server: &Server) {
+    let request = (gate.dialect.write_probe)(&server.name);
+    let answer = transport::ask(gate, server, &request, &[], PROBE_LIMIT).await;
+    let (is_sound, outcome) = match &answer {
+        Ok(whole) => (whole.head.status == 200, whole.head.status.to_string()),
+        Err(failure) => (false, failure.to_string()),
+    };
+    info!("event=engine_probed server={} sound={is_sound} outcome=\"{outcome}\"", server.name);
+    hosted.change(|shard| shard.note_probe(identity::now(), &server.name, is_sound));
+}
--- a/crates/ffw-route/src/gate.rs
+++ b/crates/ffw-route/src/gate.rs
@@ -57,6 +57,9 @@
 /// Time after the signal to end for which new connections may still come.
 pub const INGRESS_LAG: Duration = Duration::from_millis(3_200);
 
+/// Share of the slack that is used: a daemon that starts again knows nothing of what it sent before.
+const SLACK_SHARE: f64 = 0.7;
+
 /// Time before the end of a process that a stream needs to come to its end.
 const STREAM_TIME: Duration = Duration::from_millis(5_500);
 
@@ -102,12 +105,12 @@
         self.budget().note_request(ffw_control::identity::now(), pool);
     }
 
-    /// Takes one repeated send to a pool from the budget; answers whether it may be made.
-    pub fn take_repeat(&self, pool: &Arc<str>) -> bool {
+    /// Takes `calls` repeated calls to a pool from the budget; answers whether they may be made.
+    pub fn take_repeat(&self, pool: &Arc<str>, calls: u32) -> bool {
         let roster = self.daemon.register.roster();
         let daemons = roster.instances.iter().filter(|one| one.role == Role::Entry).count();
-        let slack = self.limits.retry_slack / daemons.max(1) as f64;
-        self.budget().take(ffw_control::identity::now(), pool, slack)
+        let slack = self.limits.retry_slack * SLACK_SHARE / daemons.max(1) as f64;
+        self.budget().take(ffw_control::identity::now(), pool, calls, slack)
     }
 
     fn budget(&self) -> MutexGuard<'_, Budget> {
--- a/crates/ffw-route/src/lib.rs
+++ b/crates/ffw-route/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod answer;
 pub mod caller;
 pub mod dialect;
+pub mod engine;
 pub mod gate;
 mod plain;
 pub mod server;
--- a/crates/ffw-route/src/plain.rs
+++ b/crates/ffw-route/src/plain.rs
@@ -67,7 +67,7 @@
         let id = &exchange.intent.id;
         info!("event=attempt_failed request={id} server={} error=\"{error}\"", server.name);
         let is_unsent = sends == 0;
-        if is_last || !is_unsent && !gate.take_repeat(&exchange.pool) {
+        if is_last || !is_unsent && !gate.take_repeat(&exchange.pool, 1) {
             return Err(error);
         }
     }
--- a/crates/ffw-route/src/stream.rs
+++ b/crates/ffw-route/src/stream.rs
@@ -8,14 +8,14 @@
     crate::{
         answer::After,
         caller::{self, Exchange},
-        dialect::{Source, Step, Tokens},
+        dialect::{Note, Source, Step, Tokens},
         gate::Gate,
         transport::{self, Answer, Failure, Outgoing},
     },
     ffw_control::admission::{self, Decision, Place},
-    ffw_http::connection::Connection,
+    ffw_http::{connection::Connection, message::Response},
     ffw_protocol::{
-        admission::{Ask, Attempt, Phase, Refusal, Server},
+        admission::{Ask, Attempt, Failed, Failing, Phase, Refusal, Server},
         error::{Error, Kind, Result, Run},
         id,
     },
@@ -25,12 +25,18 @@
     std::time::{Duration, Instant},
 };
 
+/// Calls that a place takes: one to read the prompt, one to run the request.
+const CALLS_A_PLACE: u32 = 2;
+
 /// Places that are asked for on behalf of one request.
 const PLACES_MAX: u32 = 3;
 
 /// Time between the first event at its server and at the caller.
 const TRANSIT: Duration = Duration::from_millis(30);
 
+/// Largest body of an answer that is not for the caller, in bytes.
+const SMALL_BODY: usize = 64 << 10;
+
 /// Time for a prefill beyond what its length takes.
 const PREFILL_SLACK: Duration = Duration::from_millis(400);
 
@@ -104,8 +110,8 @@
 /// Why one place did not bring the stream to its end.
 struct Setback {
     error: Error,
-    /// Server that failed, if it is to be passed over for a while.
-    server: Option<Server>,
+    /// Server that did not do its part.
+    failed: Option<Failed>,
     /// Whether another place may be tried.
     may_repeat: bool,
 }
@@ -127,17 +133,17 @@
                 }
                 Err(setback) => setback,
             };
-            let Setback { error, server, may_repeat } = setback;
+            let Setback { error, failed, may_repeat } = setback;
             let id = &self.exchange.intent.id;
             let events = self.relay.events();
             info!(
                 "event=place_failed request={id} place={places} events={events} error=\"{error}\""
             );
-            place.release(self.relay.emitted(), true, server.map(|server| server.name));
+            place.release(self.relay.emitted(), true, failed);
             let repeats = may_repeat
                 && places < PLACES_MAX
                 && !self.exchange.is_over()
-                && self.gate.take_repeat(&self.exchange.pool);
+                && self.gate.take_repeat(&self.exchange.pool, CALLS_A_PLACE);
             if !repeats {
                 return self.relay.fail(error);
             }
@@ -210,9 +216,11 @@
 
     async fn try_place(&mut self, place: &Place) -> std::result::Result<After, Setback> {
         timer::sleep(place.grant.start_in).await;
-        let source = self.prefill(place).await?;
+        // Where no prefill server is left, the decode server reads the prompt itself.
+        let reads_itself = place.grant.prefill.name == place.grant.decode.name;
+        let source = if reads_itself { None } else { Some(self.prefill(place).await?) };
         place.note_phase(Phase::Transfer);
-        let answer = self.decode(place, &source).await?;
+        let answer = self.decode(place, source.as_ref()).await?;
         place.note_phase(Phase::Decode);
         let end = self.relay.pass_on(self.gate, answer, place).await;
         let decode = &place.grant.decode;
@@ -220,14 +228,14 @@
             RelayEnd::Whole => Ok(caller::after(self.gate, &self.exchange.head)),
             RelayEnd::CallerGone => Err(Setback {
                 error: Error::new(Kind::CallerGone, "the caller does not read"),
-                server: None,
+                failed: None,
                 may_repeat: false,
             }),
             RelayEnd::Broken(cause) => {
                 let message = format!("backend server {}: {cause}", decode.name);
                 Err(Setback {
                     error: Error::new(Kind::BackendFailed, message),
-                    server: Some(decode.clone()),
+                    failed: Some(failed(decode, Failing::Broken)),
                     may_repeat: self.exchange.route.is_resumable,
                 })
             }
@@ -239,24 +247,23 @@
         let head_by = Instant::now() + self.prefill_limit();
         let outgoing = self.outgoing(server, Step::Prefill, head_by);
         let whole = match transport::call(self.gate, &outgoing).await {
-            Ok(answer) => answer.into_whole(self.gate, 64 << 10, head_by).await,
+            Ok(answer) => answer.into_whole(self.gate, SMALL_BODY, head_by).await,
             Err(failure) => Err(failure),
         };
-        let unread = |server: Option<&Server>, cause: String| Setback {
+        let unread = |how: Failing, cause: String| Setback {
             error: Error::new(Kind::BackendRefused, format!("prefill: {cause}"))
                 .run(if self.is_run { Run::Unknown } else { Run::Not })
                 .retry_after(RETRY_AFTER),
-            server: server.cloned(),
+            failed: Some(failed(server, how)),
             may_repeat: true,
         };
-        let whole = whole.map_err(|failure| unread(Some(server), failure.to_string()))?;
+        let whole = whole.map_err(|failure| unread(Failing::Broken, failure.to_string()))?;
         if whole.head.status != 200 {
             let cause = format!("{} answered {}", server.name, whole.head.status);
-            let failed = (!whole.note.is_not_run).then_some(server);
-            return Err(unread(failed, cause));
+            return Err(unread(failing(&whole.head, &whole.note), cause));
         }
         let handle = (self.gate.dialect.read_handle)(&whole.body);
-        let handle = handle.map_err(|cause| unread(Some(server), cause.to_string()))?;
+        let handle = handle.map_err(|cause| unread(Failing::Broken, cause.to_string()))?;
         Ok(Source { address: server.address, handle })
     }
 
@@ -271,35 +278,41 @@
     async fn decode(
         &mut self,
         place: &Place,
-        source: &Source,
+        source: Option<&Source>,
     ) -> std::result::Result<Answer, Setback> {
         let server = &place.grant.decode;
-        let head_by = Instant::now() + FIRST_EVENT_LIMIT;
-        let outgoing = self.outgoing(server, Step::Decode(source), head_by);
+        let (step, limit) = match source {
+            Some(source) => (Step::Decode(source), FIRST_EVENT_LIMIT),
+            None => (Step::Run, FIRST_EVENT_LIMIT + self.prefill_limit()),
+        };
+        let head_by = Instant::now() + limit;
+        let outgoing = self.outgoing(server, step, head_by);
         let result = transport::call(self.gate, &outgoing).await;
         let may_resume = self.exchange.route.is_resumable;
         let message = |cause: String| format!("backend server {}: {cause}", server.name);
         let was_run = self.is_run;
-        let not_run = |cause: String, server: Option<Server>| Setback {
+        let not_run = |cause: String, how: Failing| Setback {
             error: Error::new(Kind::BackendRefused, message(cause))
                 .run(if was_run { Run::Unknown } else { Run::Not })
                 .retry_after(RETRY_AFTER),
-            server,
+            failed: Some(failed(server, how)),
             may_repeat: true,
         };
         let answer = match result {
             Ok(answer) if answer.note.is_not_run => {
                 let cause = format!("refused with {}", answer.head.status);
-                answer.into_whole(self.gate, 64 << 10, head_by).await.ok();
-                return Err(not_run(cause, None));
+                let how = failing(&answer.head, &answer.note);
+                // The body says nothing more; it is read so that the connection can be kept.
+                drop(answer.into_whole(self.gate, SMALL_BODY, head_by).await);
+                return Err(not_run(cause, how));
             }
             Ok(answer) => answer,
-            Err(Failure::Unreached(cause)) => return Err(not_run(cause, Some(server.clone()))),
+            Err(Failure::Unreached(cause)) => return Err(not_run(cause, Failing::Broken)),
             Err(failure @ (Failure::Broken(_) | Failure::Late)) => {
                 self.is_run = true;
                 return Err(Setback {
                     error: Error::new(Kind::BackendFailed, message(failure.to_string())),
-                    server: Some(server.clone()),
+                    failed: Some(failed(server, Failing::Broken)),
                     may_repeat: may_resume,
                 });
             }
@@ -313,7 +326,7 @@
         };
         Err(Setback {
             error: Error::new(Kind::BackendFailed, message(cause)),
-            server: Some(server.clone()),
+            failed: Some(failed(server, Failing::Broken)),
             may_repeat: may_resume,
         })
     }
@@ -338,6 +351,18 @@
     }
 }
 
+fn failed(server: &Server, how: Failing) -> Failed {
+    Failed { server: server.name.clone(), how }
+}
+
+fn failing(head: &Response, note: &Note) -> Failing {
+    match note.is_not_run {
+        true if head.status == 421 => Failing::Replaced,
+        true => Failing::Refused,
+        false => Failing::Broken,
+    }
+}
+
 fn refused(refusal: &Refusal) -> Error {
     let message = format!(
         "refused: {:?}, {} waiting, predicted {} ms",
--- a/crates/ffw-route/src/transport.rs
+++ b/crates/ffw-route/src/transport.rs
@@ -34,6 +34,9 @@
 /// Largest answer to another request that is passed over, in bytes.
 const FOREIGN_BYTES: usize = 1 << 20;
 
+/// Idle time up to which a kept connection carries a call that belongs to no request.
+const ASK_REUSE: Duration = Duration::ZERO;
+
 /// Part of a server's time for idle connections that is used.
 const IDLE_SHARE: f64 = 0.5;
 
@@ -101,7 +104,8 @@
 
 /// Makes a call and waits for the head of the answer that belongs to it.
 pub(crate) async fn call(gate: &Gate, outgoing: &Outgoing<'_>) -> Result<Answer, Failure> {
-    let mut connection = connect(gate, outgoing).await?;
+    let (server, by) = (outgoing.server, outgoing.head_by);
+    let mut connection = connect(gate, server, by, outgoing.reuse).await?;
     let left = outgoing.deadline.saturating_duration_since(Instant::now());
     let call = Call {
         server: &outgoing.server.name,
@@ -124,13 +128,48 @@
     Ok(Answer { head, note, decoder, connection, is_sent_whole, server })
 }
 
-async fn connect(gate: &Gate, outgoing: &Outgoing<'_>) -> Result<Connection, Failure> {
-    if let Some(kept) = gate.idle.take(&outgoing.server.name, outgoing.reuse).await {
+/// Makes a call that belongs to no request, and reads its whole answer.
+pub(crate) async fn ask(
+    gate: &Gate,
+    server: &Server,
+    head: &Request,
+    body: &[u8],
+    limit: Duration,
+) -> Result<Whole, Failure> {
+    let by = Instant::now() + limit;
+    let mut connection = connect(gate, server, by, ASK_REUSE).await?;
+    let mut head = head.clone();
+    head.fields.set("Host", server.address.to_string());
+    if !body.is_empty() {
+        head.fields.set("Content-Type", "application/json");
+        head.fields.set("Content-Length", body.len().to_string());
+    }
+    let mut bytes = head.to_bytes();
+    bytes.extend_from_slice(body);
+    let left = by.saturating_duration_since(Instant::now());
+    let exchanged = timer::timeout(left, connection.exchange(&bytes, HEAD_BYTES)).await;
+    let exchanged = exchanged.ok_or(Failure::Late)?;
+    let broken = |cause: &dyn fmt::Display| Failure::Broken(cause.to_string());
+    let (answer, is_sent_whole) = exchanged.map_err(|fault| broken(&fault))?;
+    let framing = Framing::of_response(&answer, &head.method).map_err(|err| broken(&err))?;
+    let note = (gate.dialect.read_note)(&answer);
+    let (decoder, server) = (Decoder::new(framing), server.name.clone());
+    let answer = Answer { head: answer, note, decoder, connection, is_sent_whole, server };
+    answer.into_whole(gate, FOREIGN_BYTES, by).await
+}
+
+async fn connect(
+    gate: &Gate,
+    server: &Server,
+    by: Instant,
+    reuse: Duration,
+) -> Result<Connection, Failure> {
+    if let Some(kept) = gate.idle.take(&server.name, reuse).await {
         return Ok(kept);
     }
-    let left = outgoing.head_by.saturating_duration_since(Instant::now());
+    let left = by.saturating_duration_since(Instant::now());
     let limit = CONNECT_LIMIT.min(left);
-    let opened = Connection::open(outgoing.server.address, Wire::Request, limit, SILENCE).await;
+    let opened = Connection::open(server.address, Wire::Request, limit, SILENCE).await;
     opened.map_err(|err| Failure::Unreached(err.to_string()))
 }
 
--- a/crates/ffw-support/src/build.rs
+++ b/crates/ffw-support/src/build.rs
@@ -19,6 +19,7 @@
         pieces: 40,
         piece_tokens: 1_024,
         memory_grows: false,
+        decode_reads: false,
         prefill_rate: 20_000,
         link_rate: 200_000,
         token_time: Duration::from_millis(25),
--- a/crates/fireflyworks/src/command/route.rs
+++ b/crates/fireflyworks/src/command/route.rs
@@ -14,6 +14,7 @@
     ffw_http::server as listener,
     ffw_peer::{handshake::Secret, link::Pool},
     ffw_route::{
+        engine,
         gate::{self, Gate, Limits},
         server,
     },
@@ -103,6 +104,7 @@
     executor::detach(owner::run_hosting(daemon.clone()));
     let gate = Gate::new(daemon.clone(), DIALECT, limits(&settings));
     executor::detach(gate::tidy(gate.clone()));
+    executor::detach(engine::run_probes(gate.clone()));
     executor::detach(server::serve_readiness(gate.clone(), readiness));
     executor::detach(server::serve(gate.clone(), callers));
     while let Ok(Signal::Reload) = signals.recv().await {
