Change the roles of engines to fit the mix of prompts and answers

Change: shard::roles compares what both sides can serve with one server more or less and changes one server at a time, for a gain of 7% that has lasted 2 s. Orders go out under the lease that the product's controllers use, kept in the store, counted on the clock that goes on while a machine is suspended, and name the count of orders that the engine must have accepted before.

--- a/crates/ffw-control/src/owner.rs
+++ b/crates/ffw-control/src/owner.rs
@@ -7,7 +7,10 @@
         ledger::Subject,
     },
     ffw_backend::engine,
-    ffw_decide::{baseline::Policy, shard},
+    ffw_decide::{
+        baseline::Policy,
+        shard::{self, roles::Change},
+    },
     ffw_peer::service::{Renewed, ShardStatus},
     ffw_protocol::{
         admission::{Ask, Attempt, Basis, Cause, Refusal, Release, Renewal, Server, Verdict},
@@ -159,6 +162,11 @@
         self.lock().shard.overloaded()
     }
 
+    /// The engine that is to change its role now, if one is.
+    pub fn role_change(&self) -> Option<Change> {
+        self.lock().shard.role_change(identity::now())
+    }
+
     /// Engines that are passed over until they answer a probe, which is due now.
     pub fn probes_due(&self) -> Vec<Server> {
         self.lock().shard.probes_due(identity::now())
--- a/crates/ffw-decide/src/shard.rs
+++ b/crates/ffw-decide/src/shard.rs
@@ -13,6 +13,7 @@
 mod queue;
 mod renewal;
 mod review;
+pub mod roles;
 pub mod server;
 
 use {
@@ -27,6 +28,7 @@
     },
     place::Place,
     review::REVIEW_PERIOD,
+    roles::Roles,
     server::{Decode, Prefill},
     std::{sync::Arc, time::Duration},
 };
@@ -149,6 +151,7 @@
     fairness: Fairness,
     inflow: estimate::Inflow,
     output_share: f64,
+    roles: Roles,
     settled_at: Moment,
     reviewed_at: Moment,
     wake_at: Moment,
@@ -172,6 +175,7 @@
             fairness,
             inflow: estimate::Inflow::default(),
             output_share: OUTPUT_SHARE,
+            roles: Roles::default(),
             settled_at: now + SETTLE_TIME,
             reviewed_at: now,
             wake_at: now,
--- a/crates/ffw-decide/src/shard/place.rs
+++ b/crates/ffw-decide/src/shard/place.rs
@@ -135,7 +135,7 @@
     let pieces = settings.pieces_of(ask);
     let mut best: Option<Plan> = None;
     let mut blocked = Blocked::NoServer;
-    let live = || prefills.iter().filter(|(_, one)| !one.leaving);
+    let live = || prefills.iter().filter(|(_, one)| one.is_open(now));
     let all_rest = live().all(|(_, one)| one.rest.is_resting(now));
     let live = live().filter(|(_, one)| all_rest || !one.rest.is_resting(now));
     let works = live.map(|one| (Some(one.0), Work::of(ask, settings, one.1)));
@@ -144,7 +144,7 @@
         None if settings.decode_reads => (None, Work::at_decode(now, ask, settings)),
         None => return Err(Blocked::NoServer),
     };
-    let live = || decodes.iter().filter(|(_, one)| !one.leaving);
+    let live = || decodes.iter().filter(|(_, one)| one.is_open(now));
     let all_rest = live().all(|(_, one)| one.rest.is_resting(now));
     for (decode, server) in live().filter(|(_, one)| all_rest || !one.rest.is_resting(now)) {
         let room = if settings.memory_grows {
--- a/crates/ffw-decide/src/shard/queue.rs
+++ b/crates/ffw-decide/src/shard/queue.rs
@@ -38,6 +38,8 @@
         let arrival = now - ask.waited;
         let (target, deadline) = (now + ask.target, now + ask.patience);
         self.inflow.add(now, &self.load_of(&ask, false));
+        let output = self.expected_output(&ask);
+        self.roles.note(&ask, output);
         let at = self.waiting.partition_point(|one| one.arrival <= arrival);
         self.waiting.insert(
             at,
--- a/crates/ffw-decide/src/shard/review.rs
+++ b/crates/ffw-decide/src/shard/review.rs
@@ -86,7 +86,7 @@
     }
 
     fn capacity(&self, now: Moment) -> estimate::Capacity {
-        let live = || self.decodes.iter().filter(|(_, one)| !one.leaving);
+        let live = || self.decodes.iter().filter(|(_, one)| one.is_open(now));
         let free: u32 = live().map(|(_, one)| one.slots_free(self.settings.slots)).sum();
         // Places that are planned for all that was asked for mostly end sooner.
         let share = if self.settings.memory_grows { 1.0 } else { self.output_share };
@@ -98,7 +98,7 @@
             if free > 0 { Duration::ZERO } else { ends.min().unwrap_or(now).since(now) };
         estimate::Capacity {
             slots: live().count() as u32 * self.settings.slots,
-            prefills: self.prefills.iter().filter(|(_, one)| !one.leaving).count() as u32,
+            prefills: self.prefills.iter().filter(|(_, one)| one.is_open(now)).count() as u32,
             next_slot,
         }
     }
--- a/crates/ffw-decide/src/shard/server.rs
+++ b/crates/ffw-decide/src/shard/server.rs
@@ -87,6 +87,8 @@
     pub server: admission::Server,
     /// Takes no new work.
     pub leaving: bool,
+    /// Until when it is taken to change its role.
+    pub changes_until: Moment,
     /// When its reserved work ends.
     pub free_at: Moment,
     /// Prefixes that it is thought to have cached.
@@ -107,6 +109,7 @@
         Prefill {
             server,
             leaving: false,
+            changes_until: Moment(0),
             free_at: Moment(0),
             hints: Hints::default(),
             slowness: 1.0,
@@ -116,6 +119,11 @@
         }
     }
 
+    /// Whether it takes new work.
+    pub fn is_open(&self, now: Moment) -> bool {
+        !self.leaving && now >= self.changes_until
+    }
+
     /// Notes whether a prompt that it had read could be had from it.
     pub fn note_result(&mut self, now: Moment, is_usable: bool) {
         self.unusable = if is_usable { 0 } else { self.unusable + 1 };
@@ -143,6 +151,8 @@
     pub server: admission::Server,
     /// Takes no new work.
     pub leaving: bool,
+    /// Until when it is taken to change its role.
+    pub changes_until: Moment,
     /// Places reserved at it.
     pub places: Vec<Key<Place>>,
     /// Pieces reserved at it.
@@ -165,6 +175,7 @@
         Decode {
             server,
             leaving: false,
+            changes_until: Moment(0),
             places: Vec::new(),
             pieces: 0,
             link_free_at: Moment(0),
@@ -175,6 +186,11 @@
         }
     }
 
+    /// Whether it takes new work.
+    pub fn is_open(&self, now: Moment) -> bool {
+        !self.leaving && now >= self.changes_until
+    }
+
     /// Learns from `tokens` tokens that took `span`.
     pub fn learn(&mut self, tokens: u32, span: Duration) {
         let sample = span.as_secs_f64() / f64::from(tokens.max(1));
--- a/crates/ffw-route/src/dialect.rs
+++ b/crates/ffw-route/src/dialect.rs
@@ -3,6 +3,7 @@
 //! The router knows only these types; the adapter of a platform fills in the functions.
 
 use {
+    ffw_decide::shard::roles::Side,
     ffw_http::message::{Malformed, Request, Response},
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
@@ -92,6 +93,30 @@
     pub keeps: Option<Duration>,
 }
 
+/// What an engine reports of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Report {
+    /// An order is being carried out.
+    pub is_busy: bool,
+    /// Orders that it has accepted since its start.
+    pub sequence: u64,
+}
+
+/// An order to change a role.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Order<'a> {
+    /// Name of the server.
+    pub server: &'a str,
+    /// Its new role.
+    pub role: Side,
+    /// Name of the daemon that gives the order.
+    pub holder: &'a str,
+    /// Fencing number of its lease.
+    pub fence: u64,
+    /// Orders that the server must have accepted before.
+    pub sequence: u64,
+}
+
 /// The functions of one deployment.
 #[derive(Clone, Copy, Debug)]
 pub struct Dialect {
@@ -107,6 +132,10 @@
     pub write_free: fn(&str) -> Request,
     /// Writes a call that asks the named engine whether it is there.
     pub write_probe: fn(&str) -> Request,
+    /// Reads the answer to [`Dialect::write_probe`].
+    pub read_report: fn(&[u8]) -> Result<Report, Malformed>,
+    /// Writes an order.
+    pub write_order: fn(&Order<'_>) -> (Request, Vec<u8>),
     /// Path of the question whether this daemon is ready.
     pub ready_path: &'static str,
 }
--- a/crates/fireflyworks/src/command/route.rs
+++ b/crates/fireflyworks/src/command/route.rs
@@ -16,14 +16,16 @@
     ffw_route::{
         engine,
         gate::{self, Gate, Limits},
-        server,
+        roles, server,
     },
     ffw_runtime::{
         executor,
         shutdown::{self, Signal},
         timer,
     },
-    fireflyworks_platform::{announce, dialect::DIALECT, follow, settings::Settings, store::Store},
+    fireflyworks_platform::{
+        announce, dialect::DIALECT, follow, lease, settings::Settings, store::Store,
+    },
     log::{LevelFilter, info, warn},
     std::{
         process::ExitCode,
@@ -105,6 +107,7 @@
     let gate = Gate::new(daemon.clone(), DIALECT, limits(&settings));
     executor::detach(gate::tidy(gate.clone()));
     executor::detach(engine::run_probes(gate.clone()));
+    executor::detach(roles::run(gate.clone(), lease::keeper(&store)));
     executor::detach(server::serve_readiness(gate.clone(), readiness));
     executor::detach(server::serve(gate.clone(), callers));
     while let Ok(Signal::Reload) = signals.recv().await {
