Move a run to another server before its own leaves

Change: between two events the entry looks whether the decode server is leaving, asks the owner for a place that needs no prompt to be read, has the run stopped and its memory copied, and goes on there after the last event that the caller has. Work that was started goes before what waits.

--- a/crates/ffw-decide/src/shard/place.rs
+++ b/crates/ffw-decide/src/shard/place.rs
@@ -140,9 +140,10 @@
     let live = live().filter(|(_, one)| all_rest || !one.rest.is_resting(now));
     let works = live.map(|one| (Some(one.0), Work::of(ask, settings, one.1)));
     let (prefill, work) = match works.min_by_key(|(_, work)| work.end(now)) {
-        Some(best) => best,
+        Some(best) if !ask.is_read => best,
+        _ if ask.is_read => (None, Work { free_at: now, span: Duration::ZERO, cached: 0 }),
         None if settings.decode_reads => (None, Work::at_decode(now, ask, settings)),
-        None => return Err(Blocked::NoServer),
+        _ => return Err(Blocked::NoServer),
     };
     let live = || decodes.iter().filter(|(_, one)| one.is_open(now));
     let all_rest = live().all(|(_, one)| one.rest.is_resting(now));
--- a/crates/ffw-decide/src/shard/queue.rs
+++ b/crates/ffw-decide/src/shard/queue.rs
@@ -75,7 +75,9 @@
         let mut candidates = self.candidates(now);
         while let Some(pick) = self.pick(&candidates, &passed) {
             let found = self.search(now, pick.index);
-            if !candidates[pick.index].is_late && self.misses_target(pick.index, &found) {
+            if pick.reason != Reason::Started
+                && !candidates[pick.index].is_late
+                && self.misses_target(pick.index, &found) {
                 self.waiting[pick.index].misses_target = true;
                 candidates[pick.index].is_late = true;
                 candidates[pick.index].due = self.waiting[pick.index].deadline;
@@ -164,7 +166,17 @@
         if self.settings.memory_grows { self.expected_output(ask) } else { ask.tokens_out }
     }
 
+    /// The first that goes on with work that was started, which would be wasted otherwise.
+    fn first_started(&self, passed: &[usize]) -> Option<usize> {
+        let is_open = |at: &usize| passed.binary_search(at).is_err();
+        let started = (0..self.waiting.len()).filter(|at| self.waiting[*at].ask.is_read);
+        started.filter(is_open).min_by_key(|at| self.waiting[*at].target)
+    }
+
     fn pick(&self, candidates: &[Candidate], passed: &[usize]) -> Option<Pick> {
+        if let Some(index) = self.first_started(passed) {
+            return Some(Pick { index, reason: Reason::Started });
+        }
         if passed.is_empty() {
             return self.fairness.pick(candidates);
         }
--- a/crates/ffw-entry/src/generate/attempt.rs
+++ b/crates/ffw-entry/src/generate/attempt.rs
@@ -130,6 +130,7 @@
         rank: work.rank,
         tokens_in: work.tokens_in + resume_from,
         tokens_out: work.tokens_out - resume_from,
+        is_read: false,
         output_hint: None,
         waited: ffw_control::identity::now().since(account.arrived),
         target: work.target(),
--- a/crates/ffw-protocol/src/admission.rs
+++ b/crates/ffw-protocol/src/admission.rs
@@ -34,6 +34,9 @@
     pub tokens_in: u32,
     /// Most output tokens that may follow.
     pub tokens_out: u32,
+    /// Whether the prompt was read already, so that only a decode server is needed.
+    #[serde(default)]
+    pub is_read: bool,
     /// Caller's estimate of the output tokens; right in the middle, and often far off.
     #[serde(default)]
     pub output_hint: Option<u32>,
@@ -67,6 +70,8 @@
     Redeclared,
     /// Baseline without an owner, for measurement.
     Baseline,
+    /// It goes on with work that was started.
+    Started,
 }
 
 /// Values that decided.
--- a/crates/ffw-route/src/dialect.rs
+++ b/crates/ffw-route/src/dialect.rs
@@ -93,6 +93,17 @@
     pub keeps: Option<Duration>,
 }
 
+/// A run that is to go on at another server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Move<'a> {
+    /// Name of the server that runs it.
+    pub server: &'a str,
+    /// Id of its request.
+    pub id: &'a str,
+    /// Address of the server to which its memory is copied.
+    pub target: SocketAddr,
+}
+
 /// What an engine reports of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Report {
@@ -126,7 +137,7 @@
     pub write_call: fn(&Request, &Call<'_>) -> Request,
     /// Reads the head of an answer.
     pub read_note: fn(&Response) -> Note,
-    /// Reads the handle from the body of an answer to [`Step::Prefill`].
+    /// Reads the handle from the body of an answer to [`Step::Prefill`] or a move.
     pub read_handle: fn(&[u8]) -> Result<Arc<str>, Malformed>,
     /// Writes a call that frees a handle.
     pub write_free: fn(&str) -> Request,
@@ -136,6 +147,8 @@
     pub read_report: fn(&[u8]) -> Result<Report, Malformed>,
     /// Writes an order.
     pub write_order: fn(&Order<'_>) -> (Request, Vec<u8>),
+    /// Writes a call that moves a run to another server.
+    pub write_move: fn(&Move<'_>) -> (Request, Vec<u8>),
     /// Path of the question whether this daemon is ready.
     pub ready_path: &'static str,
 }
--- a/crates/ffw-route/src/stream.rs
+++ b/crates/ffw-route/src/stream.rs
@@ -2,6 +2,7 @@
 //! its decode server. A run that ends before its stream does is followed by another one where the
 //! route allows that.
 
+mod moving;
 mod relay;
 
 use {
@@ -21,8 +22,12 @@
     },
     ffw_runtime::timer,
     log::{debug, info},
+    moving::{Mover, Onward},
     relay::{Relay, RelayEnd},
-    std::time::{Duration, Instant},
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
 };
 
 /// Calls that a place takes: one to read the prompt, one to run the request.
@@ -70,7 +75,7 @@
 }
 
 /// Serves a stream.
-pub(crate) async fn serve(gate: &Gate, exchange: &Exchange, caller: &mut Connection) -> End {
+pub(crate) async fn serve(gate: &Arc<Gate>, exchange: &Exchange, caller: &mut Connection) -> End {
     let watcher = caller.watcher();
     let mut stream = Stream { gate, exchange, relay: Relay::new(exchange, caller), is_run: false };
     let left = exchange.left();
@@ -100,7 +105,7 @@
 }
 
 struct Stream<'a> {
-    gate: &'a Gate,
+    gate: &'a Arc<Gate>,
     exchange: &'a Exchange,
     relay: Relay<'a>,
     /// Whether a decode server may have begun to run it.
@@ -125,7 +130,8 @@
                 Err(error) => return self.relay.fail(error),
             };
             places += 1;
-            let setback = match self.try_place(&place).await {
+            let mut place = place;
+            let setback = match self.try_place(&mut place).await {
                 Ok(after) => {
                     self.log_served(&place);
                     place.release(self.relay.emitted(), true, None);
@@ -175,70 +181,48 @@
     /// Asks for a place; `number` parts the places of one request.
     async fn place(&self, number: u32) -> Result<Place> {
         let daemon = &self.gate.daemon;
-        let attempt = Attempt { request: daemon.identity.next_request(), number };
-        let ask = self.ask(attempt.request, number)?;
+        let ask = ask(self.exchange, &self.relay, daemon.identity.next_request(), number, false)?;
         match admission::place(daemon, &self.exchange.pool, ask).await? {
             Decision::Place(place) => Ok(place),
             Decision::Refusal(refusal) => Err(refused(&refusal)),
         }
     }
 
-    fn ask(&self, request: id::Request, number: u32) -> Result<Ask> {
-        let route = &self.exchange.route;
-        let no_size = || Error::new(Kind::Malformed, "a request to a model gives its sizes");
-        let Tokens { prompt, output, output_hint } =
-            self.exchange.intent.tokens.ok_or_else(no_size)?;
-        let since = self.relay.silent_since();
-        let target = if self.relay.has_begun() {
-            Duration::from_millis(route.gap_ms)
-        } else {
-            route.target()
-        };
-        let patience = PATIENCE_MIN
-            .max(route.target() * PATIENCE_TARGETS)
-            .max(Duration::from_millis(route.gap_ms) * PATIENCE_GAPS);
-        let left = |span: Duration| span.saturating_sub(since.elapsed() + TRANSIT);
-        Ok(Ask {
-            attempt: Attempt { request, number },
-            customer: route.name.clone(),
-            weight: 1,
-            service: route.name.clone(),
-            rank: route.rank,
-            tokens_in: prompt + self.relay.emitted(),
-            tokens_out: output.saturating_sub(self.relay.emitted()),
-            output_hint: output_hint.map(|hint| hint.saturating_sub(self.relay.emitted())),
-            waited: Duration::ZERO,
-            target: left(target),
-            patience: left(patience).min(self.exchange.left()),
-            prefix: Vec::new(),
-        })
-    }
-
-    async fn try_place(&mut self, place: &Place) -> std::result::Result<After, Setback> {
+    async fn try_place(&mut self, place: &mut Place) -> std::result::Result<After, Setback> {
         timer::sleep(place.grant.start_in).await;
         // Where no prefill server is left, the decode server reads the prompt itself.
         let reads_itself = place.grant.prefill.name == place.grant.decode.name;
-        let source = if reads_itself { None } else { Some(self.prefill(place).await?) };
-        place.note_phase(Phase::Transfer);
-        let answer = self.decode(place, source.as_ref()).await?;
-        place.note_phase(Phase::Decode);
-        let end = self.relay.pass_on(self.gate, answer, place).await;
-        let decode = &place.grant.decode;
-        match end {
-            RelayEnd::Whole => Ok(caller::after(self.gate, &self.exchange.head)),
-            RelayEnd::CallerGone => Err(Setback {
-                error: Error::new(Kind::CallerGone, "the caller does not read"),
-                failed: None,
-                may_repeat: false,
-            }),
-            RelayEnd::Broken(cause) => {
-                let message = format!("backend server {}: {cause}", decode.name);
-                Err(Setback {
-                    error: Error::new(Kind::BackendFailed, message),
-                    failed: Some(failed(decode, Failing::Broken)),
-                    may_repeat: self.exchange.route.is_resumable,
-                })
+        let mut source = if reads_itself { None } else { Some(self.prefill(place).await?) };
+        loop {
+            place.note_phase(Phase::Transfer);
+            let answer = self.decode(place, source.as_ref()).await?;
+            place.note_phase(Phase::Decode);
+            let (id, pool) = (&self.exchange.intent.id, &self.exchange.pool);
+            let mut mover = Mover::new(self.gate, id, pool, &place.grant.decode);
+            let end = self.relay.pass_on(self.gate, answer, place, &mut mover).await;
+            let cause = match end {
+                RelayEnd::Whole => return Ok(caller::after(self.gate, &self.exchange.head)),
+                RelayEnd::CallerGone => return Err(caller_gone()),
+                RelayEnd::Broken(cause) => cause,
+            };
+            let Some(onward) = mover.onward().await else {
+                return Err(self.broken(&place.grant.decode, &cause));
+            };
+            let Onward { place: next, source: memory } = onward;
+            if let Some(next) = next {
+                let before = std::mem::replace(place, next);
+                before.release(self.relay.emitted(), true, None);
             }
+            source = Some(memory);
+        }
+    }
+
+    fn broken(&self, server: &Server, cause: &str) -> Setback {
+        let message = format!("backend server {}: {cause}", server.name);
+        Setback {
+            error: Error::new(Kind::BackendFailed, message),
+            failed: Some(failed(server, Failing::Broken)),
+            may_repeat: self.exchange.route.is_resumable,
         }
     }
 
@@ -288,7 +272,6 @@
         let head_by = Instant::now() + limit;
         let outgoing = self.outgoing(server, step, head_by);
         let result = transport::call(self.gate, &outgoing).await;
-        let may_resume = self.exchange.route.is_resumable;
         let message = |cause: String| format!("backend server {}: {cause}", server.name);
         let was_run = self.is_run;
         let not_run = |cause: String, how: Failing| Setback {
@@ -310,11 +293,7 @@
             Err(Failure::Unreached(cause)) => return Err(not_run(cause, Failing::Broken)),
             Err(failure @ (Failure::Broken(_) | Failure::Late)) => {
                 self.is_run = true;
-                return Err(Setback {
-                    error: Error::new(Kind::BackendFailed, message(failure.to_string())),
-                    failed: Some(failed(server, Failing::Broken)),
-                    may_repeat: may_resume,
-                });
+                return Err(self.broken(server, &failure.to_string()));
             }
         };
         self.is_run = true;
@@ -324,11 +303,7 @@
             None => format!("answered {}", answer.head.status),
             Some(fault) => fault.to_owned(),
         };
-        Err(Setback {
-            error: Error::new(Kind::BackendFailed, message(cause)),
-            failed: Some(failed(server, Failing::Broken)),
-            may_repeat: may_resume,
-        })
+        Err(self.broken(server, &cause))
     }
 
     fn outgoing<'a>(
@@ -351,10 +326,52 @@
     }
 }
 
+/// What the owner of the shard is asked for; `is_read` if the prompt was read already.
+fn ask(
+    exchange: &Exchange,
+    relay: &Relay<'_>,
+    request: id::Request,
+    number: u32,
+    is_read: bool,
+) -> Result<Ask> {
+    let route = &exchange.route;
+    let no_size = || Error::new(Kind::Malformed, "a request to a model gives its sizes");
+    let Tokens { prompt, output, output_hint } = exchange.intent.tokens.ok_or_else(no_size)?;
+    let gap = Duration::from_millis(route.gap_ms);
+    let target = if relay.has_begun() { gap } else { route.target() };
+    let patience =
+        PATIENCE_MIN.max(route.target() * PATIENCE_TARGETS).max(gap * PATIENCE_GAPS);
+    let since = relay.silent_since().elapsed();
+    let left = |span: Duration| span.saturating_sub(since + TRANSIT);
+    Ok(Ask {
+        attempt: Attempt { request, number },
+        customer: route.name.clone(),
+        weight: 1,
+        service: route.name.clone(),
+        rank: route.rank,
+        tokens_in: prompt + relay.emitted(),
+        tokens_out: output.saturating_sub(relay.emitted()),
+        is_read,
+        output_hint: output_hint.map(|hint| hint.saturating_sub(relay.emitted())),
+        waited: Duration::ZERO,
+        target: left(target),
+        patience: left(patience).min(exchange.left()),
+        prefix: Vec::new(),
+    })
+}
+
 fn failed(server: &Server, how: Failing) -> Failed {
     Failed { server: server.name.clone(), how }
 }
 
+fn caller_gone() -> Setback {
+    Setback {
+        error: Error::new(Kind::CallerGone, "the caller does not read"),
+        failed: None,
+        may_repeat: false,
+    }
+}
+
 fn failing(head: &Response, note: &Note) -> Failing {
     match note.is_not_run {
         true if head.status == 421 => Failing::Replaced,
--- /dev/null
+++ b/crates/ffw-route/src/stream/moving.rs
@@ -0,0 +1,137 @@
+//! Moves a run to another decode server before its own leaves, while its events go on.
+//!
+//! Each step is looked at between two events, so that nothing that is being written to the caller
+//! is ever broken off.
+
+use {
+    crate::{
+        dialect::{Move, Source},
+        gate::Gate,
+        transport,
+    },
+    ffw_control::admission::{self, Decision, Place},
+    ffw_protocol::{
+        admission::{Ask, Server},
+        error::Result,
+    },
+    ffw_runtime::{executor, timer},
+    log::info,
+    smol::Task,
+    std::{
+        sync::Arc,
+        time::{Duration, Instant},
+    },
+};
+
+/// Time for a server to stop a run and copy its memory.
+const MOVE_LIMIT: Duration = Duration::from_millis(700);
+
+/// Pause before a place is asked for again.
+const ASK_PAUSE: Duration = Duration::from_millis(400);
+
+/// Where a run goes on.
+#[derive(Debug)]
+pub(super) struct Onward {
+    /// The place that it goes on in; none if it goes on where it was.
+    pub(super) place: Option<Place>,
+    /// Where its memory lies.
+    pub(super) source: Source,
+}
+
+/// A run that may have to move.
+#[derive(Debug)]
+pub(super) struct Mover {
+    gate: Arc<Gate>,
+    id: Arc<str>,
+    pool: Arc<str>,
+    server: Server,
+    state: State,
+}
+
+#[derive(Debug)]
+enum State {
+    Staying { ask_after: Option<Instant> },
+    Asking(Task<Result<Decision>>),
+    Moving(Task<Option<Onward>>),
+}
+
+impl Mover {
+    pub(super) fn new(gate: &Arc<Gate>, id: &Arc<str>, pool: &Arc<str>, server: &Server) -> Mover {
+        let state = State::Staying { ask_after: None };
+        let (gate, id, pool) = (gate.clone(), id.clone(), pool.clone());
+        Mover { gate, id, pool, server: server.clone(), state }
+    }
+
+    /// Takes the next step, if one can be taken. `ask` asks for a place to go on in.
+    pub(super) async fn step(&mut self, ask: impl FnOnce() -> Option<Ask>) {
+        let is_done = match &self.state {
+            State::Staying { ask_after } => {
+                let may_ask = ask_after.is_none_or(|at| Instant::now() >= at);
+                may_ask && self.is_leaving()
+            }
+            State::Asking(task) => task.is_finished(),
+            State::Moving(_) => false,
+        };
+        if !is_done {
+            return;
+        }
+        let stay = State::Staying { ask_after: Some(Instant::now() + ASK_PAUSE) };
+        self.state = match std::mem::replace(&mut self.state, stay) {
+            State::Staying { .. } => match ask() {
+                Some(ask) => self.ask(ask),
+                None => return,
+            },
+            State::Asking(task) => match task.await {
+                Ok(Decision::Place(place)) => self.start_move(place),
+                Ok(Decision::Refusal(_)) | Err(_) => return,
+            },
+            moving => moving,
+        };
+    }
+
+    fn is_leaving(&self) -> bool {
+        let roster = self.gate.daemon.register.roster();
+        let found = roster.instances.binary_search_by(|one| one.name.cmp(&self.server.name));
+        found.is_err() || found.is_ok_and(|at| !roster.instances[at].is_live())
+    }
+
+    fn ask(&self, ask: Ask) -> State {
+        let (gate, pool) = (self.gate.clone(), self.pool.clone());
+        let asking = async move { admission::place(&gate.daemon, &pool, ask).await };
+        State::Asking(executor::spawn(asking))
+    }
+
+    fn start_move(&self, place: Place) -> State {
+        let (gate, id, server) = (self.gate.clone(), self.id.clone(), self.server.clone());
+        State::Moving(executor::spawn(async move { move_run(&gate, &id, &server, place).await }))
+    }
+
+    /// Where the run goes on, now that its server has ended it.
+    pub(super) async fn onward(self) -> Option<Onward> {
+        match self.state {
+            State::Moving(task) => timer::timeout(MOVE_LIMIT, task).await.flatten(),
+            State::Staying { .. } | State::Asking(_) => None,
+        }
+    }
+}
+
+/// Tells a server to stop a run and to copy its memory to the server of a place.
+async fn move_run(gate: &Gate, id: &str, from: &Server, place: Place) -> Option<Onward> {
+    let target = place.grant.decode.clone();
+    let order = Move { server: &from.name, id, target: target.address };
+    let (head, body) = (gate.dialect.write_move)(&order);
+    let answer = transport::ask(gate, from, &head, &body, MOVE_LIMIT).await;
+    let (status, handle) = match &answer {
+        Ok(whole) => (whole.head.status, (gate.dialect.read_handle)(&whole.body).ok()),
+        Err(failure) => {
+            info!("event=move_failed request={id} from={} error=\"{failure}\"", from.name);
+            return None;
+        }
+    };
+    let to = &target.name;
+    info!("event=run_moved request={id} from={} to={to} status={status}", from.name);
+    let source = Source { address: from.address, handle: handle? };
+    // With a refusal, the run has stopped and its memory is still where it was.
+    let place = (status == 200).then_some(place);
+    Some(Onward { place, source })
+}
--- a/crates/ffw-route/src/stream/relay.rs
+++ b/crates/ffw-route/src/stream/relay.rs
@@ -1,7 +1,7 @@
 //! Passes the events of a stream on to its caller, whole events only, across several runs.
 
 use {
-    super::End,
+    super::{End, moving::Mover},
     crate::{
         answer::{self, After, UNREAD_LIMIT},
         caller::{self, Exchange},
@@ -10,7 +10,7 @@
     },
     ffw_control::admission::Place,
     ffw_http::connection::Connection,
-    ffw_protocol::error::Error,
+    ffw_protocol::{admission::Ask, error::Error},
     ffw_runtime::timer,
     std::time::{Duration, Instant},
 };
@@ -100,6 +100,7 @@
         gate: &Gate,
         mut answer: Answer,
         place: &Place,
+        mover: &mut Mover,
     ) -> RelayEnd {
         let mut unsent: Vec<u8> = Vec::new();
         loop {
@@ -124,6 +125,7 @@
             if self.send(gate, &answer, &events).await.is_err() {
                 return RelayEnd::CallerGone;
             }
+            mover.step(|| self.ask(gate)).await;
         }
         if !unsent.is_empty() {
             return RelayEnd::Broken("the stream ended within an event".into());
@@ -135,6 +137,11 @@
         RelayEnd::Whole
     }
 
+    /// Asks for a place in which the run goes on.
+    fn ask(&self, gate: &Gate) -> Option<Ask> {
+        super::ask(self.exchange, self, gate.daemon.identity.next_request(), 1, true).ok()
+    }
+
     fn note_events(&mut self, events: &[u8]) {
         let text = String::from_utf8_lossy(events);
         let ids = text.lines().filter_map(|line| line.strip_prefix("id:"));
--- a/crates/ffw-support/src/build.rs
+++ b/crates/ffw-support/src/build.rs
@@ -58,6 +58,7 @@
         rank,
         tokens_in,
         tokens_out,
+        is_read: false,
         output_hint: None,
         waited: Duration::ZERO,
         target: Duration::from_secs(30),
