Check an entry's own list before a place is used

Change: an entry gives a place back, with the server's name, if its own list says that the server leaves; nothing was sent, so the retry budget is not touched. A repeat takes from the budget just what it repeats.

Ruled out: a lag of the entries' watches (their list had the removal at once).

--- a/crates/ffw-control/src/snapshot.rs
+++ b/crates/ffw-control/src/snapshot.rs
@@ -227,6 +227,13 @@
         !instance.is_live() || is_drained || own_words.contains(&instance.name)
     }
 
+    /// Whether the list names a backend server that takes new work.
+    pub fn takes_work(&self, server: &str) -> bool {
+        let roster = self.roster.load();
+        let found = roster.instances.binary_search_by(|one| (*one.name).cmp(server));
+        found.is_ok_and(|at| !self.is_leaving(&roster.instances[at], &[]))
+    }
+
     /// Members of a pool in one role.
     pub fn members(&self, pool: &str, role: Role, own_words: &[Arc<str>]) -> Vec<shard::Member> {
         let roster = self.roster.load();
--- a/crates/ffw-decide/src/shard/queue.rs
+++ b/crates/ffw-decide/src/shard/queue.rs
@@ -77,7 +77,8 @@
             let found = self.search(now, pick.index);
             if pick.reason != Reason::Started
                 && !candidates[pick.index].is_late
-                && self.misses_target(pick.index, &found) {
+                && self.misses_target(pick.index, &found)
+            {
                 self.waiting[pick.index].misses_target = true;
                 candidates[pick.index].is_late = true;
                 candidates[pick.index].due = self.waiting[pick.index].deadline;
--- a/crates/ffw-protocol/src/admission.rs
+++ b/crates/ffw-protocol/src/admission.rs
@@ -218,7 +218,7 @@
 pub enum Failing {
     /// It could not be reached, broke off, or gave no answer in time.
     Broken,
-    /// Another server has its address.
+    /// It is leaving or gone, or another server has its address.
     Replaced,
     /// It said that it has no room, or can't have the KV cache of the prompt.
     Refused,
--- a/crates/ffw-route/src/stream.rs
+++ b/crates/ffw-route/src/stream.rs
@@ -119,6 +119,8 @@
     failed: Option<Failed>,
     /// Whether another place may be tried.
     may_repeat: bool,
+    /// Calls that another place repeats.
+    repeats: u32,
 }
 
 impl Stream<'_> {
@@ -139,18 +141,18 @@
                 }
                 Err(setback) => setback,
             };
-            let Setback { error, failed, may_repeat } = setback;
+            let Setback { error, failed, may_repeat, repeats } = setback;
             let id = &self.exchange.intent.id;
             let events = self.relay.events();
             info!(
                 "event=place_failed request={id} place={places} events={events} error=\"{error}\""
             );
             place.release(self.relay.emitted(), true, failed);
-            let repeats = may_repeat
+            let may_repeat = may_repeat
                 && places < PLACES_MAX
                 && !self.exchange.is_over()
-                && self.gate.take_repeat(&self.exchange.pool, CALLS_A_PLACE);
-            if !repeats {
+                && (repeats == 0 || self.gate.take_repeat(&self.exchange.pool, repeats));
+            if !may_repeat {
                 return self.relay.fail(error);
             }
         }
@@ -190,6 +192,7 @@
 
     async fn try_place(&mut self, place: &mut Place) -> std::result::Result<After, Setback> {
         timer::sleep(place.grant.start_in).await;
+        self.check_servers(place)?;
         // Where no prefill server is left, the decode server reads the prompt itself.
         let reads_itself = place.grant.prefill.name == place.grant.decode.name;
         let mut source = if reads_itself { None } else { Some(self.prefill(place).await?) };
@@ -217,12 +220,31 @@
         }
     }
 
+    /// The owner may know less than this entry of servers that leave.
+    fn check_servers(&self, place: &Place) -> std::result::Result<(), Setback> {
+        let servers = [&place.grant.prefill, &place.grant.decode];
+        let register = &self.gate.daemon.register;
+        let Some(leaving) = servers.into_iter().find(|one| !register.takes_work(&one.name)) else {
+            return Ok(());
+        };
+        let message = format!("backend server {} is leaving", leaving.name);
+        Err(Setback {
+            error: Error::new(Kind::BackendRefused, message)
+                .run(if self.is_run { Run::Unknown } else { Run::Not })
+                .retry_after(RETRY_AFTER),
+            failed: Some(failed(leaving, Failing::Replaced)),
+            may_repeat: true,
+            repeats: 0,
+        })
+    }
+
     fn broken(&self, server: &Server, cause: &str) -> Setback {
         let message = format!("backend server {}: {cause}", server.name);
         Setback {
             error: Error::new(Kind::BackendFailed, message),
             failed: Some(failed(server, Failing::Broken)),
             may_repeat: self.exchange.route.is_resumable,
+            repeats: CALLS_A_PLACE,
         }
     }
 
@@ -240,6 +262,7 @@
                 .retry_after(RETRY_AFTER),
             failed: Some(failed(server, how)),
             may_repeat: true,
+            repeats: 1,
         };
         let whole = whole.map_err(|failure| unread(Failing::Broken, failure.to_string()))?;
         if whole.head.status != 200 {
@@ -280,6 +303,7 @@
                 .retry_after(RETRY_AFTER),
             failed: Some(failed(server, how)),
             may_repeat: true,
+            repeats: CALLS_A_PLACE,
         };
         let answer = match result {
             Ok(answer) if answer.note.is_not_run => {
@@ -339,8 +363,7 @@
     let Tokens { prompt, output, output_hint } = exchange.intent.tokens.ok_or_else(no_size)?;
     let gap = Duration::from_millis(route.gap_ms);
     let target = if relay.has_begun() { gap } else { route.target() };
-    let patience =
-        PATIENCE_MIN.max(route.target() * PATIENCE_TARGETS).max(gap * PATIENCE_GAPS);
+    let patience = PATIENCE_MIN.max(route.target() * PATIENCE_TARGETS).max(gap * PATIENCE_GAPS);
     let since = relay.silent_since().elapsed();
     let left = |span: Duration| span.saturating_sub(since + TRANSIT);
     Ok(Ask {
@@ -369,6 +392,7 @@
         error: Error::new(Kind::CallerGone, "the caller does not read"),
         failed: None,
         may_repeat: false,
+        repeats: 0,
     }
 }
 
--- a/crates/ffw-route/src/stream/moving.rs
+++ b/crates/ffw-route/src/stream/moving.rs
@@ -82,17 +82,19 @@
                 None => return,
             },
             State::Asking(task) => match task.await {
-                Ok(Decision::Place(place)) => self.start_move(place),
-                Ok(Decision::Refusal(_)) | Err(_) => return,
+                Ok(Decision::Place(place)) if self.takes_work(&place) => self.start_move(place),
+                Ok(Decision::Place(_) | Decision::Refusal(_)) | Err(_) => return,
             },
             moving => moving,
         };
     }
 
     fn is_leaving(&self) -> bool {
-        let roster = self.gate.daemon.register.roster();
-        let found = roster.instances.binary_search_by(|one| one.name.cmp(&self.server.name));
-        found.is_err() || found.is_ok_and(|at| !roster.instances[at].is_live())
+        !self.gate.daemon.register.takes_work(&self.server.name)
+    }
+
+    fn takes_work(&self, place: &Place) -> bool {
+        self.gate.daemon.register.takes_work(&place.grant.decode.name)
     }
 
     fn ask(&self, ask: Ask) -> State {
