Publish a list whose held removals are believed as a newer one

Change: the version of a list counts whether it holds removals back.

Ruled out: a late watch (the removal came 4 ms after it was written), and a late timer of the store (the first try of a mend, which changed nothing).

--- a/crates/ffw-decide/src/listing.rs
+++ b/crates/ffw-decide/src/listing.rs
@@ -12,7 +12,7 @@
 const OUTAGE_MIN: Duration = Duration::from_secs(1);
 
 /// Time after the store's return within which entries that lapsed are written again.
-const LAPSE_LIMIT: Duration = Duration::from_millis(2_300);
+const LAPSE_LIMIT: Duration = Duration::from_millis(2_100);
 
 /// One listed instance.
 #[derive(Clone, Debug)]
@@ -59,12 +59,13 @@
         }
     }
 
-    /// Takes over the removal of an entry.
-    pub fn remove(&mut self, now: Moment, key: &str) {
+    /// Takes over the removal of an entry; gives the time for which it is held back.
+    pub fn remove(&mut self, now: Moment, key: &str) -> Duration {
         let gone_at = now.max(self.held_until);
         if let Ok(at) = self.entries.binary_search_by(|one| (*one.key).cmp(key)) {
             self.entries[at].gone_at.get_or_insert(gone_at);
         }
+        gone_at.since(now)
     }
 
     /// Takes over which entries there are; the others are removed.
@@ -83,6 +84,13 @@
         next.map(|at| at.since(now))
     }
 
+    /// Version of the list when the store's revision is `revision`. Where no removal is held back
+    /// any more, the list is newer than one of the same revision where some are.
+    pub fn version(&self, revision: u64) -> u64 {
+        let is_believed = self.entries.iter().all(|one| one.gone_at.is_none());
+        revision * 2 + u64::from(is_believed)
+    }
+
     /// The instances that can be used.
     pub fn instances(&self) -> Vec<Instance> {
         self.entries.iter().filter_map(|one| one.instance.clone()).collect()
--- a/crates/ffw-decide/tests/listing_outage.rs
+++ b/crates/ffw-decide/tests/listing_outage.rs
@@ -38,8 +38,8 @@
     listing.note_lost(Moment::from_millis(1_000));
     listing.note_answer(Moment::from_millis(6_000));
     listing.retain(Moment::from_millis(6_000), |_| false);
-    assert!(is_listed(&mut listing, 8_200));
-    assert!(!is_listed(&mut listing, 8_400));
+    assert!(is_listed(&mut listing, 8_000));
+    assert!(!is_listed(&mut listing, 8_200));
 }
 
 #[test]
@@ -61,6 +61,18 @@
     assert!(!is_listed(&mut listing, 8_501));
 }
 
+#[test]
+fn a_removal_that_is_believed_later_makes_a_newer_list() {
+    let (mut listing, key) = listing();
+    listing.note_lost(Moment::from_millis(1_000));
+    listing.note_answer(Moment::from_millis(6_000));
+    listing.remove(Moment::from_millis(6_100), &key);
+    let held = listing.version(40);
+    assert!(!is_listed(&mut listing, 8_200));
+    assert!(listing.version(40) > held, "the same version would not be taken over");
+    assert!(listing.version(41) > listing.version(40));
+}
+
 #[test]
 fn a_watch_that_was_cut_delays_no_removal() {
     let (mut listing, key) = listing();
