Never begin a moved run anew, and move runs off servers whose memory runs out

Beside it: a plain request that one server had run was answered 'not run' when no other server was left.

Change: a new run begins only if none has or the route lets streams be resumed; a refused moved run goes on where it was, or is tried again at its new server. A prompt that its decode server refuses is placed elsewhere while its result can be had. A server's own failure is passed on when no other server answers better.

--- a/crates/ffw-control/src/admission.rs
+++ b/crates/ffw-control/src/admission.rs
@@ -57,6 +57,7 @@
     waiting: usize,
     open: Vec<Progress>,
     changed: Vec<Attempt>,
+    moves: Vec<Attempt>,
     releases: Vec<Release>,
 }
 
@@ -71,6 +72,11 @@
         self.lock().is_idle()
     }
 
+    /// Notes which attempts are to move; those of before have moved, or could not.
+    fn note_moves(&self, attempts: &[Attempt]) {
+        self.lock().moves = attempts.to_vec();
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -148,6 +154,11 @@
         }
     }
 
+    /// Whether the owner wants the run to move to another decode server.
+    pub fn is_to_move(&self) -> bool {
+        self.lane.lock().moves.contains(&self.attempt)
+    }
+
     /// Gives the place back; `confirmed` says that both engines hold nothing of the attempt, and
     /// `failed` names the server that failed it.
     pub fn release(mut self, emitted: u32, confirmed: bool, failed: Option<Failed>) {
@@ -343,7 +354,9 @@
     let own = &daemon.identity.instance;
     let Some(target) = target.filter(|one| one.name != *own && daemon.policy == Policy::Owner)
     else {
-        return owner::renew(daemon, &renewal).is_owner;
+        let renewed = owner::renew(daemon, &renewal);
+        lane.note_moves(&renewed.moves);
+        return renewed.is_owner;
     };
     let renewed = renew_peer(daemon, target.address, renewal).await;
     match renewed {
@@ -354,6 +367,7 @@
             if renewed.is_draining {
                 suspect::suspect(daemon, &target.name, target.address);
             }
+            lane.note_moves(&renewed.moves);
             renewed.is_owner
         }
         Err(err) => {
--- a/crates/ffw-control/src/owner.rs
+++ b/crates/ffw-control/src/owner.rs
@@ -283,7 +283,7 @@
 pub fn renew(daemon: &Arc<Daemon>, renewal: &Renewal) -> Renewed {
     let config = daemon.register.config_number();
     let is_draining = daemon.is_draining();
-    let refused = Renewed { is_owner: false, is_draining, config };
+    let refused = Renewed { is_owner: false, is_draining, config, moves: Vec::new() };
     if !is_owner(daemon, &renewal.pool, &renewal.suspects) {
         return refused;
     }
@@ -291,8 +291,14 @@
         return refused;
     };
     hosted.lock().renewed_at = identity::now();
-    hosted.change(|shard| shard.renew(identity::now(), renewal));
-    Renewed { is_owner: true, is_draining, config }
+    let mut moves = Vec::new();
+    hosted.change(|shard| {
+        shard.renew(identity::now(), renewal);
+        if renewal.full {
+            moves = shard.runs_to_move(identity::now(), &renewal.entry);
+        }
+    });
+    Renewed { is_owner: true, is_draining, config, moves }
 }
 
 /// The shard of a pool; starts to own it if need be.
--- a/crates/ffw-decide/src/shard.rs
+++ b/crates/ffw-decide/src/shard.rs
@@ -11,6 +11,7 @@
 pub mod memory;
 pub mod place;
 mod queue;
+mod rebalance;
 mod renewal;
 mod review;
 pub mod roles;
--- a/crates/ffw-decide/src/shard/place.rs
+++ b/crates/ffw-decide/src/shard/place.rs
@@ -56,6 +56,8 @@
     pub missed: u8,
     /// Tokens charged to the customer so far.
     pub charged: f64,
+    /// When its entry was last told to move it; 0 if never.
+    pub told_at: Moment,
     /// Its cancel has been ordered and is not confirmed yet.
     pub cancelling: bool,
 }
@@ -69,14 +71,14 @@
 
     /// Output tokens that are still expected: the longer an answer has gone on beyond its estimate,
     /// the longer it is likely to go on.
-    fn expected_left(&self) -> u32 {
+    pub(super) fn expected_left(&self) -> u32 {
         let most = self.ask.tokens_out.saturating_sub(self.emitted);
         let left = self.expected.saturating_sub(self.emitted);
         left.max(self.emitted / OVERRUN_PART).min(most)
     }
 
     /// Memory that it is expected to hold from now on.
-    fn hold(&self, now: Moment, pace: f64) -> Hold {
+    pub(super) fn hold(&self, now: Moment, pace: f64) -> Hold {
         let since =
             if self.phase == Phase::Decode { now.since(self.heard) } else { Duration::ZERO };
         let unheard = since.as_secs_f64() / pace.max(1e-6);
--- a/crates/ffw-decide/src/shard/queue.rs
+++ b/crates/ffw-decide/src/shard/queue.rs
@@ -224,6 +224,7 @@
             expires: self.expiry(now, &waiting.ask),
             since: now,
             missed: 0,
+            told_at: Moment(0),
             charged: 0.0,
             cancelling: false,
             ask: waiting.ask,
--- a/crates/ffw-decide/src/shard/renewal.rs
+++ b/crates/ffw-decide/src/shard/renewal.rs
@@ -259,6 +259,7 @@
             expires: self.expiry(now, &ask),
             since: now,
             missed: 0,
+            told_at: Moment(0),
             charged: 0.0,
             cancelling: false,
             ask,
--- a/crates/ffw-decide/tests/shard_memory.rs
+++ b/crates/ffw-decide/tests/shard_memory.rs
@@ -7,7 +7,7 @@
         memory::{self, Hold},
     },
     ffw_protocol::{
-        admission::{Ask, Verdict},
+        admission::{Ask, Phase, Progress, Renewal, Verdict},
         time::Moment,
     },
     ffw_support::build,
@@ -76,3 +76,47 @@
     let at = memory::fits_at(second(0), &holds, 500.0, span, 1.0, 1_000.0);
     assert_eq!(at, Some(second(2)));
 }
+
+/// A shard of two decode servers, one of which runs `runs` requests that have made `emitted` tokens.
+fn with_runs(runs: u64, emitted: u32) -> (Shard, Moment) {
+    let now = Moment::from_millis(1_000);
+    let mut shard = Shard::new(now, "owner".into(), 1, settings());
+    shard.settle(now);
+    shard.set_members(&build::members(1, 2));
+    let progress = (0..runs).map(|sequence| Progress {
+        ask: ask(sequence, MOST_OUTPUT),
+        prefill: "prefill-0".into(),
+        decode: "decode-0".into(),
+        phase: Phase::Decode,
+        emitted,
+    });
+    let renewal = Renewal {
+        entry: "entry-1".into(),
+        incarnation: 1,
+        progress: progress.collect(),
+        ..Renewal::default()
+    };
+    shard.renew(now, &renewal);
+    (shard, now)
+}
+
+#[test]
+fn a_run_moves_off_a_server_whose_memory_runs_out() {
+    let (mut shard, now) = with_runs(8, 4_000);
+    let moves = shard.runs_to_move(now, &"entry-1".into());
+    assert_eq!(moves.len(), 1, "72,000 of 72,680 tokens are held");
+    assert!(shard.runs_to_move(now, &"entry-1".into()).is_empty(), "another one is told at once");
+}
+
+#[test]
+fn no_run_moves_while_there_is_memory() {
+    let (mut shard, now) = with_runs(8, 2_000);
+    assert!(shard.runs_to_move(now, &"entry-1".into()).is_empty());
+}
+
+#[test]
+fn only_the_entry_of_a_run_is_told_to_move_it() {
+    let (mut shard, now) = with_runs(8, 4_000);
+    assert!(shard.runs_to_move(now, &"entry-2".into()).is_empty());
+    assert_eq!(shard.runs_to_move(now, &"entry-1".into()).len(), 1);
+}
--- a/crates/ffw-peer/src/service.rs
+++ b/crates/ffw-peer/src/service.rs
@@ -20,6 +20,8 @@
     pub is_draining: bool,
     /// Number of the receiver's configuration version.
     pub config: u64,
+    /// Attempts of the sender that are to move to another decode server.
+    pub moves: Vec<Attempt>,
 }
 
 /// Versions that a daemon knows.
--- a/crates/ffw-route/src/caller.rs
+++ b/crates/ffw-route/src/caller.rs
@@ -78,7 +78,7 @@
 }
 
 /// Serves a connection until it ends.
-pub(crate) async fn serve(gate: Arc<Gate>, mut caller: Connection) {
+pub async fn serve(gate: Arc<Gate>, mut caller: Connection) {
     loop {
         let limits = current_limits(&gate);
         let head = match next_head(&gate, &mut caller, &limits).await {
--- a/crates/ffw-route/src/plain.rs
+++ b/crates/ffw-route/src/plain.rs
@@ -49,36 +49,49 @@
 pub(crate) async fn serve(gate: &Gate, exchange: &Exchange) -> Result<Served, Error> {
     let mut tried: Vec<Arc<str>> = Vec::new();
     let mut sends = 0;
+    let message = format!("no server of pool {} can take the request", exchange.pool);
+    let mut fallback = Err(Error::new(Kind::NoBackend, message).retry_after(RETRY_AFTER));
     loop {
-        let Some(server) = choose(gate, exchange, &tried) else {
-            let message = format!("no server of pool {} can take the request", exchange.pool);
-            return Err(Error::new(Kind::NoBackend, message).retry_after(RETRY_AFTER));
-        };
+        let Some(server) = choose(gate, exchange, &tried) else { return fallback };
         tried.push(server.name.clone());
         let began = Instant::now();
         let result = send(gate, exchange, &server).await;
         note_end(gate, &server, began, &result);
         sends += u32::from(!matches!(result, Err(Failure::Unreached(_))));
         let is_last = sends >= exchange.route.attempts || exchange.is_over();
-        let error = match judge(exchange, &server, result) {
+        let (cause, outcome) = match judge(exchange, &server, result) {
             Judged::Final(served) => return served,
-            Judged::Again(error) => error,
+            Judged::Again(error) => (error.to_string(), Err(error)),
+            Judged::Failed(served) => (format!("answered {}", served.head.status), Ok(served)),
         };
+        fallback = worse(fallback, outcome);
         let id = &exchange.intent.id;
-        info!("event=attempt_failed request={id} server={} error=\"{error}\"", server.name);
+        info!("event=attempt_failed request={id} server={} error=\"{cause}\"", server.name);
         let is_unsent = sends == 0;
         if is_last || !is_unsent && !gate.take_repeat(&exchange.pool, 1) {
-            return Err(error);
+            return fallback;
         }
     }
 }
 
+/// What the caller is told of two attempts: that it did not run only if neither ran it, and a
+/// server's own answer rather than an error.
+fn worse(known: Result<Served, Error>, new: Result<Served, Error>) -> Result<Served, Error> {
+    match (known, new) {
+        (_, Ok(served)) | (Ok(served), Err(_)) => Ok(served),
+        (Err(known), Err(_)) if known.run != Run::Not => Err(known),
+        (Err(_), Err(new)) => Err(new),
+    }
+}
+
 /// What an attempt means for the caller.
 enum Judged {
     /// This is its answer.
     Final(Result<Served, Error>),
     /// Another server may be tried; the error if none is.
     Again(Error),
+    /// The server failed the request; another one may be tried, or this is the answer.
+    Failed(Served),
 }
 
 fn judge(exchange: &Exchange, server: &Server, result: Result<Whole, Failure>) -> Judged {
@@ -104,7 +117,7 @@
                 failed(Kind::BackendFailed, message, Run::Unknown)
             }
             None if whole.head.status >= 500 && may_repeat => {
-                failed(Kind::BackendFailed, format!("answered {}", whole.head.status), Run::Ran)
+                Judged::Failed(Served { head: whole.head, body: whole.body })
             }
             None => Judged::Final(Ok(Served { head: whole.head, body: whole.body })),
         },
--- a/crates/ffw-route/src/stream.rs
+++ b/crates/ffw-route/src/stream.rs
@@ -48,6 +48,13 @@
 /// Factor on the time that the length of a prompt takes, up to which a prefill is waited for.
 const PREFILL_FACTOR: u32 = 4;
 
+/// Share of the time for which a result is kept that is counted on.
+const RESULT_SHARE: f64 = 0.7;
+
+/// Times that a moved run is tried again, and the pause before.
+const CONTINUE_MAX: u32 = 8;
+const CONTINUE_PAUSE: Duration = Duration::from_millis(60);
+
 /// Time for the head of a stream after its prompt was read.
 const FIRST_EVENT_LIMIT: Duration = Duration::from_millis(1_500);
 
@@ -112,6 +119,13 @@
     is_run: bool,
 }
 
+/// Where a run was before it was moved.
+struct Origin {
+    server: Server,
+    /// Times that its new server has refused it.
+    tries: u32,
+}
+
 /// Why one place did not bring the stream to its end.
 struct Setback {
     error: Error,
@@ -164,7 +178,7 @@
         let grant = &place.grant;
         debug!(
             "event=stream_served request={} route={} prefill={} decode={} prompt={} output={} \
-             hint={:?} events={} ms={} reason={:?} waited_ms={} waiting={}",
+             hint={:?} events={} ms={} first_ms={} gap_ms={} reason={:?} waited_ms={} waiting={}",
             intent.id,
             route.name,
             grant.prefill.name,
@@ -174,6 +188,8 @@
             tokens.output_hint,
             self.relay.events(),
             began.elapsed().as_millis(),
+            self.relay.first_event().as_millis(),
+            self.relay.longest_gap().as_millis(),
             grant.reason,
             grant.basis.waited_ms,
             grant.basis.waiting,
@@ -196,9 +212,25 @@
         // Where no prefill server is left, the decode server reads the prompt itself.
         let reads_itself = place.grant.prefill.name == place.grant.decode.name;
         let mut source = if reads_itself { None } else { Some(self.prefill(place).await?) };
+        let usable_until = Instant::now() + self.result_life();
+        let mut origin: Option<Origin> = None;
         loop {
             place.note_phase(Phase::Transfer);
-            let answer = self.decode(place, source.as_ref()).await?;
+            let answer = match (self.decode(place, source.as_ref()).await, &mut origin) {
+                (Ok(answer), _) => answer,
+                (Err(setback), Some(origin)) => {
+                    self.continue_moved(place, origin, setback).await?;
+                    continue;
+                }
+                (Err(setback), None) => {
+                    let is_usable = source.is_some();
+                    let next = self.place_elsewhere(&setback, is_usable, usable_until).await;
+                    let Some(next) = next else { return Err(setback) };
+                    let before = std::mem::replace(place, next);
+                    before.release(self.relay.emitted(), true, setback.failed);
+                    continue;
+                }
+            };
             place.note_phase(Phase::Decode);
             let (id, pool) = (&self.exchange.intent.id, &self.exchange.pool);
             let mut mover = Mover::new(self.gate, id, pool, &place.grant.decode);
@@ -212,6 +244,7 @@
                 return Err(self.broken(&place.grant.decode, &cause));
             };
             let Onward { place: next, source: memory } = onward;
+            origin = Some(Origin { server: place.grant.decode.clone(), tries: 0 });
             if let Some(next) = next {
                 let before = std::mem::replace(place, next);
                 before.release(self.relay.emitted(), true, None);
@@ -220,6 +253,65 @@
         }
     }
 
+    /// Lets a run that was moved go on although its new server refused it: where it was, if that
+    /// server does not leave, or else at the new one after a pause. Nothing else has its memory.
+    async fn continue_moved(
+        &self,
+        place: &mut Place,
+        origin: &mut Origin,
+        setback: Setback,
+    ) -> std::result::Result<(), Setback> {
+        let is_refused = setback.failed.as_ref().is_some_and(|one| one.how == Failing::Refused);
+        origin.tries += 1;
+        if !is_refused || origin.tries > CONTINUE_MAX {
+            return Err(setback);
+        }
+        if self.gate.daemon.register.takes_work(&origin.server.name) {
+            place.grant.decode = origin.server.clone();
+        } else {
+            timer::sleep(CONTINUE_PAUSE).await;
+        }
+        Ok(())
+    }
+
+    /// Time for which the result of a prefill can be counted on.
+    fn result_life(&self) -> Duration {
+        let pool = self.exchange.snapshot.deployment.pool(&self.exchange.pool);
+        let life = Duration::from_millis(pool.map_or(0, |pool| u64::from(pool.result_ms)));
+        life.mul_f64(RESULT_SHARE)
+    }
+
+    /// A place at another decode server for a prompt that was read, if the first one refused it while
+    /// the result can still be had: to read the prompt again would waste the first reading.
+    async fn place_elsewhere(
+        &self,
+        setback: &Setback,
+        has_result: bool,
+        until: Instant,
+    ) -> Option<Place> {
+        let is_refused = setback.failed.as_ref().is_some_and(|one| one.how == Failing::Refused);
+        let left = until.saturating_duration_since(Instant::now());
+        if !is_refused || !has_result || left.is_zero() {
+            return None;
+        }
+        let daemon = &self.gate.daemon;
+        let request = daemon.identity.next_request();
+        let mut ask = ask(self.exchange, &self.relay, request, PLACES_MAX, true).ok()?;
+        ask.patience = ask.patience.min(left);
+        let asking = admission::place(daemon, &self.exchange.pool, ask);
+        let Some(Ok(Decision::Place(place))) = timer::timeout(left, asking).await else {
+            return None;
+        };
+        let may_send = daemon.register.takes_work(&place.grant.decode.name)
+            && self.gate.take_repeat(&self.exchange.pool, 1);
+        may_send.then_some(place)
+    }
+
+    /// Whether another run may begin: none has, or the route lets streams be resumed.
+    fn may_begin_again(&self) -> bool {
+        !self.is_run || self.exchange.route.is_resumable
+    }
+
     /// The owner may know less than this entry of servers that leave.
     fn check_servers(&self, place: &Place) -> std::result::Result<(), Setback> {
         let servers = [&place.grant.prefill, &place.grant.decode];
@@ -233,7 +325,7 @@
                 .run(if self.is_run { Run::Unknown } else { Run::Not })
                 .retry_after(RETRY_AFTER),
             failed: Some(failed(leaving, Failing::Replaced)),
-            may_repeat: true,
+            may_repeat: self.may_begin_again(),
             repeats: 0,
         })
     }
@@ -261,7 +353,7 @@
                 .run(if self.is_run { Run::Unknown } else { Run::Not })
                 .retry_after(RETRY_AFTER),
             failed: Some(failed(server, how)),
-            may_repeat: true,
+            may_repeat: self.may_begin_again(),
             repeats: 1,
         };
         let whole = whole.map_err(|failure| unread(Failing::Broken, failure.to_string()))?;
@@ -296,13 +388,13 @@
         let outgoing = self.outgoing(server, step, head_by);
         let result = transport::call(self.gate, &outgoing).await;
         let message = |cause: String| format!("backend server {}: {cause}", server.name);
-        let was_run = self.is_run;
+        let (was_run, may_repeat) = (self.is_run, self.may_begin_again());
         let not_run = |cause: String, how: Failing| Setback {
             error: Error::new(Kind::BackendRefused, message(cause))
                 .run(if was_run { Run::Unknown } else { Run::Not })
                 .retry_after(RETRY_AFTER),
             failed: Some(failed(server, how)),
-            may_repeat: true,
+            may_repeat,
             repeats: CALLS_A_PLACE,
         };
         let answer = match result {
--- a/crates/ffw-route/src/stream/moving.rs
+++ b/crates/ffw-route/src/stream/moving.rs
@@ -63,11 +63,11 @@
     }
 
     /// Takes the next step, if one can be taken. `ask` asks for a place to go on in.
-    pub(super) async fn step(&mut self, ask: impl FnOnce() -> Option<Ask>) {
+    pub(super) async fn step(&mut self, place: &Place, ask: impl FnOnce() -> Option<Ask>) {
         let is_done = match &self.state {
             State::Staying { ask_after } => {
                 let may_ask = ask_after.is_none_or(|at| Instant::now() >= at);
-                may_ask && self.is_leaving()
+                may_ask && (self.is_leaving() || place.is_to_move())
             }
             State::Asking(task) => task.is_finished(),
             State::Moving(_) => false,
--- a/crates/ffw-route/src/stream/relay.rs
+++ b/crates/ffw-route/src/stream/relay.rs
@@ -40,6 +40,8 @@
     events: u32,
     event_tokens: u32,
     passed_at: Instant,
+    first_event: Duration,
+    longest_gap: Duration,
 }
 
 impl<'a> Relay<'a> {
@@ -53,6 +55,8 @@
             events: 0,
             event_tokens: pool.map_or(1, |pool| pool.event_tokens),
             passed_at: exchange.began,
+            first_event: Duration::ZERO,
+            longest_gap: Duration::ZERO,
         }
     }
 
@@ -125,7 +129,7 @@
             if self.send(gate, &answer, &events).await.is_err() {
                 return RelayEnd::CallerGone;
             }
-            mover.step(|| self.ask(gate)).await;
+            mover.step(place, || self.ask(gate)).await;
         }
         if !unsent.is_empty() {
             return RelayEnd::Broken("the stream ended within an event".into());
@@ -151,9 +155,25 @@
                 self.last_event = Some(id);
             }
         }
+        let gap = self.passed_at.elapsed();
+        if self.has_begun {
+            self.longest_gap = self.longest_gap.max(gap);
+        } else {
+            self.first_event = gap;
+        }
         self.passed_at = Instant::now();
     }
 
+    /// Time from the request to its first event.
+    pub(super) fn first_event(&self) -> Duration {
+        self.first_event
+    }
+
+    /// Longest time between two events.
+    pub(super) fn longest_gap(&self) -> Duration {
+        self.longest_gap
+    }
+
     async fn send(&mut self, gate: &Gate, answer: &Answer, events: &[u8]) -> std::io::Result<()> {
         let mut bytes = self.head(gate, answer);
         if self.exchange.head.minor == 0 {
--- /dev/null
+++ b/crates/ffw-route/tests/stream.rs
@@ -0,0 +1,173 @@
+//! Streams before engines that refuse, break off, leave, or take a moved run.
+
+#[path = "support/bench.rs"]
+#[allow(dead_code, reason = "each test file uses a part of it")]
+mod bench;
+
+use {
+    bench::{Backend, Reply, Script, answer, gate, list, listed, not_run, request},
+    ffw_http::message::Request,
+    ffw_protocol::instance::{Role, State},
+    ffw_route::gate::Gate,
+    ffw_runtime::timer,
+    std::{sync::Arc, time::Duration},
+};
+
+fn script(reply: impl Fn(usize, &Request) -> Reply + Send + Sync + 'static) -> Script {
+    Arc::new(reply)
+}
+
+fn reader() -> Script {
+    script(|_, head| Reply::Bytes(answer(head, 200, "", "handle")))
+}
+
+/// The head of a stream.
+fn stream_head(head: &Request) -> Vec<u8> {
+    let id = head.fields.text("Id").unwrap_or_default();
+    format!("HTTP/1.1 200 X\r\nId: {id}\r\nSignature: s\r\nTransfer-Encoding: chunked\r\n\r\n")
+        .into_bytes()
+}
+
+fn event(id: usize) -> Vec<u8> {
+    let event = format!("id: {id}\ndata: x\n\n");
+    format!("{:x}\r\n{event}\r\n", event.len()).into_bytes()
+}
+
+/// A stream of the events in a range, whole or broken off.
+fn stream(head: &Request, events: std::ops::Range<usize>, is_whole: bool) -> Reply {
+    let mut bytes = stream_head(head);
+    events.for_each(|id| bytes.extend(event(id)));
+    if is_whole {
+        bytes.extend(b"0\r\n\r\n");
+        return Reply::Bytes(bytes);
+    }
+    Reply::Close(bytes)
+}
+
+fn events_of(body: &str) -> Vec<usize> {
+    let ids = body.lines().filter_map(|line| line.strip_prefix("id: "));
+    ids.filter_map(|id| id.parse().ok()).collect()
+}
+
+async fn two(prefill: Script, decode: Script) -> (Arc<Gate>, Backend, Backend) {
+    let (reader, maker) = (Backend::start(prefill).await, Backend::start(decode).await);
+    let servers = vec![
+        listed("maker", Role::Decode, &maker, State::Live),
+        listed("reader", Role::Prefill, &reader, State::Live),
+    ];
+    (gate(servers), reader, maker)
+}
+
+#[test]
+fn a_stream_is_read_at_one_server_and_comes_from_the_other() {
+    smol::block_on(async {
+        let (gate, reader, maker) = two(reader(), script(|_, head| stream(head, 0..3, true))).await;
+        let got = request(&gate, "/stream/x").await;
+        assert_eq!((got.status, got.is_whole), (200, true));
+        assert_eq!(events_of(&got.body), [0, 1, 2]);
+        assert_eq!(
+            (reader.calls(), maker.calls()),
+            (vec!["prefill".to_owned()], vec!["decode".to_owned()])
+        );
+    });
+}
+
+#[test]
+fn a_stream_that_may_not_be_resumed_runs_once() {
+    smol::block_on(async {
+        let (gate, reader, maker) =
+            two(reader(), script(|_, head| stream(head, 0..2, false))).await;
+        let got = request(&gate, "/stream/x").await;
+        assert_eq!(events_of(&got.body), [0, 1]);
+        assert!(!got.is_whole, "a stream that was cut looks whole");
+        assert_eq!((reader.calls().len(), maker.calls().len()), (1, 1));
+    });
+}
+
+#[test]
+fn a_stream_that_may_be_resumed_goes_on_after_its_last_event() {
+    smol::block_on(async {
+        let decode = script(|number, head| match number {
+            0 => stream(head, 0..2, false),
+            _ => stream(head, 2..4, true),
+        });
+        let (gate, _, maker) = two(reader(), decode).await;
+        // The server must answer a probe before it is used again.
+        smol::spawn(ffw_route::engine::run_probes(gate.clone())).detach();
+        let got = request(&gate, "/resumable/x").await;
+        assert_eq!(events_of(&got.body), [0, 1, 2, 3], "{:?}", maker.calls());
+        assert!(got.is_whole);
+    });
+}
+
+#[test]
+fn a_refused_prompt_is_placed_elsewhere_without_another_reading() {
+    smol::block_on(async {
+        let decode = script(|number, head| match number {
+            0 => Reply::Bytes(not_run(head)),
+            _ => stream(head, 0..2, true),
+        });
+        let (gate, reader, maker) = two(reader(), decode).await;
+        let got = request(&gate, "/stream/x").await;
+        assert_eq!(events_of(&got.body), [0, 1]);
+        assert_eq!((reader.calls().len(), maker.calls().len()), (1, 2));
+    });
+}
+
+#[test]
+fn without_an_answer_the_caller_is_told_that_the_outcome_is_unknown() {
+    smol::block_on(async {
+        let (gate, _, maker) = two(reader(), script(|_, _| Reply::Reset)).await;
+        assert_eq!(request(&gate, "/stream/x").await.status, 502);
+        assert_eq!(maker.calls().len(), 1);
+    });
+}
+
+/// Runs a stream whose server leaves midway; the new server answers by a script.
+async fn moved(path: &str, onward: Script) -> (bench::Got, Vec<String>, Vec<String>, Vec<String>) {
+    let (reader, old) = (Backend::start(reader()).await, Backend::start_slow(Arc::default()).await);
+    let gate = gate(vec![
+        listed("old", Role::Decode, &old, State::Live),
+        listed("reader", Role::Prefill, &reader, State::Live),
+    ]);
+    let new = Backend::start(onward).await;
+    let (daemon, leaving) = (
+        gate.daemon.clone(),
+        vec![
+            listed("new", Role::Decode, &new, State::Live),
+            listed("old", Role::Decode, &old, State::Leaving),
+            listed("reader", Role::Prefill, &reader, State::Live),
+        ],
+    );
+    smol::spawn(async move {
+        timer::sleep(Duration::from_millis(900)).await;
+        list(&daemon, 2, leaving);
+    })
+    .detach();
+    let got = request(&gate, path).await;
+    (got, reader.calls(), old.calls(), new.calls())
+}
+
+#[test]
+fn a_run_moves_before_its_server_leaves() {
+    smol::block_on(async {
+        let onward = script(|_, head| stream(head, 1_000..1_002, true));
+        let (got, read, old, _) = moved("/stream/x", onward).await;
+        let events = events_of(&got.body);
+        assert!(got.is_whole && events.ends_with(&[1_000, 1_001]), "{events:?}");
+        assert_eq!(read.len(), 1, "the prompt was read again");
+        assert!(old.contains(&"move".to_owned()), "{old:?}");
+    });
+}
+
+#[test]
+fn a_moved_run_that_is_refused_is_not_begun_anew() {
+    smol::block_on(async {
+        let onward = script(|_, head| Reply::Bytes(not_run(head)));
+        let (got, read, old, new) = moved("/stream/x", onward).await;
+        assert!(!got.is_whole);
+        assert_eq!(read.len(), 1, "the prompt was read again");
+        assert_eq!(old.iter().filter(|step| *step == "decode").count(), 1);
+        assert!(new.len() > 1, "the new server was tried once only");
+    });
+}
--- /dev/null
+++ b/crates/ffw-route/tests/support/bench.rs
@@ -0,0 +1,390 @@
+//! A gate with backend servers that answer as they are told, and a caller.
+
+use {
+    ffw_control::daemon::{Daemon, Mode, Setup},
+    ffw_decide::baseline::Policy,
+    ffw_http::{
+        connection::{Connection, Fault},
+        framing::{Decoder, Framing},
+        message::{Malformed, Request, Response},
+    },
+    ffw_peer::{handshake::Secret, link::Pool, service::Roster},
+    ffw_protocol::{
+        config::Version,
+        instance::{Instance, Role, State},
+    },
+    ffw_route::{
+        caller,
+        dialect::{Call, Dialect, Intent, Move, Note, Order, Report, Step, Tokens},
+        gate::{Gate, Limits},
+    },
+    ffw_runtime::{executor, meter::Wire, timer},
+    smol::net::{TcpListener, TcpStream},
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc, Mutex,
+            atomic::{AtomicBool, Ordering},
+        },
+        time::Duration,
+    },
+};
+
+const SILENCE: Duration = Duration::from_secs(5);
+
+/// What a backend server does with a call, given its number, from 0 on.
+pub(crate) type Script = Arc<dyn Fn(usize, &Request) -> Reply + Send + Sync>;
+
+/// What a backend server sends.
+#[derive(Clone, Debug)]
+pub(crate) enum Reply {
+    /// These bytes; then it waits for the next call.
+    Bytes(Vec<u8>),
+    /// These bytes; then it closes the connection.
+    Close(Vec<u8>),
+    /// Nothing: it closes the connection.
+    Reset,
+}
+
+/// A backend server and the calls that it got.
+#[derive(Clone)]
+pub(crate) struct Backend {
+    pub(crate) address: SocketAddr,
+    calls: Arc<Mutex<Vec<String>>>,
+}
+
+impl Backend {
+    /// Starts a server.
+    pub(crate) async fn start(script: Script) -> Backend {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+        let address = listener.local_addr().expect("an address");
+        let calls: Arc<Mutex<Vec<String>>> = Arc::default();
+        let backend = Backend { address, calls };
+        let serving = backend.clone();
+        executor::detach(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                executor::detach(serving.clone().serve(stream, script.clone()));
+            }
+        });
+        backend
+    }
+
+    async fn serve(self, stream: TcpStream, script: Script) {
+        let mut connection = Connection::new(stream, Wire::Request, SILENCE);
+        while let Ok(head) = connection.read_request(1 << 16).await {
+            let framing = Framing::of_request(&head).expect("a framing");
+            let mut decoder = Decoder::new(framing);
+            connection.read_body(&mut decoder, 1 << 20).await.expect("a body");
+            let step = head.fields.text("Step").unwrap_or("run").to_owned();
+            let number = {
+                let mut calls = self.calls.lock().expect("no panic");
+                calls.push(step);
+                calls.len() - 1
+            };
+            let (bytes, closes) = match script(number, &head) {
+                Reply::Bytes(bytes) => (bytes, false),
+                Reply::Close(bytes) => (bytes, true),
+                Reply::Reset => return,
+            };
+            if connection.write(&bytes, SILENCE).await.is_err() || closes {
+                return;
+            }
+        }
+    }
+
+    /// Starts a server that sends an event each 50 ms until it is told to move the run; then it
+    /// answers with a handle and closes the stream.
+    pub(crate) async fn start_slow(moved: Arc<AtomicBool>) -> Backend {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+        let address = listener.local_addr().expect("an address");
+        let backend = Backend { address, calls: Arc::default() };
+        let serving = backend.clone();
+        executor::detach(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                executor::detach(serving.clone().serve_slow(stream, moved.clone()));
+            }
+        });
+        backend
+    }
+
+    async fn serve_slow(self, stream: TcpStream, moved: Arc<AtomicBool>) {
+        let mut connection = Connection::new(stream, Wire::Request, SILENCE);
+        let head = connection.read_request(1 << 16).await.expect("a head");
+        let step = head.fields.text("Step").unwrap_or("run").to_owned();
+        self.calls.lock().expect("no panic").push(step.clone());
+        if step == "move" {
+            moved.store(true, Ordering::SeqCst);
+            let bytes = answer(&head, 200, "", "handle");
+            connection.write(&bytes, SILENCE).await.expect("written");
+            return;
+        }
+        let id = head.fields.text("Id").unwrap_or_default();
+        let mut bytes = format!("HTTP/1.1 200 X\r\nId: {id}\r\nSignature: s\r\n").into_bytes();
+        bytes.extend(b"Transfer-Encoding: chunked\r\n\r\n");
+        for number in 0..80 {
+            let event = format!("id: {number}\ndata: x\n\n");
+            bytes.extend(format!("{:x}\r\n{event}\r\n", event.len()).into_bytes());
+            if moved.load(Ordering::SeqCst) || connection.write(&bytes, SILENCE).await.is_err() {
+                return;
+            }
+            bytes.clear();
+            timer::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// The steps that it was called for.
+    pub(crate) fn calls(&self) -> Vec<String> {
+        self.calls.lock().expect("no panic").clone()
+    }
+}
+
+/// An answer of a server to a request.
+pub(crate) fn answer(head: &Request, status: u16, extra: &str, body: &str) -> Vec<u8> {
+    let id = head.fields.text("Id").unwrap_or_default();
+    let length = body.len();
+    format!("HTTP/1.1 {status} X\r\nId: {id}\r\n{extra}Content-Length: {length}\r\n\r\n{body}")
+        .into_bytes()
+}
+
+/// A whole answer that may be passed on.
+pub(crate) fn good(head: &Request, body: &str) -> Vec<u8> {
+    answer(head, 200, "Signature: s\r\n", body)
+}
+
+/// A statement that the request did not run.
+pub(crate) fn not_run(head: &Request) -> Vec<u8> {
+    answer(head, 503, "Not-Run: 1\r\n", "")
+}
+
+/// The dialect of these servers.
+pub(crate) const DIALECT: Dialect = Dialect {
+    read_intent,
+    write_call,
+    read_note,
+    read_handle,
+    write_free: |handle| Request::new("DELETE", handle),
+    write_probe: |_| Request::new("GET", "/probe"),
+    read_report: |_| Ok(Report { is_busy: false, sequence: 0 }),
+    write_order: |_: &Order<'_>| (Request::new("POST", "/order"), Vec::new()),
+    write_move,
+    ready_path: "/ready",
+};
+
+fn read_intent(head: &Request) -> Result<Intent, Malformed> {
+    Ok(Intent {
+        id: head.fields.text("Id").unwrap_or_default().into(),
+        deadline: Some(Duration::from_secs(5)),
+        tokens: Some(Tokens { prompt: 100, output: 50, output_hint: None }),
+        last_event: None,
+    })
+}
+
+fn write_call(caller: &Request, call: &Call<'_>) -> Request {
+    let mut head = caller.clone();
+    head.fields.remove("Content-Length");
+    let step = match call.step {
+        Step::Run => "run",
+        Step::Prefill => "prefill",
+        Step::Decode(_) => "decode",
+    };
+    head.fields.set("Step", step);
+    if call.body_bytes > 0 {
+        head.fields.set("Content-Length", call.body_bytes.to_string());
+    }
+    head
+}
+
+fn write_move(run: &Move<'_>) -> (Request, Vec<u8>) {
+    let mut head = Request::new("POST", "/move");
+    head.fields.set("Step", "move");
+    head.fields.set("Id", run.id);
+    (head, b"{}".to_vec())
+}
+
+fn read_note(head: &Response) -> Note {
+    Note {
+        id: head.fields.text("Id").map(Arc::from),
+        is_not_run: head.fields.has("Not-Run"),
+        is_signed: head.fields.has("Signature"),
+        load: None,
+        keeps: None,
+    }
+}
+
+fn read_handle(body: &[u8]) -> Result<Arc<str>, Malformed> {
+    let text = std::str::from_utf8(body).map_err(|_| Malformed("no text"))?;
+    Ok(text.into())
+}
+
+/// Routes of the tests: one of each kind.
+const DECLARATION: &str = r#"
+deployment = "test"
+
+[[model]]
+name = "m"
+version = "1"
+
+[[pool]]
+name = "plain"
+kind = "plain"
+
+[[pool]]
+name = "engines"
+kind = "engines"
+model = "m"
+slots = 8
+pieces = 1000
+piece_tokens = 16
+prefill_rate = 50000
+link_rate = 1000000
+token_ms = 1
+result_ms = 500
+memory_grows = true
+decode_reads = true
+
+[[route]]
+name = "once"
+host = "h"
+prefix = "/once/"
+timeout_ms = 2000
+target_ms = 500
+attempts = 3
+pools = [{ pool = "plain", weight = 1 }]
+
+[[route]]
+name = "again"
+host = "h"
+prefix = "/again/"
+repeat = "idempotent"
+timeout_ms = 2000
+target_ms = 500
+attempts = 3
+pools = [{ pool = "plain", weight = 1 }]
+
+[[route]]
+name = "stream"
+host = "h"
+prefix = "/stream/"
+is_stream = true
+timeout_ms = 4000
+target_ms = 900
+gap_ms = 300
+attempts = 3
+pools = [{ pool = "engines", weight = 1 }]
+
+[[route]]
+name = "resumable"
+host = "h"
+prefix = "/resumable/"
+is_stream = true
+is_resumable = true
+timeout_ms = 4000
+target_ms = 900
+gap_ms = 300
+attempts = 3
+pools = [{ pool = "engines", weight = 1 }]
+"#;
+
+/// A server in the list.
+pub(crate) fn listed(name: &str, role: Role, backend: &Backend, state: State) -> Instance {
+    let pool = if role == Role::Plain { "plain" } else { "engines" };
+    Instance {
+        name: name.into(),
+        role,
+        data_centre: "a".into(),
+        address: backend.address,
+        pool: pool.into(),
+        state,
+    }
+}
+
+/// A gate whose daemon knows the routes and these servers.
+pub(crate) fn gate(servers: Vec<Instance>) -> Arc<Gate> {
+    let daemon = Daemon::new(Setup {
+        instance: "entry".into(),
+        data_centre: "a".into(),
+        deployment: "test".into(),
+        platform: SocketAddr::from(([127, 0, 0, 1], 9)),
+        peers: Pool::new(Secret::new("a-shared-key-for-tests")),
+        seeds: Vec::new(),
+        policy: Policy::Owner,
+        mode: Mode::Routed,
+    });
+    let daemon = daemon.expect("a daemon");
+    let version = Version {
+        number: 1,
+        change: "c".into(),
+        author: "a".into(),
+        reason: "".into(),
+        at_ms: 0,
+        previous: "".into(),
+        declaration: DECLARATION.into(),
+        drained: Vec::new(),
+    };
+    assert!(daemon.take_config(version), "the declaration is not usable");
+    list(&daemon, 1, servers);
+    let limits = Limits {
+        retry_ratio: 1.0,
+        retry_slack: 100.0,
+        retry_window: Duration::from_secs(10),
+        buffered_bytes: 1 << 20,
+        connections: 100,
+        grace: Duration::from_secs(8),
+    };
+    Gate::new(daemon, DIALECT, limits)
+}
+
+/// Replaces the list of servers.
+pub(crate) fn list(daemon: &Daemon, version: u64, servers: Vec<Instance>) {
+    daemon.register.offer_roster(Roster::new(version, servers));
+}
+
+/// What a caller got.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Got {
+    pub(crate) status: u16,
+    pub(crate) body: String,
+    pub(crate) is_whole: bool,
+    pub(crate) retry_after: Option<String>,
+}
+
+/// Sends a request and reads the answer to its end.
+pub(crate) async fn request(gate: &Arc<Gate>, path: &str) -> Got {
+    let head = format!("POST {path} HTTP/1.1\r\nHost: h\r\nId: r1\r\nContent-Length: 2\r\n\r\nhi");
+    send(gate, head.as_bytes()).await
+}
+
+/// Sends bytes and reads the answer to its end.
+pub(crate) async fn send(gate: &Arc<Gate>, bytes: &[u8]) -> Got {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+    let address = listener.local_addr().expect("an address");
+    let opening = Connection::open(address, Wire::Request, SILENCE, SILENCE);
+    let mut connection = opening.await.expect("a connection");
+    let (stream, _) = listener.accept().await.expect("a connection");
+    let accepted = Connection::new(stream, Wire::Request, SILENCE);
+    executor::detach(caller::serve(gate.clone(), accepted));
+    connection.write(bytes, SILENCE).await.expect("written");
+    let reading = read(&mut connection);
+    timer::timeout(Duration::from_secs(20), reading).await.expect("an answer in time")
+}
+
+async fn read(connection: &mut Connection) -> Got {
+    let head = connection.read_response(1 << 16).await.expect("a head");
+    let framing = Framing::of_response(&head, "POST").expect("a framing");
+    let mut decoder = Decoder::new(framing);
+    let mut body = Vec::new();
+    let is_whole = loop {
+        match connection.read_part(&mut decoder).await {
+            Ok(Some(part)) => body.extend_from_slice(&part),
+            Ok(None) => break true,
+            Err(Fault::Broken(_) | Fault::Closed) => break false,
+            Err(fault) => panic!("unreadable answer: {fault}"),
+        }
+    };
+    Got {
+        status: head.status,
+        body: String::from_utf8(body).expect("text"),
+        is_whole,
+        retry_after: head.fields.text("Retry-After").map(str::to_owned),
+    }
+}
