Keep a list that holds removals back to the daemon that holds them

Change: such a list keeps the version of the one before, and a server that a peer has said to be gone stays gone.

Ruled out: a late watch (all seven daemons logged the removal within 4 ms).

--- a/crates/ffw-control/src/snapshot.rs
+++ b/crates/ffw-control/src/snapshot.rs
@@ -164,20 +164,36 @@
         if !offered.has_news_for(&self.known()) {
             return false;
         }
-        let of_part = |roster: &Roster, is_daemons: bool| {
-            let part =
-                roster.instances.iter().filter(|one| (one.role == Role::Entry) == is_daemons);
-            part.cloned().collect::<Vec<_>>()
-        };
         let newer = |is_newer: bool| if is_newer { &offered } else { &**known };
         let daemons = newer(offered.daemons > known.daemons);
         let servers = newer(offered.servers > known.servers);
-        let mut instances = of_part(daemons, true);
-        instances.extend(of_part(servers, false));
+        let mut instances = part(daemons, true);
+        instances.extend(part(servers, false));
+        self.store_roster(servers.servers, daemons.daemons, instances);
+        true
+    }
+
+    /// Takes over the backend servers as this daemon itself read them at a version, unless it has
+    /// newer ones from a peer. While removals are held back, the version stays what it was, so that
+    /// no peer takes the list for news; and what a peer has said to be gone stays gone.
+    pub fn replace_servers(&self, version: u64, held: &[Arc<str>], servers: Vec<Instance>) {
+        let _write = self.write.lock().unwrap_or_else(PoisonError::into_inner);
+        let known = self.roster.load();
+        if version < known.servers {
+            return;
+        }
+        let version = if held.is_empty() { version } else { known.servers };
+        let is_listed =
+            |name: &Arc<str>| known.instances.binary_search_by(|one| one.name.cmp(name)).is_ok();
+        let is_known_gone = |name: &Arc<str>| held.binary_search(name).is_ok() && !is_listed(name);
+        let mut instances = part(&known, true);
+        instances.extend(servers.into_iter().filter(|one| !is_known_gone(&one.name)));
+        self.store_roster(version, known.daemons, instances);
+    }
+
+    fn store_roster(&self, servers: u64, daemons: u64, mut instances: Vec<Instance>) {
         instances.sort_by(|a, b| a.name.cmp(&b.name));
-        let (servers, daemons) = (servers.servers, daemons.daemons);
         self.roster.store(Arc::new(Roster { servers, daemons, instances }));
-        true
     }
 
     /// Changes one instance of the list, as a watch of the platform reports it.
@@ -246,3 +262,9 @@
             .collect()
     }
 }
+
+/// The daemons or the backend servers of a list.
+fn part(roster: &Roster, is_daemons: bool) -> Vec<Instance> {
+    let of_part = roster.instances.iter().filter(|one| (one.role == Role::Entry) == is_daemons);
+    of_part.cloned().collect()
+}
--- a/crates/ffw-control/tests/leaving_servers.rs
+++ b/crates/ffw-control/tests/leaving_servers.rs
@@ -45,3 +45,36 @@
     assert!(!register.offer_roster(Roster::new(4, vec![server("live", State::Live)])));
     assert!(!register.takes_work("live"));
 }
+
+#[test]
+fn a_list_that_holds_removals_back_is_no_news_for_others() {
+    let (here, there) = (Register::default(), Register::default());
+    there.offer_roster(Roster::new(35, Vec::new()));
+    here.offer_roster(Roster::new(20, vec![server("removed", State::Live)]));
+    here.replace_servers(40, &["removed".into()], vec![server("removed", State::Live)]);
+    assert!(here.takes_work("removed"));
+    assert!(!here.roster().has_news_for(&there.known()), "the removal would be undone");
+    assert!(there.roster().has_news_for(&here.known()), "the peer knows better");
+    here.offer_roster(Roster::clone(&there.roster()));
+    assert!(!here.takes_work("removed"));
+}
+
+#[test]
+fn a_removal_that_is_believed_at_the_same_version_is_in_force() {
+    let register = Register::default();
+    register.offer_roster(Roster::new(30, vec![server("removed", State::Live)]));
+    register.replace_servers(40, &["removed".into()], vec![server("removed", State::Live)]);
+    assert!(register.takes_work("removed"));
+    register.replace_servers(40, &[], Vec::new());
+    assert!(!register.takes_work("removed"));
+    assert_eq!(register.known().servers, 40);
+}
+
+#[test]
+fn what_a_peer_has_said_to_be_gone_is_not_held_back() {
+    let register = Register::default();
+    register.offer_roster(Roster::new(20, vec![server("removed", State::Live)]));
+    register.offer_roster(Roster::new(35, Vec::new()));
+    register.replace_servers(40, &["removed".into()], vec![server("removed", State::Live)]);
+    assert!(!register.takes_work("removed"));
+}
--- a/crates/ffw-decide/src/listing.rs
+++ b/crates/ffw-decide/src/listing.rs
@@ -84,11 +84,14 @@
         next.map(|at| at.since(now))
     }
 
-    /// Version of the list when the store's revision is `revision`. Where no removal is held back
-    /// any more, the list is newer than one of the same revision where some are.
-    pub fn version(&self, revision: u64) -> u64 {
-        let is_believed = self.entries.iter().all(|one| one.gone_at.is_none());
-        revision * 2 + u64::from(is_believed)
+    /// Names of the instances whose removal is held back, in order. A list with such is for this
+    /// daemon only: others may know better.
+    pub fn held(&self) -> Vec<Arc<str>> {
+        let held = self.entries.iter().filter(|one| one.gone_at.is_some());
+        let mut names: Vec<Arc<str>> =
+            held.filter_map(|one| one.instance.as_ref()).map(|one| one.name.clone()).collect();
+        names.sort();
+        names
     }
 
     /// The instances that can be used.
--- a/crates/ffw-decide/tests/listing_outage.rs
+++ b/crates/ffw-decide/tests/listing_outage.rs
@@ -62,15 +62,14 @@
 }
 
 #[test]
-fn a_removal_that_is_believed_later_makes_a_newer_list() {
+fn a_list_holds_back_until_its_removals_are_believed() {
     let (mut listing, key) = listing();
     listing.note_lost(Moment::from_millis(1_000));
     listing.note_answer(Moment::from_millis(6_000));
     listing.remove(Moment::from_millis(6_100), &key);
-    let held = listing.version(40);
+    assert_eq!(listing.held(), [key]);
     assert!(!is_listed(&mut listing, 8_200));
-    assert!(listing.version(40) > held, "the same version would not be taken over");
-    assert!(listing.version(41) > listing.version(40));
+    assert!(listing.held().is_empty());
 }
 
 #[test]
