--- a/crates/fireflyworks/examples/settings_table.rs
+++ b/crates/fireflyworks/examples/settings_table.rs
@@ -1,4 +1,4 @@
-//! Prints the settings table of `docs/OPERATING.md`.
+//! Prints the settings table of `docs/OPERATIONS.md`.
 
 fn main() {
     print!("{}", fireflyworks::settings::markdown());
--- a/crates/fireflyworks/tests/commands.rs
+++ b/crates/fireflyworks/tests/commands.rs
@@ -72,7 +72,7 @@
 
 #[test]
 fn the_page_for_operators_has_the_settings_as_they_are() {
-    let page = std::fs::read_to_string(root().join("docs/OPERATING.md")).expect("the page");
+    let page = std::fs::read_to_string(root().join("docs/OPERATIONS.md")).expect("the page");
     let table = settings::markdown();
-    assert!(page.contains(&table), "docs/OPERATING.md must contain this table:\n{table}");
+    assert!(page.contains(&table), "docs/OPERATIONS.md must contain this table:\n{table}");
 }
