--- a/crates/ffw-control/src/snapshot.rs
+++ b/crates/ffw-control/src/snapshot.rs
@@ -103,6 +103,8 @@
     roster: ArcSwap<Roster>,
     write: Mutex<()>,
     rankings: Mutex<Vec<Ranking>>,
+    /// This daemon, once it is listed for others.
+    own: Mutex<Option<Instance>>,
 }
 
 /// The daemons in rendezvous order for one key, at one version of the instance list.
@@ -191,7 +193,27 @@
         self.store_roster(version, known.daemons, instances);
     }
 
+    /// Whether this daemon knows enough to decide for others: configuration, servers and daemons.
+    pub fn is_informed(&self) -> bool {
+        let known = self.known();
+        known.config > 0 && known.servers > 0 && known.daemons > 0
+    }
+
+    /// Counts this daemon among the daemons from now on, before the platform's list names it here:
+    /// others may have read it there already.
+    pub fn list_own(&self, own: Instance) {
+        let _write = self.write.lock().unwrap_or_else(PoisonError::into_inner);
+        *self.own.lock().unwrap_or_else(PoisonError::into_inner) = Some(own);
+        let known = self.roster.load();
+        self.store_roster(known.servers, known.daemons, known.instances.clone());
+        self.rankings.lock().unwrap_or_else(PoisonError::into_inner).clear();
+    }
+
     fn store_roster(&self, servers: u64, daemons: u64, mut instances: Vec<Instance>) {
+        let own = self.own.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        if let Some(own) = own.filter(|own| instances.iter().all(|one| one.name != own.name)) {
+            instances.push(own);
+        }
         instances.sort_by(|a, b| a.name.cmp(&b.name));
         self.roster.store(Arc::new(Roster { servers, daemons, instances }));
     }
--- a/crates/ffw-control/tests/leaving_servers.rs
+++ b/crates/ffw-control/tests/leaving_servers.rs
@@ -78,3 +78,13 @@
     register.replace_servers(40, &["removed".into()], vec![server("removed", State::Live)]);
     assert!(!register.takes_work("removed"));
 }
+
+#[test]
+fn a_daemon_counts_itself_before_the_list_names_it() {
+    let register = Register::default();
+    register.offer_roster(Roster::new(5, vec![server("live", State::Live)]));
+    register.list_own(Instance { role: Role::Entry, ..server("own", State::Live) });
+    assert_eq!(register.ranked("p").len(), 1);
+    register.offer_roster(Roster::new(6, vec![server("live", State::Live)]));
+    assert_eq!(register.ranked("p").len(), 1, "a list that lags has dropped it");
+}
--- a/crates/ffw-decide/src/shard/memory.rs
+++ b/crates/ffw-decide/src/shard/memory.rs
@@ -8,7 +8,7 @@
 use {ffw_protocol::time::Moment, std::time::Duration};
 
 /// Share of a server's memory that is planned with.
-const PLANNED_SHARE: f64 = 0.9;
+const PLANNED_SHARE: f64 = 0.95;
 
 /// A request's memory.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/ffw-decide/src/shard/place.rs
+++ b/crates/ffw-decide/src/shard/place.rs
@@ -20,8 +20,8 @@
 /// Time to read a prompt at a decode server over that at a prefill server.
 const DECODE_READ_FACTOR: u32 = 2;
 
-/// Part of an answer that has outrun its estimate by which it is expected to go on.
-const OVERRUN_PART: u32 = 5;
+/// Share of an answer that has come to its estimate by which it is expected to go on.
+const OVERRUN_SHARE: f64 = 0.28;
 
 /// What a granted attempt holds until it is released.
 #[derive(Clone, Debug)]
@@ -69,12 +69,13 @@
         base + Duration::from_secs_f64(f64::from(self.expected_left()) * pace)
     }
 
-    /// Output tokens that are still expected: the longer an answer has gone on beyond its estimate,
-    /// the longer it is likely to go on.
+    /// Output tokens that are still expected: the further an answer has gone, the less its estimate
+    /// says about its end, and the longer it is likely to go on.
     pub(super) fn expected_left(&self) -> u32 {
         let most = self.ask.tokens_out.saturating_sub(self.emitted);
-        let left = self.expected.saturating_sub(self.emitted);
-        left.max(self.emitted / OVERRUN_PART).min(most)
+        let left = f64::from(self.expected.saturating_sub(self.emitted));
+        let spread = f64::from(self.emitted) * OVERRUN_SHARE;
+        (left.hypot(spread) as u32).min(most)
     }
 
     /// Memory that it is expected to hold from now on.
--- a/crates/fireflyworks/src/command/route.rs
+++ b/crates/fireflyworks/src/command/route.rs
@@ -100,8 +100,7 @@
     executor::detach(ffw_peer::server::serve(peers, secret, calls::handlers(&daemon)));
     let store = Arc::new(Store::new(settings.store));
     follow::start(&daemon, &store);
-    let (name, data_centre) = (settings.instance.clone(), settings.data_centre.clone());
-    executor::detach(announce::announce(store.clone(), name, settings.peers, data_centre));
+    executor::detach(announce::announce(store.clone(), daemon.clone(), settings.peers));
     executor::detach(relay::exchange(daemon.clone()));
     executor::detach(owner::run_hosting(daemon.clone()));
     let gate = Gate::new(daemon.clone(), DIALECT, limits(&settings));
