--- a/crates/ffw-control/src/snapshot.rs
+++ b/crates/ffw-control/src/snapshot.rs
@@ -209,9 +209,14 @@
         self.rankings.lock().unwrap_or_else(PoisonError::into_inner).clear();
     }
 
+    /// This daemon, once it is listed for others.
+    pub fn own(&self) -> Option<Instance> {
+        self.own.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     fn store_roster(&self, servers: u64, daemons: u64, mut instances: Vec<Instance>) {
-        let own = self.own.lock().unwrap_or_else(PoisonError::into_inner).clone();
-        if let Some(own) = own.filter(|own| instances.iter().all(|one| one.name != own.name)) {
+        if let Some(own) = self.own().filter(|own| instances.iter().all(|one| one.name != own.name))
+        {
             instances.push(own);
         }
         instances.sort_by(|a, b| a.name.cmp(&b.name));
--- a/crates/ffw-control/src/suspect.rs
+++ b/crates/ffw-control/src/suspect.rs
@@ -8,7 +8,7 @@
     std::{
         net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
-        time::Duration,
+        time::{Duration, Instant},
     },
 };
 
@@ -21,32 +21,46 @@
 /// Names of the suspects.
 #[derive(Debug, Default)]
 pub struct List {
-    names: Mutex<Vec<Arc<str>>>,
+    suspects: Mutex<Vec<Suspect>>,
+}
+
+/// A daemon that did not answer.
+#[derive(Clone, Debug)]
+struct Suspect {
+    name: Arc<str>,
+    since: Instant,
 }
 
 impl List {
     /// The names, in order.
     pub fn names(&self) -> Vec<Arc<str>> {
-        self.lock().clone()
+        self.lock().iter().map(|one| one.name.clone()).collect()
+    }
+
+    /// Names of those that have been suspects for longer than a span, in order.
+    pub fn names_since(&self, span: Duration) -> Vec<Arc<str>> {
+        let suspects = self.lock();
+        let old = suspects.iter().filter(|one| one.since.elapsed() >= span);
+        old.map(|one| one.name.clone()).collect()
     }
 
     fn insert(&self, name: &Arc<str>) -> bool {
-        let mut names = self.lock();
-        match names.binary_search(name) {
+        let mut suspects = self.lock();
+        match suspects.binary_search_by(|one| one.name.cmp(name)) {
             Ok(_) => false,
             Err(at) => {
-                names.insert(at, name.clone());
+                suspects.insert(at, Suspect { name: name.clone(), since: Instant::now() });
                 true
             }
         }
     }
 
     fn remove(&self, name: &Arc<str>) {
-        self.lock().retain(|one| one != name);
+        self.lock().retain(|one| one.name != *name);
     }
 
-    fn lock(&self) -> MutexGuard<'_, Vec<Arc<str>>> {
-        self.names.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, Vec<Suspect>> {
+        self.suspects.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
--- a/crates/fireflyworks/src/command/route.rs
+++ b/crates/fireflyworks/src/command/route.rs
@@ -101,6 +101,7 @@
     let store = Arc::new(Store::new(settings.store));
     follow::start(&daemon, &store);
     executor::detach(announce::announce(store.clone(), daemon.clone(), settings.peers));
+    executor::detach(announce::tidy(store.clone(), daemon.clone()));
     executor::detach(relay::exchange(daemon.clone()));
     executor::detach(owner::run_hosting(daemon.clone()));
     let gate = Gate::new(daemon.clone(), DIALECT, limits(&settings));
