--- a/crates/ffw-route/src/plain.rs
+++ b/crates/ffw-route/src/plain.rs
@@ -60,7 +60,10 @@
         sends += u32::from(!matches!(result, Err(Failure::Unreached(_))));
         let is_last = sends >= exchange.route.attempts || exchange.is_over();
         let (cause, outcome) = match judge(exchange, &server, result) {
-            Judged::Final(served) => return served,
+            Judged::Final(served) => {
+                log_served(exchange, &server, sends, &served);
+                return served;
+            }
             Judged::Again(error) => (error.to_string(), Err(error)),
             Judged::Failed(served) => (format!("answered {}", served.head.status), Ok(served)),
         };
@@ -74,6 +77,20 @@
     }
 }
 
+fn log_served(exchange: &Exchange, server: &Server, sends: u32, served: &Result<Served, Error>) {
+    let Ok(served) = served else { return };
+    let Exchange { intent, route, began, snapshot, .. } = exchange;
+    info!(
+        "event=request_served request={} route={} server={} status={} sends={sends} ms={} config={}",
+        intent.id,
+        route.name,
+        server.name,
+        served.head.status,
+        began.elapsed().as_millis(),
+        snapshot.version.number,
+    );
+}
+
 /// What the caller is told of two attempts: that it did not run only if neither ran it, and a
 /// server's own answer rather than an error.
 fn worse(known: Result<Served, Error>, new: Result<Served, Error>) -> Result<Served, Error> {
--- a/crates/ffw-route/src/stream.rs
+++ b/crates/ffw-route/src/stream.rs
@@ -176,9 +176,10 @@
         let Exchange { intent, route, began, .. } = self.exchange;
         let Some(tokens) = intent.tokens else { return };
         let grant = &place.grant;
-        debug!(
+        info!(
             "event=stream_served request={} route={} prefill={} decode={} prompt={} output={} \
-             hint={:?} events={} ms={} first_ms={} gap_ms={} reason={:?} waited_ms={} waiting={}",
+             hint={:?} events={} ms={} first_ms={} gap_ms={} reason={:?} waited_ms={} \
+             waiting={} served={} served_least={} owner={} epoch={} grant={} config={}",
             intent.id,
             route.name,
             grant.prefill.name,
@@ -193,6 +194,12 @@
             grant.reason,
             grant.basis.waited_ms,
             grant.basis.waiting,
+            grant.basis.served,
+            grant.basis.served_least,
+            grant.owner,
+            grant.epoch,
+            grant.number,
+            self.exchange.snapshot.version.number,
         );
     }
 
--- a/crates/ffw-soak/src/daemon.rs
+++ b/crates/ffw-soak/src/daemon.rs
@@ -94,6 +94,7 @@
             .arg("route")
             .env("FIREFLYWORKS_NODE_FILE", &self.settings)
             .env("FIREFLYWORKS_PEER_SECRET", "a-shared-key-for-the-soak")
+            .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()
             .wrap_err("starting the daemon")?;
--- a/crates/ffw-soak/src/worker.rs
+++ b/crates/ffw-soak/src/worker.rs
@@ -71,6 +71,22 @@
     }
 }
 
+fn lock(ids: &Mutex<Vec<String>>) -> MutexGuard<'_, Vec<String>> {
+    ids.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Names a run as going on at its server while it lives.
+struct Here {
+    ids: Arc<Mutex<Vec<String>>>,
+    id: String,
+}
+
+impl Drop for Here {
+    fn drop(&mut self) {
+        lock(&self.ids).retain(|one| *one != self.id);
+    }
+}
+
 /// Counts a run while it lives.
 struct Running(Arc<AtomicUsize>);
 
@@ -102,9 +118,15 @@
     pub is_full: Arc<AtomicBool>,
     /// Breaks its answers off.
     pub breaks_off: Arc<AtomicBool>,
+    /// Ids of the runs that go on here, and of those that are to stop because they move.
+    here: Arc<Mutex<Vec<String>>>,
+    stopping: Arc<Mutex<Vec<String>>>,
     log: Log,
 }
 
+/// What a handle of a moved run begins with.
+const MOVED: &str = "moved-";
+
 impl Worker {
     /// Starts a server.
     ///
@@ -119,6 +141,8 @@
             address,
             is_full: Arc::default(),
             breaks_off: Arc::default(),
+            here: Arc::default(),
+            stopping: Arc::default(),
             log: log.clone(),
         };
         let serving = worker.clone();
@@ -135,6 +159,13 @@
             exchange.answer(Response::new(200), body).await.ok()?;
             return Some(exchange);
         }
+        if &*exchange.head.target == "/api/order" {
+            exchange.answer(Response::new(202), b"").await.ok()?;
+            return Some(exchange);
+        }
+        if &*exchange.head.target == "/api/kv-move" {
+            return self.stop(exchange).await;
+        }
         let mut head = Response::new(200);
         head.fields.set("Request-Id", &id);
         if expected != self.name || self.is_full.load(Ordering::SeqCst) {
@@ -151,12 +182,15 @@
             return Some(exchange);
         }
         head.fields.set("Server-Signature", format!("sig-{}", self.name));
-        self.log.lock().push(Ran {
-            id: id.clone(),
-            service: self.service.clone(),
-            server: self.name.clone(),
-            at: Instant::now(),
-        });
+        let is_moved = text("Kv-Source").contains(MOVED);
+        if !is_moved {
+            self.log.lock().push(Ran {
+                id: id.clone(),
+                service: self.service.clone(),
+                server: self.name.clone(),
+                at: Instant::now(),
+            });
+        }
         let _running = Running::begin(&self.log);
         match self.work {
             Work::Plain => self.run_plain(exchange, head, &id).await,
@@ -164,6 +198,22 @@
         }
     }
 
+    /// Stops a run that is to move; whoever has its handle may go on with it.
+    async fn stop(self, mut exchange: Exchange) -> Option<Exchange> {
+        let body: serde_json::Value = serde_json::from_slice(&exchange.body).ok()?;
+        let id = body["id"].as_str().unwrap_or_default().to_owned();
+        let is_here = lock(&self.here).contains(&id);
+        let (status, answer) = match is_here {
+            true => (200, format!(r#"{{"kvHandle":"{MOVED}{id}","created":0}}"#)),
+            false => (404, "{}".to_owned()),
+        };
+        if is_here {
+            lock(&self.stopping).push(id);
+        }
+        exchange.answer(Response::new(status), answer.as_bytes()).await.ok()?;
+        Some(exchange)
+    }
+
     async fn run_plain(self, mut exchange: Exchange, head: Response, id: &str) -> Option<Exchange> {
         timer::sleep(PLAIN_TIME).await;
         if self.breaks_off.load(Ordering::SeqCst) {
@@ -186,7 +236,13 @@
         head.fields.set("Transfer-Encoding", "chunked");
         let mut bytes = head.to_bytes();
         let watcher = exchange.connection.watcher();
+        lock(&self.here).push(id.to_owned());
+        let _here = Here { ids: self.here.clone(), id: id.to_owned() };
         for number in first..EVENTS {
+            if lock(&self.stopping).iter().any(|one| one == id) {
+                lock(&self.stopping).retain(|one| one != id);
+                return None;
+            }
             let event = format!("id: {number}\ndata: {id}\n\n");
             bytes.extend(format!("{:x}\r\n{event}\r\n", event.len()).into_bytes());
             exchange.connection.write(&bytes, wire::SILENCE).await.ok()?;
--- a/crates/ffw-support/src/cluster/daemon.rs
+++ b/crates/ffw-support/src/cluster/daemon.rs
@@ -174,11 +174,12 @@
 
 fn spawn(command: &[String], log: &Path) -> Child {
     let log = OpenOptions::new().create(true).append(true).open(log).expect("a log file");
+    let errors = log.try_clone().expect("a handle");
     Command::new(&command[0])
         .args(&command[1..])
-        .stdout(Stdio::null())
+        .stdout(log)
         .stdin(Stdio::null())
-        .stderr(log)
+        .stderr(errors)
         .spawn()
         .expect("the binary starts")
 }
