--- a/crates/ffw-control/src/ledger.rs
+++ b/crates/ffw-control/src/ledger.rs
@@ -1,6 +1,8 @@
 //! The ledger: records of decisions in one hash chain for each process, copied to another daemon at
 //! once and written to the platform in segments.
 
+pub mod packed;
+
 use {
     crate::{
         daemon::Daemon,
@@ -13,14 +15,14 @@
     },
     ffw_protocol::{
         admission::{Attempt, Grant},
-        error::{Error, Kind as ErrorKind, Result},
+        error::Result,
         id,
         instance::{Instance, Role},
         ledger::{Event, Record, Segment},
     },
     ffw_runtime::timer,
     log::{info, warn},
-    serde::{Deserialize, Serialize},
+    packed::Packed,
     smol::channel::{self, Receiver, Sender},
     std::{
         sync::{Arc, Mutex, MutexGuard, PoisonError},
@@ -43,11 +45,6 @@
 /// Most records of one copy message.
 const COPY_RECORDS: usize = 2_000;
 
-const COMPRESSION_LEVEL: i32 = 3;
-
-/// Largest segment when unpacked, in bytes.
-const MAX_UNPACKED: usize = 64 << 20;
-
 /// Records of this process and copies of others'.
 #[derive(Debug)]
 pub struct Ledger {
@@ -81,50 +78,6 @@
     pub service: Arc<str>,
 }
 
-/// A segment as stored: compressed and in hexadecimal.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Packed {
-    /// Instance that wrote the chain.
-    pub instance: Arc<str>,
-    /// Number of the first record.
-    pub first: u64,
-    /// Number of the last record.
-    pub last: u64,
-    /// Time of the first record, in milliseconds since the Unix epoch.
-    pub from_ms: u64,
-    /// The segment as JSON, zstd-compressed, in hexadecimal.
-    pub zstd: Arc<str>,
-}
-
-impl Packed {
-    fn new(segment: &Segment) -> Result<Packed> {
-        let json = serde_json::to_vec(segment).map_err(internal)?;
-        let packed = zstd::bulk::compress(&json, COMPRESSION_LEVEL).map_err(internal)?;
-        let (first, last) = (segment.records.first(), segment.records.last());
-        Ok(Packed {
-            instance: segment.instance.clone(),
-            first: first.map_or(0, |record| record.number),
-            last: last.map_or(0, |record| record.number),
-            from_ms: first.map_or(0, |record| record.at_ms),
-            zstd: hex::encode(packed).into(),
-        })
-    }
-
-    /// The segment.
-    ///
-    /// # Errors
-    /// The object is damaged.
-    pub fn unpack(&self) -> Result<Segment> {
-        let packed = hex::decode(self.zstd.as_bytes()).map_err(internal)?;
-        let json = zstd::bulk::decompress(&packed, MAX_UNPACKED).map_err(internal)?;
-        serde_json::from_slice(&json).map_err(internal)
-    }
-}
-
-fn internal(err: impl std::fmt::Display) -> Error {
-    Error::new(ErrorKind::Internal, format!("ledger segment: {err}"))
-}
-
 impl Ledger {
     /// An empty chain.
     pub fn new(identity: &Identity, is_kept: bool) -> Ledger {
--- a/crates/ffw-route/src/stream.rs
+++ b/crates/ffw-route/src/stream.rs
@@ -2,28 +2,29 @@
 //! its decode server. A run that ends before its stream does is followed by another one where the
 //! route allows that.
 
+mod ask;
+mod calls;
 mod moving;
 mod relay;
+mod setback;
 
 use {
     crate::{
         answer::After,
         caller::{self, Exchange},
-        dialect::{Note, Source, Step, Tokens},
         gate::Gate,
-        transport::{self, Answer, Failure, Outgoing},
     },
     ffw_control::admission::{self, Decision, Place},
-    ffw_http::{connection::Connection, message::Response},
+    ffw_http::connection::Connection,
     ffw_protocol::{
-        admission::{Ask, Attempt, Failed, Failing, Phase, Refusal, Server},
+        admission::{Failing, Phase, Refusal, Server},
         error::{Error, Kind, Result, Run},
-        id,
     },
     ffw_runtime::timer,
     log::{debug, info},
     moving::{Mover, Onward},
     relay::{Relay, RelayEnd},
+    setback::Setback,
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -36,18 +37,6 @@
 /// Places that are asked for on behalf of one request.
 const PLACES_MAX: u32 = 3;
 
-/// Time between the first event at its server and at the caller.
-const TRANSIT: Duration = Duration::from_millis(30);
-
-/// Largest body of an answer that is not for the caller, in bytes.
-const SMALL_BODY: usize = 64 << 10;
-
-/// Time for a prefill beyond what its length takes.
-const PREFILL_SLACK: Duration = Duration::from_millis(400);
-
-/// Factor on the time that the length of a prompt takes, up to which a prefill is waited for.
-const PREFILL_FACTOR: u32 = 4;
-
 /// Share of the time for which a result is kept that is counted on.
 const RESULT_SHARE: f64 = 0.7;
 
@@ -55,19 +44,6 @@
 const CONTINUE_MAX: u32 = 8;
 const CONTINUE_PAUSE: Duration = Duration::from_millis(60);
 
-/// Time for the head of a stream after its prompt was read.
-const FIRST_EVENT_LIMIT: Duration = Duration::from_millis(1_500);
-
-/// Shortest silence after which callers give a stream up.
-const PATIENCE_MIN: Duration = Duration::from_secs(2);
-
-/// Silences after which callers give a stream up, in targets and in pauses.
-const PATIENCE_TARGETS: u32 = 4;
-const PATIENCE_GAPS: u32 = 8;
-
-/// Idle time up to which a kept connection carries a call to an engine.
-const REUSE: Duration = Duration::from_secs(1);
-
 /// Time after which a caller may come back if nothing better is known.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -126,17 +102,6 @@
     tries: u32,
 }
 
-/// Why one place did not bring the stream to its end.
-struct Setback {
-    error: Error,
-    /// Server that did not do its part.
-    failed: Option<Failed>,
-    /// Whether another place may be tried.
-    may_repeat: bool,
-    /// Calls that another place repeats.
-    repeats: u32,
-}
-
 impl Stream<'_> {
     async fn run(&mut self) -> End {
         let mut places = 0;
@@ -206,7 +171,8 @@
     /// Asks for a place; `number` parts the places of one request.
     async fn place(&self, number: u32) -> Result<Place> {
         let daemon = &self.gate.daemon;
-        let ask = ask(self.exchange, &self.relay, daemon.identity.next_request(), number, false)?;
+        let ask =
+            ask::build(self.exchange, &self.relay, daemon.identity.next_request(), number, false)?;
         match admission::place(daemon, &self.exchange.pool, ask).await? {
             Decision::Place(place) => Ok(place),
             Decision::Refusal(refusal) => Err(refused(&refusal)),
@@ -244,7 +210,7 @@
             let end = self.relay.pass_on(self.gate, answer, place, &mut mover).await;
             let cause = match end {
                 RelayEnd::Whole => return Ok(caller::after(self.gate, &self.exchange.head)),
-                RelayEnd::CallerGone => return Err(caller_gone()),
+                RelayEnd::CallerGone => return Err(setback::caller_gone()),
                 RelayEnd::Broken(cause) => cause,
             };
             let Some(onward) = mover.onward().await else {
@@ -303,7 +269,7 @@
         }
         let daemon = &self.gate.daemon;
         let request = daemon.identity.next_request();
-        let mut ask = ask(self.exchange, &self.relay, request, PLACES_MAX, true).ok()?;
+        let mut ask = ask::build(self.exchange, &self.relay, request, PLACES_MAX, true).ok()?;
         ask.patience = ask.patience.min(left);
         let asking = admission::place(daemon, &self.exchange.pool, ask);
         let Some(Ok(Decision::Place(place))) = timer::timeout(left, asking).await else {
@@ -331,7 +297,7 @@
             error: Error::new(Kind::BackendRefused, message)
                 .run(if self.is_run { Run::Unknown } else { Run::Not })
                 .retry_after(RETRY_AFTER),
-            failed: Some(failed(leaving, Failing::Replaced)),
+            failed: Some(setback::failed(leaving, Failing::Replaced)),
             may_repeat: self.may_begin_again(),
             repeats: 0,
         })
@@ -341,166 +307,11 @@
         let message = format!("backend server {}: {cause}", server.name);
         Setback {
             error: Error::new(Kind::BackendFailed, message),
-            failed: Some(failed(server, Failing::Broken)),
+            failed: Some(setback::failed(server, Failing::Broken)),
             may_repeat: self.exchange.route.is_resumable,
             repeats: CALLS_A_PLACE,
         }
     }
-
-    async fn prefill(&self, place: &Place) -> std::result::Result<Source, Setback> {
-        let server = &place.grant.prefill;
-        let head_by = Instant::now() + self.prefill_limit();
-        let outgoing = self.outgoing(server, Step::Prefill, head_by);
-        let whole = match transport::call(self.gate, &outgoing).await {
-            Ok(answer) => answer.into_whole(self.gate, SMALL_BODY, head_by).await,
-            Err(failure) => Err(failure),
-        };
-        let unread = |how: Failing, cause: String| Setback {
-            error: Error::new(Kind::BackendRefused, format!("prefill: {cause}"))
-                .run(if self.is_run { Run::Unknown } else { Run::Not })
-                .retry_after(RETRY_AFTER),
-            failed: Some(failed(server, how)),
-            may_repeat: self.may_begin_again(),
-            repeats: 1,
-        };
-        let whole = whole.map_err(|failure| unread(Failing::Broken, failure.to_string()))?;
-        if whole.head.status != 200 {
-            let cause = format!("{} answered {}", server.name, whole.head.status);
-            return Err(unread(failing(&whole.head, &whole.note), cause));
-        }
-        let handle = (self.gate.dialect.read_handle)(&whole.body);
-        let handle = handle.map_err(|cause| unread(Failing::Broken, cause.to_string()))?;
-        Ok(Source { address: server.address, handle })
-    }
-
-    fn prefill_limit(&self) -> Duration {
-        let pool = self.exchange.snapshot.deployment.pool(&self.exchange.pool);
-        let rate = pool.map_or(1, |pool| pool.prefill_rate.max(1));
-        let tokens = self.exchange.intent.tokens.map_or(0, |tokens| tokens.prompt);
-        let span = Duration::from_secs_f64(f64::from(tokens) / f64::from(rate));
-        PREFILL_SLACK + span * PREFILL_FACTOR
-    }
-
-    async fn decode(
-        &mut self,
-        place: &Place,
-        source: Option<&Source>,
-    ) -> std::result::Result<Answer, Setback> {
-        let server = &place.grant.decode;
-        let (step, limit) = match source {
-            Some(source) => (Step::Decode(source), FIRST_EVENT_LIMIT),
-            None => (Step::Run, FIRST_EVENT_LIMIT + self.prefill_limit()),
-        };
-        let head_by = Instant::now() + limit;
-        let outgoing = self.outgoing(server, step, head_by);
-        let result = transport::call(self.gate, &outgoing).await;
-        let message = |cause: String| format!("backend server {}: {cause}", server.name);
-        let (was_run, may_repeat) = (self.is_run, self.may_begin_again());
-        let not_run = |cause: String, how: Failing| Setback {
-            error: Error::new(Kind::BackendRefused, message(cause))
-                .run(if was_run { Run::Unknown } else { Run::Not })
-                .retry_after(RETRY_AFTER),
-            failed: Some(failed(server, how)),
-            may_repeat,
-            repeats: CALLS_A_PLACE,
-        };
-        let answer = match result {
-            Ok(answer) if answer.note.is_not_run => {
-                let cause = format!("refused with {}", answer.head.status);
-                let how = failing(&answer.head, &answer.note);
-                // The body says nothing more; it is read so that the connection can be kept.
-                drop(answer.into_whole(self.gate, SMALL_BODY, head_by).await);
-                return Err(not_run(cause, how));
-            }
-            Ok(answer) => answer,
-            Err(Failure::Unreached(cause)) => return Err(not_run(cause, Failing::Broken)),
-            Err(failure @ (Failure::Broken(_) | Failure::Late)) => {
-                self.is_run = true;
-                return Err(self.broken(server, &failure.to_string()));
-            }
-        };
-        self.is_run = true;
-        let fault = transport::fault(&answer.head, &answer.note);
-        let cause = match fault {
-            None if answer.head.status == 200 => return Ok(answer),
-            None => format!("answered {}", answer.head.status),
-            Some(fault) => fault.to_owned(),
-        };
-        Err(self.broken(server, &cause))
-    }
-
-    fn outgoing<'a>(
-        &'a self,
-        server: &'a Server,
-        step: Step<'a>,
-        head_by: Instant,
-    ) -> Outgoing<'a> {
-        Outgoing {
-            server,
-            head: &self.exchange.head,
-            body: &self.exchange.body,
-            id: &self.exchange.intent.id,
-            step,
-            last_event: self.relay.last_event(),
-            deadline: self.exchange.deadline,
-            head_by: head_by.min(self.exchange.deadline),
-            reuse: REUSE,
-        }
-    }
-}
-
-/// What the owner of the shard is asked for; `is_read` if the prompt was read already.
-fn ask(
-    exchange: &Exchange,
-    relay: &Relay<'_>,
-    request: id::Request,
-    number: u32,
-    is_read: bool,
-) -> Result<Ask> {
-    let route = &exchange.route;
-    let no_size = || Error::new(Kind::Malformed, "a request to a model gives its sizes");
-    let Tokens { prompt, output, output_hint } = exchange.intent.tokens.ok_or_else(no_size)?;
-    let gap = Duration::from_millis(route.gap_ms);
-    let target = if relay.has_begun() { gap } else { route.target() };
-    let patience = PATIENCE_MIN.max(route.target() * PATIENCE_TARGETS).max(gap * PATIENCE_GAPS);
-    let since = relay.silent_since().elapsed();
-    let left = |span: Duration| span.saturating_sub(since + TRANSIT);
-    Ok(Ask {
-        attempt: Attempt { request, number },
-        customer: route.name.clone(),
-        weight: 1,
-        service: route.name.clone(),
-        rank: route.rank,
-        tokens_in: prompt + relay.emitted(),
-        tokens_out: output.saturating_sub(relay.emitted()),
-        is_read,
-        output_hint: output_hint.map(|hint| hint.saturating_sub(relay.emitted())),
-        waited: Duration::ZERO,
-        target: left(target),
-        patience: left(patience).min(exchange.left()),
-        prefix: Vec::new(),
-    })
-}
-
-fn failed(server: &Server, how: Failing) -> Failed {
-    Failed { server: server.name.clone(), how }
-}
-
-fn caller_gone() -> Setback {
-    Setback {
-        error: Error::new(Kind::CallerGone, "the caller does not read"),
-        failed: None,
-        may_repeat: false,
-        repeats: 0,
-    }
-}
-
-fn failing(head: &Response, note: &Note) -> Failing {
-    match note.is_not_run {
-        true if head.status == 421 => Failing::Replaced,
-        true => Failing::Refused,
-        false => Failing::Broken,
-    }
 }
 
 fn refused(refusal: &Refusal) -> Error {
--- a/crates/ffw-route/src/stream/relay.rs
+++ b/crates/ffw-route/src/stream/relay.rs
@@ -1,7 +1,7 @@
 //! Passes the events of a stream on to its caller, whole events only, across several runs.
 
 use {
-    super::{End, moving::Mover},
+    super::{End, ask, moving::Mover},
     crate::{
         answer::{self, After, UNREAD_LIMIT},
         caller::{self, Exchange},
@@ -143,7 +143,7 @@
 
     /// Asks for a place in which the run goes on.
     fn ask(&self, gate: &Gate) -> Option<Ask> {
-        super::ask(self.exchange, self, gate.daemon.identity.next_request(), 1, true).ok()
+        ask::build(self.exchange, self, gate.daemon.identity.next_request(), 1, true).ok()
     }
 
     fn note_events(&mut self, events: &[u8]) {
--- a/crates/fireflyworks/src/command/route.rs
+++ b/crates/fireflyworks/src/command/route.rs
@@ -48,7 +48,7 @@
     name: "route",
     about: "Run the daemon from the platform's settings file",
     examples: &[Example {
-        what: "Serve with the settings file that FIREFLYWORKS_NODE_FILE names",
+        what: "Serve with the settings file that the environment names",
         line: "fireflyworks route --peer-secret 0123456789abcdef",
     }],
     arguments,
