--- a/crates/ffw-bench/src/experiment/mix.rs
+++ b/crates/ffw-bench/src/experiment/mix.rs
@@ -34,8 +34,8 @@
     pub(super) model: &'static str,
     pub(super) pool: &'static str,
     pub(super) kinds: Vec<Kind>,
-    /// Customers and their keys.
-    pub(super) customers: Vec<(&'static str, &'static str)>,
+    /// Workspaces and their keys.
+    pub(super) workspaces: Vec<(&'static str, &'static str)>,
 }
 
 /// One request to come.
@@ -43,7 +43,7 @@
 pub(super) struct Arrival {
     pub(super) at: Duration,
     pub(super) kind: Kind,
-    pub(super) customer: &'static str,
+    pub(super) workspace: &'static str,
     pub(super) key: &'static str,
     pub(super) prompt: Arc<str>,
     pub(super) tokens_in: u32,
@@ -100,10 +100,10 @@
         }
         let tokens_in = rng.gen_range(kind.prompt.0..=kind.prompt.1);
         let prompt = prompt(rng, tokens_in);
-        let (customer, key) = self.customers[rng.gen_range(0..self.customers.len())];
+        let (workspace, key) = self.workspaces[rng.gen_range(0..self.workspaces.len())];
         let tokens_out = answer::length(&prompt, kind.max_tokens);
         let daemon = rng.r#gen();
-        Arrival { at, kind, customer, key, prompt, tokens_in, tokens_out, daemon }
+        Arrival { at, kind, workspace, key, prompt, tokens_in, tokens_out, daemon }
     }
 }
 
@@ -137,7 +137,7 @@
         model: "season-notes",
         pool: "notes",
         kinds: vec![notes, captions],
-        customers: vec![("matariki", "matariki-demo-key"), ("kahurangi", "kahurangi-demo-key")],
+        workspaces: vec![("matariki", "matariki-demo-key"), ("kahurangi", "kahurangi-demo-key")],
     }
 }
 
@@ -156,7 +156,7 @@
         model: "intake-verdicts",
         pool: "manifests",
         kinds: vec![verdicts],
-        customers: vec![
+        workspaces: vec![
             ("recycler-a", "recycler-a-demo-key"),
             ("recycler-b", "recycler-b-demo-key"),
             ("recycler-c", "recycler-c-demo-key"),
--- a/crates/ffw-bench/src/experiment/reference.rs
+++ b/crates/ffw-bench/src/experiment/reference.rs
@@ -56,7 +56,7 @@
     let sequence = number as u64;
     let kind = &arrival.kind;
     let mut ask =
-        build::ask(sequence, arrival.customer, kind.rank, arrival.tokens_in, kind.max_tokens);
+        build::ask(sequence, arrival.workspace, kind.rank, arrival.tokens_in, kind.max_tokens);
     ask.target = kind.first_token;
     ask.patience = kind.deadline;
     ask
--- a/crates/ffw-bench/src/slopes.rs
+++ b/crates/ffw-bench/src/slopes.rs
@@ -27,7 +27,7 @@
         .arg(
             Arg::new("only")
                 .long("only")
-                .value_parser(["daemons", "workers", "requests", "customers"])
+                .value_parser(["daemons", "workers", "requests", "workspaces"])
                 .help("Measure one slope only"),
         )
 }
@@ -105,8 +105,8 @@
     if wanted("requests") {
         all.push(by_requests(&base, span));
     }
-    if wanted("customers") {
-        all.push(by_customers(&base, span));
+    if wanted("workspaces") {
+        all.push(by_workspaces(&base, span));
     }
     all.iter().for_each(Series::print);
     if only.is_none() {
@@ -141,23 +141,23 @@
     Series { name, samples: [1, 6, 18].map(measure).to_vec() }
 }
 
-fn by_customers(base: &cluster::Plan, span: Duration) -> Series {
-    let measure = |customers: usize| {
-        let declaration = with_customers(&base.declaration, customers).into();
+fn by_workspaces(base: &cluster::Plan, span: Duration) -> Series {
+    let measure = |workspaces: usize| {
+        let declaration = with_workspaces(&base.declaration, workspaces).into();
         let plan = cluster::Plan { declaration, daemons: 3, ..base.clone() };
-        (customers as f64, smol::block_on(sample::changing(plan, span)))
+        (workspaces as f64, smol::block_on(sample::changing(plan, span)))
     };
-    let name = "a change each second, by customers";
+    let name = "a change each second, by workspaces";
     Series { name, samples: [10, 1_000, 3_000].map(measure).to_vec() }
 }
 
-/// The declaration with so many customers more.
-fn with_customers(declaration: &str, count: usize) -> String {
+/// The declaration with so many workspaces more.
+fn with_workspaces(declaration: &str, count: usize) -> String {
     let mut text = declaration.to_owned();
     for number in 0..count {
         let digest = ffw_protocol::digest::hex(format!("key {number}").as_bytes());
         text += &format!(
-            "\n[[customer]]\nname = \"workspace-{number}\"\nkey_sha256 = \"{digest}\"\nservices = [\"captions\"]\n"
+            "\n[[workspace]]\nname = \"workspace-{number}\"\nkey_sha256 = \"{digest}\"\nservices = [\"captions\"]\n"
         );
     }
     text
--- a/crates/ffw-control/src/burn.rs
+++ b/crates/ffw-control/src/burn.rs
@@ -16,7 +16,7 @@
             let counts = series.over(now, window);
             rows.push(Burn {
                 service: series.service.clone(),
-                customer: series.customer.clone(),
+                workspace: series.workspace.clone(),
                 window_s: window.as_secs(),
                 total: counts.total,
                 missed: counts.missed,
@@ -39,7 +39,7 @@
         for window in WINDOWS {
             let rate = series.over(now, window).burn_rate(service.objective);
             let window = format!("{}m", window.as_secs() / 60);
-            let labels = [&*series.service, &*series.customer, &*window];
+            let labels = [&*series.service, &*series.workspace, &*window];
             daemon.metrics.burn_rate.with_label_values(&labels).set((rate * 1_000.0) as i64);
         }
     }
--- a/crates/ffw-control/src/ledger.rs
+++ b/crates/ffw-control/src/ledger.rs
@@ -72,8 +72,8 @@
 pub struct Subject {
     /// Attempt; its number is 0 before the first.
     pub attempt: Attempt,
-    /// Customer.
-    pub customer: Arc<str>,
+    /// Workspace.
+    pub workspace: Arc<str>,
     /// Service.
     pub service: Arc<str>,
 }
@@ -105,7 +105,7 @@
             at_ms: identity::unix_ms(),
             request: subject.attempt.request.to_string().into(),
             attempt: subject.attempt.number,
-            customer: subject.customer.clone(),
+            workspace: subject.workspace.clone(),
             service: subject.service.clone(),
             event,
             hash: "".into(),
--- a/crates/ffw-control/src/metrics.rs
+++ b/crates/ffw-control/src/metrics.rs
@@ -37,7 +37,7 @@
     pub held: IntGaugeVec,
     /// Ledger records that are not stored yet.
     pub unstored_records: IntGauge,
-    /// Burn rate in thousandths, by service, customer and window.
+    /// Burn rate in thousandths, by service, workspace and window.
     pub burn_rate: IntGaugeVec,
 }
 
@@ -116,7 +116,7 @@
             burn_rate: gauges(
                 "fireflyworks_burn_rate_thousandths",
                 "Burn rate of the error budget, in thousandths",
-                &["service", "customer", "window"],
+                &["service", "workspace", "window"],
             )?,
             registry,
         })
--- a/crates/ffw-control/src/owner.rs
+++ b/crates/ffw-control/src/owner.rs
@@ -239,7 +239,7 @@
         let mut state = self.lock();
         let subject = Subject {
             attempt: ask.attempt.clone(),
-            customer: ask.customer.clone(),
+            workspace: ask.workspace.clone(),
             service: ask.service.clone(),
         };
         state.waiters.push(Waiter { subject, verdict: sender });
--- a/crates/ffw-control/src/snapshot.rs
+++ b/crates/ffw-control/src/snapshot.rs
@@ -8,7 +8,7 @@
     ffw_protocol::{
         admission,
         config::Version,
-        declaration::{Customer, Deployment, Pool, Service},
+        declaration::{Deployment, Pool, Service, Workspace},
         instance::{Instance, Role},
         route::{self, Limits, Route},
     },
@@ -28,7 +28,7 @@
     pub hash: Arc<str>,
     /// Its declaration.
     pub deployment: Deployment,
-    /// Indices of the customers, in order of their keys' digests.
+    /// Indices of the workspaces, in order of their keys' digests.
     by_key: Vec<usize>,
 }
 
@@ -42,20 +42,20 @@
             problems.iter().map(ToString::to_string).collect::<Vec<_>>().join("; ")
         })?;
         route::sort(&mut deployment.routes);
-        let mut by_key: Vec<usize> = (0..deployment.customers.len()).collect();
+        let mut by_key: Vec<usize> = (0..deployment.workspaces.len()).collect();
         by_key.sort_by(|a, b| {
-            let digest = |index: &usize| &deployment.customers[*index].key_sha256;
+            let digest = |index: &usize| &deployment.workspaces[*index].key_sha256;
             digest(a).cmp(digest(b))
         });
         Ok(Snapshot { hash: version.hash(), deployment, version, by_key })
     }
 
-    /// The customer whose key has this digest.
-    pub fn customer_of_key(&self, digest: &str) -> Option<&Customer> {
-        let customers = &self.deployment.customers;
+    /// The workspace whose key has this digest.
+    pub fn workspace_of_key(&self, digest: &str) -> Option<&Workspace> {
+        let workspaces = &self.deployment.workspaces;
         let found =
-            self.by_key.binary_search_by(|index| (*customers[*index].key_sha256).cmp(digest));
-        found.ok().map(|at| &customers[self.by_key[at]])
+            self.by_key.binary_search_by(|index| (*workspaces[*index].key_sha256).cmp(digest));
+        found.ok().map(|at| &workspaces[self.by_key[at]])
     }
 
     /// The route of a host and path.
@@ -85,7 +85,7 @@
         }
     }
 
-    /// The service through which a customer reaches a model.
+    /// The service through which a workspace reaches a model.
     pub fn service_of_model(&self, allowed: &[Arc<str>], model: &str) -> Option<&Service> {
         let services = allowed.iter().filter_map(|name| self.deployment.service(name));
         let serves = |service: &&Service| {
--- a/crates/ffw-decide/src/burn.rs
+++ b/crates/ffw-decide/src/burn.rs
@@ -1,4 +1,4 @@
-//! Service-level burn: how fast each service and customer uses up its error budget, over a short
+//! Service-level burn: how fast each service and workspace uses up its error budget, over a short
 //! and long windows. Counts are kept by the minute, and only for minutes in which something ended.
 
 use {
@@ -90,13 +90,13 @@
     counts: Counts,
 }
 
-/// Counts of one service and customer.
+/// Counts of one service and workspace.
 #[derive(Clone, Debug)]
 pub struct Series {
     /// Service.
     pub service: Arc<str>,
-    /// Customer.
-    pub customer: Arc<str>,
+    /// Workspace.
+    pub workspace: Arc<str>,
     buckets: VecDeque<Bucket>,
 }
 
@@ -124,7 +124,7 @@
     }
 }
 
-/// All series, in order of service and customer.
+/// All series, in order of service and workspace.
 #[derive(Clone, Debug, Default)]
 pub struct Book {
     series: Vec<Series>,
@@ -136,18 +136,19 @@
         &mut self,
         now: Moment,
         service: &Arc<str>,
-        customer: &Arc<str>,
+        workspace: &Arc<str>,
         sample: &Sample,
         target: &Target,
     ) {
         let counts = Counts::of(sample, target);
-        let key = (service, customer);
-        let at = match self.series.binary_search_by(|one| (&one.service, &one.customer).cmp(&key)) {
+        let key = (service, workspace);
+        let at = match self.series.binary_search_by(|one| (&one.service, &one.workspace).cmp(&key))
+        {
             Ok(at) => at,
             Err(at) => {
-                let (service, customer) = (service.clone(), customer.clone());
+                let (service, workspace) = (service.clone(), workspace.clone());
                 let buckets = VecDeque::new();
-                self.series.insert(at, Series { service, customer, buckets });
+                self.series.insert(at, Series { service, workspace, buckets });
                 at
             }
         };
--- a/crates/ffw-decide/src/estimate.rs
+++ b/crates/ffw-decide/src/estimate.rs
@@ -11,9 +11,9 @@
 pub struct Load {
     /// Rank of its class.
     pub rank: u8,
-    /// Its customer.
-    pub customer: Arc<str>,
-    /// Weight of the customer.
+    /// Its workspace.
+    pub workspace: Arc<str>,
+    /// Weight of the workspace.
     pub weight: u32,
     /// Time that it will hold a decode slot.
     pub hold: Duration,
@@ -85,7 +85,7 @@
 }
 
 /// Time until the request at `index` starts, if the queue is served in the order of `queue` within
-/// each customer, by weight between customers and by rank between classes.
+/// each workspace, by weight between workspaces and by rank between classes.
 ///
 /// A late request is passed by whatever arrives, so it gets only the capacity that arriving work
 /// leaves over.
@@ -105,7 +105,7 @@
     for (at, load) in queue.iter().enumerate() {
         if load.rank < own.rank {
             higher.add(load, 1.0);
-        } else if load.rank == own.rank && load.customer == own.customer {
+        } else if load.rank == own.rank && load.workspace == own.workspace {
             let goes_first = (load.is_late, at) < (own.is_late, index);
             earlier.add(load, f64::from(u8::from(goes_first)));
         }
@@ -117,18 +117,18 @@
     }
 }
 
-/// Work of other customers of the class that will be served in the meantime: no more than they
-/// have waiting, and no more than their weight gives them beside the request's own customer.
+/// Work of other workspaces of the class that will be served in the meantime: no more than they
+/// have waiting, and no more than their weight gives them beside the request's own workspace.
 fn rival_work(queue: &[Load], own: &Load, earlier: &Sum) -> Sum {
     let own_hold = earlier.hold + own.hold.as_secs_f64();
     let mut budgets: Vec<Budget> = Vec::new();
     let mut total = Sum::default();
-    for load in queue.iter().filter(|one| one.rank == own.rank && one.customer != own.customer) {
-        let at = match budgets.binary_search_by(|one| one.customer.cmp(&load.customer)) {
+    for load in queue.iter().filter(|one| one.rank == own.rank && one.workspace != own.workspace) {
+        let at = match budgets.binary_search_by(|one| one.workspace.cmp(&load.workspace)) {
             Ok(at) => at,
             Err(at) => {
                 let left = own_hold * f64::from(load.weight) / f64::from(own.weight.max(1));
-                budgets.insert(at, Budget { customer: load.customer.clone(), left });
+                budgets.insert(at, Budget { workspace: load.workspace.clone(), left });
                 at
             }
         };
@@ -141,6 +141,6 @@
 }
 
 struct Budget {
-    customer: Arc<str>,
+    workspace: Arc<str>,
     left: f64,
 }
--- a/crates/ffw-decide/src/order.rs
+++ b/crates/ffw-decide/src/order.rs
@@ -1,4 +1,4 @@
-//! The order of service: priority class, then a fair share of tokens between customers, then
+//! The order of service: priority class, then a fair share of tokens between workspaces, then
 //! whoever can still meet its target, by the nearest target, and then whoever can't, by the nearest
 //! deadline. A class below its floor goes before the others.
 //!
@@ -27,8 +27,8 @@
 pub struct Candidate {
     /// Rank of its class.
     pub rank: u8,
-    /// Its customer.
-    pub customer: Arc<str>,
+    /// Its workspace.
+    pub workspace: Arc<str>,
     /// Whether its target can't be met any more.
     pub is_late: bool,
     /// Moment of its target, or of its deadline if it is late.
@@ -48,7 +48,7 @@
 
 #[derive(Clone, Debug)]
 struct Account {
-    customer: Arc<str>,
+    workspace: Arc<str>,
     served: f64,
 }
 
@@ -58,7 +58,7 @@
     served: f64,
 }
 
-/// What customers and classes have been served.
+/// What workspaces and classes have been served.
 #[derive(Clone, Debug, Default)]
 pub struct Fairness {
     floors: Vec<Floor>,
@@ -80,33 +80,41 @@
         self.floors = floors;
     }
 
-    /// Tokens that a customer was served, over its weight.
-    pub fn served(&self, customer: &str) -> f64 {
-        self.account(customer).map_or(0.0, |at| self.accounts[at].served)
+    /// Tokens that a workspace was served, over its weight.
+    pub fn served(&self, workspace: &str) -> f64 {
+        self.account(workspace).map_or(0.0, |at| self.accounts[at].served)
     }
 
-    /// Lets a customer that had nothing open start level with the least served of the others, so
+    /// Lets a workspace that had nothing open start level with the least served of the others, so
     /// that idle time earns no claim.
-    pub fn activate(&mut self, customer: &Arc<str>, active: &[Arc<str>]) {
+    pub fn activate(&mut self, workspace: &Arc<str>, active: &[Arc<str>]) {
         let least = active.iter().map(|one| self.served(one)).reduce(f64::min).unwrap_or(0.0);
-        let account = self.account_mut(customer);
+        let account = self.account_mut(workspace);
         account.served = account.served.max(least);
     }
 
-    /// Charges tokens to a customer and its class; negative to give back what was charged too much.
-    pub fn charge(&mut self, now: Moment, customer: &Arc<str>, weight: u32, rank: u8, tokens: f64) {
+    /// Charges tokens to a workspace and its class; negative to give back what was charged too much.
+    pub fn charge(
+        &mut self,
+        now: Moment,
+        workspace: &Arc<str>,
+        weight: u32,
+        rank: u8,
+        tokens: f64,
+    ) {
         self.decay(now);
-        let account = self.account_mut(customer);
+        let account = self.account_mut(workspace);
         account.served = (account.served + tokens / f64::from(weight.max(1))).max(0.0);
         let class = self.class_mut(rank);
         class.served = (class.served + tokens).max(0.0);
     }
 
-    /// Forgets customers that have nothing open.
+    /// Forgets workspaces that have nothing open.
     pub fn retain(&mut self, is_active: impl Fn(&str) -> bool) {
         let most = self.accounts.iter().map(|account| account.served).fold(0.0, f64::max);
-        // A customer near the front keeps its account, or leaving and returning would clear it.
-        self.accounts.retain(|account| is_active(&account.customer) || account.served > most / 2.0);
+        // A workspace near the front keeps its account, or leaving and returning would clear it.
+        self.accounts
+            .retain(|account| is_active(&account.workspace) || account.served > most / 2.0);
     }
 
     /// The candidate that goes next.
@@ -125,7 +133,7 @@
 
     fn first_of_class(&self, candidates: &[Candidate], rank: u8) -> Option<usize> {
         let key = |one: &Candidate| (one.is_late, one.due, one.arrival);
-        let served = |one: &Candidate| self.served(&one.customer);
+        let served = |one: &Candidate| self.served(&one.workspace);
         let in_class = candidates.iter().enumerate().filter(|(_, one)| one.rank == rank);
         let compare = |a: &(usize, &Candidate), b: &(usize, &Candidate)| {
             served(a.1).total_cmp(&served(b.1)).then(key(a.1).cmp(&key(b.1)))
@@ -159,15 +167,15 @@
         &mut self.classes[at]
     }
 
-    fn account(&self, customer: &str) -> Option<usize> {
-        self.accounts.binary_search_by(|account| (*account.customer).cmp(customer)).ok()
+    fn account(&self, workspace: &str) -> Option<usize> {
+        self.accounts.binary_search_by(|account| (*account.workspace).cmp(workspace)).ok()
     }
 
-    fn account_mut(&mut self, customer: &Arc<str>) -> &mut Account {
-        let at = match self.accounts.binary_search_by(|one| one.customer.cmp(customer)) {
+    fn account_mut(&mut self, workspace: &Arc<str>) -> &mut Account {
+        let at = match self.accounts.binary_search_by(|one| one.workspace.cmp(workspace)) {
             Ok(at) => at,
             Err(at) => {
-                self.accounts.insert(at, Account { customer: customer.clone(), served: 0.0 });
+                self.accounts.insert(at, Account { workspace: workspace.clone(), served: 0.0 });
                 at
             }
         };
@@ -192,7 +200,7 @@
         || candidates.iter().enumerate().filter(|(at, _)| *at != index).map(|(_, one)| one);
     if others().any(|one| one.rank != picked.rank) {
         Reason::Priority
-    } else if others().any(|one| one.customer != picked.customer) {
+    } else if others().any(|one| one.workspace != picked.workspace) {
         Reason::Share
     } else if others().next().is_some() {
         Reason::Deadline
--- a/crates/ffw-decide/src/shard.rs
+++ b/crates/ffw-decide/src/shard.rs
@@ -247,7 +247,7 @@
         })
     }
 
-    /// What customers and classes have been served.
+    /// What workspaces and classes have been served.
     pub fn fairness(&self) -> &Fairness {
         &self.fairness
     }
--- a/crates/ffw-decide/src/shard/place.rs
+++ b/crates/ffw-decide/src/shard/place.rs
@@ -54,7 +54,7 @@
     pub since: Moment,
     /// Full renewals of its entry in a row that did not list it.
     pub missed: u8,
-    /// Tokens charged to the customer so far.
+    /// Tokens charged to the workspace so far.
     pub charged: f64,
     /// When its entry was last told to move it; 0 if never.
     pub told_at: Moment,
--- a/crates/ffw-decide/src/shard/queue.rs
+++ b/crates/ffw-decide/src/shard/queue.rs
@@ -34,7 +34,7 @@
             self.effects.push(Effect::Answer(ask.attempt, Verdict::Refusal(refusal)));
             return;
         }
-        self.activate(&ask.customer);
+        self.activate(&ask.workspace);
         let arrival = now - ask.waited;
         let (target, deadline) = (now + ask.target, now + ask.patience);
         self.inflow.add(now, &self.load_of(&ask, false));
@@ -53,14 +53,14 @@
         too_large.then_some(Cause::TooLarge)
     }
 
-    fn activate(&mut self, customer: &Arc<str>) {
-        let placed = self.places.iter().map(|(_, place)| &place.ask.customer);
-        let waiting = self.waiting.iter().map(|one| &one.ask.customer);
+    fn activate(&mut self, workspace: &Arc<str>) {
+        let placed = self.places.iter().map(|(_, place)| &place.ask.workspace);
+        let waiting = self.waiting.iter().map(|one| &one.ask.workspace);
         let mut active: Vec<Arc<str>> = placed.chain(waiting).cloned().collect();
         active.sort();
         active.dedup();
-        if active.binary_search(customer).is_err() {
-            self.fairness.activate(customer, &active);
+        if active.binary_search(workspace).is_err() {
+            self.fairness.activate(workspace, &active);
         }
     }
 
@@ -129,7 +129,7 @@
             let is_late = self.is_late(now, one);
             Candidate {
                 rank: one.ask.rank,
-                customer: one.ask.customer.clone(),
+                workspace: one.ask.workspace.clone(),
                 is_late,
                 due: if is_late { one.deadline } else { one.target },
                 arrival: one.arrival,
@@ -237,14 +237,14 @@
     fn basis(&self, now: Moment, index: usize, plan: &Plan) -> Basis {
         let picked = &self.waiting[index];
         let is_rival = |one: &&Waiting| {
-            one.ask.rank == picked.ask.rank && one.ask.customer != picked.ask.customer
+            one.ask.rank == picked.ask.rank && one.ask.workspace != picked.ask.workspace
         };
         let rivals = self.waiting.iter().filter(is_rival);
-        let least = rivals.map(|one| self.fairness.served(&one.ask.customer)).reduce(f64::min);
+        let least = rivals.map(|one| self.fairness.served(&one.ask.workspace)).reduce(f64::min);
         Basis {
             waiting: self.waiting.len() as u32,
             rank: picked.ask.rank,
-            served: self.fairness.served(&picked.ask.customer) as u64,
+            served: self.fairness.served(&picked.ask.workspace) as u64,
             served_least: least.unwrap_or(0.0) as u64,
             waited_ms: now.since(picked.arrival).as_millis() as u64,
             patience_ms: picked.deadline.since(now).as_millis() as u64,
--- a/crates/ffw-decide/src/shard/renewal.rs
+++ b/crates/ffw-decide/src/shard/renewal.rs
@@ -275,7 +275,7 @@
         let expected = f64::from(place.ask.tokens_out) * self.output_share;
         place.charged = f64::from(place.ask.tokens_in) + expected;
         let ask = &place.ask;
-        self.fairness.charge(now, &ask.customer, ask.weight, ask.rank, place.charged);
+        self.fairness.charge(now, &ask.workspace, ask.weight, ask.rank, place.charged);
         let attempt = place.ask.attempt.clone();
         let (decode, pieces, transfer_end) = (place.decode, place.pieces, place.transfer_end);
         let key = self.places.insert(place);
@@ -300,7 +300,7 @@
         let now = released_at.unwrap_or(place.heard);
         let used = f64::from(place.ask.tokens_in) + f64::from(place.emitted);
         let ask = &place.ask;
-        self.fairness.charge(now, &ask.customer, ask.weight, ask.rank, used - place.charged);
+        self.fairness.charge(now, &ask.workspace, ask.weight, ask.rank, used - place.charged);
         if place.emitted > 0 {
             let share = f64::from(place.emitted) / f64::from(ask.tokens_out.max(1));
             self.output_share += (share.min(1.0) - self.output_share) * OUTPUT_SAMPLE;
--- a/crates/ffw-decide/src/shard/review.rs
+++ b/crates/ffw-decide/src/shard/review.rs
@@ -69,7 +69,7 @@
         let basis = Basis {
             waiting,
             rank: one.ask.rank,
-            served: self.fairness.served(&one.ask.customer) as u64,
+            served: self.fairness.served(&one.ask.workspace) as u64,
             waited_ms: now.since(one.arrival).as_millis() as u64,
             patience_ms: one.deadline.since(now).as_millis() as u64,
             predicted_ms: predicted.as_millis() as u64,
@@ -108,7 +108,7 @@
         let decode = self.settings.token_time * self.expected_output(ask);
         estimate::Load {
             rank: ask.rank,
-            customer: ask.customer.clone(),
+            workspace: ask.workspace.clone(),
             weight: ask.weight,
             hold: prefill + self.settings.transfer_time(ask.tokens_in) + decode,
             prefill,
--- a/crates/ffw-decide/tests/shard_policy.rs
+++ b/crates/ffw-decide/tests/shard_policy.rs
@@ -139,33 +139,34 @@
 }
 
 #[test]
-fn customers_share_tokens_by_weight() {
+fn workspaces_share_tokens_by_weight() {
     let mut drive = Drive::new(build::settings(), 1, 1);
     for number in 0..900 {
-        let (customer, weight) = if number % 2 == 0 { ("heavy", 2) } else { ("light", 1) };
-        let mut ask = build::ask(number, customer, 0, 500, 40);
+        let (workspace, weight) = if number % 2 == 0 { ("heavy", 2) } else { ("light", 1) };
+        let mut ask = build::ask(number, workspace, 0, 500, 40);
         ask.weight = weight;
         drive.ask(ask, 40);
         drive.pass(Duration::from_millis(60));
     }
-    let heavy = tokens_where(&drive, |ask| &*ask.customer == "heavy") as f64;
-    let light = tokens_where(&drive, |ask| &*ask.customer == "light") as f64;
+    let heavy = tokens_where(&drive, |ask| &*ask.workspace == "heavy") as f64;
+    let light = tokens_where(&drive, |ask| &*ask.workspace == "light") as f64;
     let ratio = heavy / light;
     assert!((1.8..=2.2).contains(&ratio), "{ratio}");
 }
 
 #[test]
-fn a_customer_with_small_requests_is_not_passed_by_one_with_large_ones() {
+fn a_workspace_with_small_requests_is_not_passed_by_one_with_large_ones() {
     let mut drive = Drive::new(build::settings(), 2, 1);
     for number in 0..800 {
-        let (customer, tokens_in) = if number % 2 == 0 { ("large", 4_000) } else { ("small", 400) };
-        drive.ask(build::ask(number, customer, 0, tokens_in, 40), 40);
+        let (workspace, tokens_in) =
+            if number % 2 == 0 { ("large", 4_000) } else { ("small", 400) };
+        drive.ask(build::ask(number, workspace, 0, tokens_in, 40), 40);
         // Small requests alone need 2.5 of the 4 slots, all together 5.
         drive.pass(Duration::from_millis(200));
     }
-    let requests = |customer: &str| {
-        let of_customer = drive.ended.iter().filter(|one| &*one.ask.customer == customer);
-        of_customer.filter(|one| matches!(one.end, End::Answered(_))).count()
+    let requests = |workspace: &str| {
+        let of_workspace = drive.ended.iter().filter(|one| &*one.ask.workspace == workspace);
+        of_workspace.filter(|one| matches!(one.end, End::Answered(_))).count()
     };
     // Small requests cost a ninth, so all of them are served while the large ones wait.
     assert!(requests("small") >= 380, "{}", requests("small"));
--- a/crates/ffw-decide/tests/shard_state_machine.rs
+++ b/crates/ffw-decide/tests/shard_state_machine.rs
@@ -17,11 +17,11 @@
 };
 
 const ENTRIES: [&str; 2] = ["entry-1", "entry-2"];
-const CUSTOMERS: [&str; 3] = ["a", "b", "c"];
+const WORKSPACES: [&str; 3] = ["a", "b", "c"];
 
 #[derive(Clone, Debug)]
 enum Transition {
-    Ask { entry: usize, customer: usize, rank: u8, tokens_in: u32, patience_ms: u64 },
+    Ask { entry: usize, workspace: usize, rank: u8, tokens_in: u32, patience_ms: u64 },
     Withdraw(usize),
     Advance(usize, u32),
     Release(usize, bool),
@@ -49,8 +49,8 @@
     fn transitions(_: &Oracle) -> BoxedStrategy<Transition> {
         let ask = (0..2usize, 0..3usize, 0..2u8, 1..6_000u32, 50..5_000u64);
         prop_oneof![
-            6 => ask.prop_map(|(entry, customer, rank, tokens_in, patience_ms)| {
-                Transition::Ask { entry, customer, rank, tokens_in, patience_ms }
+            6 => ask.prop_map(|(entry, workspace, rank, tokens_in, patience_ms)| {
+                Transition::Ask { entry, workspace, rank, tokens_in, patience_ms }
             }),
             2 => any::<usize>().prop_map(Transition::Withdraw),
             4 => (any::<usize>(), 0..40u32).prop_map(|(at, more)| Transition::Advance(at, more)),
@@ -120,7 +120,7 @@
         assert!(self.held.insert(attempt.clone(), held).is_none(), "held twice");
     }
 
-    /// Nobody passes a request of a higher class, or a less served customer of its own class,
+    /// Nobody passes a request of a higher class, or a less served workspace of its own class,
     /// without a recorded reason.
     fn check_order(&self, ask: &Ask, grant: &Grant) {
         if matches!(grant.reason, Reason::Floor | Reason::Backfill) {
@@ -131,7 +131,7 @@
         let has_rival = self
             .waiting
             .values()
-            .any(|(other, _)| other.rank == ask.rank && other.customer != ask.customer);
+            .any(|(other, _)| other.rank == ask.rank && other.workspace != ask.workspace);
         let basis = &grant.basis;
         assert!(!has_rival || basis.served <= basis.served_least, "unfair: {basis:?}");
     }
@@ -196,9 +196,9 @@
 
     fn apply(mut sut: Sut, _: &Oracle, transition: Transition) -> Sut {
         match transition {
-            Transition::Ask { entry, customer, rank, tokens_in, patience_ms } => {
+            Transition::Ask { entry, workspace, rank, tokens_in, patience_ms } => {
                 sut.next += 1;
-                let mut ask = build::ask(sut.next, CUSTOMERS[customer], rank, tokens_in, 60);
+                let mut ask = build::ask(sut.next, WORKSPACES[workspace], rank, tokens_in, 60);
                 ask.attempt = build::attempt(ENTRIES[entry], sut.next);
                 ask.patience = Duration::from_millis(patience_ms);
                 let deadline = sut.now + ask.patience;
--- a/crates/ffw-entry/src/entry.rs
+++ b/crates/ffw-entry/src/entry.rs
@@ -23,7 +23,7 @@
     pub daemon: Arc<Daemon>,
     /// Bounds of callers.
     pub limits: Limits,
-    /// Open requests of each customer.
+    /// Open requests of each workspace.
     pub gate: Gate,
     /// Stops the listener.
     pub handle: Handle,
--- a/crates/ffw-entry/src/exchange.rs
+++ b/crates/ffw-entry/src/exchange.rs
@@ -4,7 +4,7 @@
     crate::{filter::limit::Permit, openai::Call},
     ffw_control::{daemon::Daemon, identity, snapshot::Snapshot},
     ffw_protocol::{
-        declaration::{Customer, Service},
+        declaration::{Service, Workspace},
         error::{Error, Kind, Result},
         id,
         time::Moment,
@@ -25,7 +25,7 @@
         /// Path at the service, with query.
         path: Arc<str>,
     },
-    /// The customer's own ledger records of a request.
+    /// The workspace's own ledger records of a request.
     Records {
         /// Id of that request.
         request: Arc<str>,
@@ -51,13 +51,13 @@
     pub body: Arc<[u8]>,
     /// Configuration that the whole request is served under.
     pub snapshot: Option<Arc<Snapshot>>,
-    /// Customer, once authenticated.
-    pub customer: Option<Customer>,
+    /// Workspace, once authenticated.
+    pub workspace: Option<Workspace>,
     /// Service, once classified.
     pub service: Option<Service>,
     /// Model call, once parsed.
     pub call: Option<Call>,
-    /// Counts it among the customer's open requests.
+    /// Counts it among the workspace's open requests.
     pub permit: Option<Permit>,
     /// Whether the part that serves it records its end.
     pub is_accounted: bool,
@@ -80,7 +80,7 @@
             request,
             body: Arc::new([]),
             snapshot: None,
-            customer: None,
+            workspace: None,
             service: None,
             call: None,
             permit: None,
@@ -93,12 +93,12 @@
         self.request.header(name).map(|values| values.last().as_str())
     }
 
-    /// The customer.
+    /// The workspace.
     ///
     /// # Errors
     /// [`Kind::Unauthenticated`] before the authenticate filter.
-    pub fn customer(&self) -> Result<&Customer> {
-        self.customer.as_ref().ok_or_else(|| Error::new(Kind::Unauthenticated, "no customer"))
+    pub fn workspace(&self) -> Result<&Workspace> {
+        self.workspace.as_ref().ok_or_else(|| Error::new(Kind::Unauthenticated, "no workspace"))
     }
 
     /// The service.
--- a/crates/ffw-entry/src/filter/authenticate.rs
+++ b/crates/ffw-entry/src/filter/authenticate.rs
@@ -1,4 +1,4 @@
-//! Finds the customer by its bearer key. Only the key's digest is compared and kept.
+//! Finds the workspace by its bearer key. Only the key's digest is compared and kept.
 
 use {
     crate::{entry::Entry, exchange::Exchange},
@@ -10,7 +10,7 @@
     subtle::ConstantTimeEq as _,
 };
 
-/// Finds the customer.
+/// Finds the workspace.
 ///
 /// # Errors
 /// [`Kind::Draining`], [`Kind::NotReady`] or [`Kind::Unauthenticated`].
@@ -25,12 +25,12 @@
     let header = exchange.header("authorization").ok_or_else(wrong)?;
     let key = header.strip_prefix("Bearer ").ok_or_else(wrong)?;
     let digest = digest::hex(key.trim().as_bytes());
-    let found = snapshot.customer_of_key(&digest).ok_or_else(wrong)?;
+    let found = snapshot.workspace_of_key(&digest).ok_or_else(wrong)?;
     let is_same: bool = found.key_sha256.as_bytes().ct_eq(digest.as_bytes()).into();
     if !is_same {
         return Err(wrong());
     }
-    exchange.customer = Some(found.clone());
+    exchange.workspace = Some(found.clone());
     exchange.snapshot = Some(snapshot);
     Ok(())
 }
--- a/crates/ffw-entry/src/filter/classify.rs
+++ b/crates/ffw-entry/src/filter/classify.rs
@@ -54,15 +54,15 @@
     let service = deployment.service(name).ok_or_else(|| {
         Error::new(Kind::UnknownService, format!("no service `{name}` is declared"))
     })?;
-    let customer = exchange.customer()?;
-    if !customer.services.contains(&service.name) {
-        let message = format!("customer `{}` may not use service `{name}`", customer.name);
+    let workspace = exchange.workspace()?;
+    if !workspace.services.contains(&service.name) {
+        let message = format!("workspace `{}` may not use service `{name}`", workspace.name);
         return Err(Error::new(Kind::Forbidden, message));
     }
     Ok(service)
 }
 
-/// Finds the service of a model call: the one that the caller names, or the first of the customer's
+/// Finds the service of a model call: the one that the caller names, or the first of the workspace's
 /// that serves the model.
 ///
 /// # Errors
@@ -84,10 +84,11 @@
 }
 
 fn service_of_model<'a>(exchange: &'a Exchange, model: &str) -> Result<&'a Service> {
-    let customer = exchange.customer()?;
+    let workspace = exchange.workspace()?;
     let snapshot = exchange.snapshot()?;
-    snapshot.service_of_model(&customer.services, model).ok_or_else(|| {
-        let message = format!("no service of customer `{}` serves model `{model}`", customer.name);
+    snapshot.service_of_model(&workspace.services, model).ok_or_else(|| {
+        let message =
+            format!("no service of workspace `{}` serves model `{model}`", workspace.name);
         Error::new(Kind::UnknownModel, message)
     })
 }
--- a/crates/ffw-entry/src/filter/limit.rs
+++ b/crates/ffw-entry/src/filter/limit.rs
@@ -1,4 +1,4 @@
-//! Bounds the open requests of each customer at this entry.
+//! Bounds the open requests of each workspace at this entry.
 
 use {
     crate::{entry::Entry, exchange::Exchange},
@@ -8,11 +8,11 @@
 
 #[derive(Clone, Debug)]
 struct Open {
-    customer: Arc<str>,
+    workspace: Arc<str>,
     count: u32,
 }
 
-/// Open requests by customer, in order of name.
+/// Open requests by workspace, in order of name.
 #[derive(Clone, Debug, Default)]
 pub struct Gate {
     open: Arc<Mutex<Vec<Open>>>,
@@ -22,17 +22,17 @@
 #[derive(Debug)]
 pub struct Permit {
     gate: Gate,
-    customer: Arc<str>,
+    workspace: Arc<str>,
 }
 
 impl Gate {
-    /// Lets a request in, unless the customer has `most` open already.
-    pub fn enter(&self, customer: &Arc<str>, most: u32) -> Option<Permit> {
+    /// Lets a request in, unless the workspace has `most` open already.
+    pub fn enter(&self, workspace: &Arc<str>, most: u32) -> Option<Permit> {
         let mut open = self.lock();
-        let at = match open.binary_search_by(|one| one.customer.cmp(customer)) {
+        let at = match open.binary_search_by(|one| one.workspace.cmp(workspace)) {
             Ok(at) => at,
             Err(at) => {
-                open.insert(at, Open { customer: customer.clone(), count: 0 });
+                open.insert(at, Open { workspace: workspace.clone(), count: 0 });
                 at
             }
         };
@@ -40,12 +40,12 @@
             return None;
         }
         open[at].count += 1;
-        Some(Permit { gate: self.clone(), customer: customer.clone() })
+        Some(Permit { gate: self.clone(), workspace: workspace.clone() })
     }
 
-    fn leave(&self, customer: &Arc<str>) {
+    fn leave(&self, workspace: &Arc<str>) {
         let mut open = self.lock();
-        if let Ok(at) = open.binary_search_by(|one| one.customer.cmp(customer)) {
+        if let Ok(at) = open.binary_search_by(|one| one.workspace.cmp(workspace)) {
             open[at].count -= 1;
             if open[at].count == 0 {
                 open.remove(at);
@@ -60,7 +60,7 @@
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        self.gate.leave(&self.customer);
+        self.gate.leave(&self.workspace);
     }
 }
 
@@ -69,10 +69,10 @@
 /// # Errors
 /// [`Kind::RateLimited`].
 pub fn apply(entry: &Arc<Entry>, exchange: &mut Exchange) -> Result<()> {
-    let customer = exchange.customer()?;
-    let permit = entry.gate.enter(&customer.name, customer.max_open).ok_or_else(|| {
+    let workspace = exchange.workspace()?;
+    let permit = entry.gate.enter(&workspace.name, workspace.max_open).ok_or_else(|| {
         let message =
-            format!("customer `{}` has {} requests open", customer.name, customer.max_open);
+            format!("workspace `{}` has {} requests open", workspace.name, workspace.max_open);
         Error::new(Kind::RateLimited, message)
     })?;
     exchange.permit = Some(permit);
--- a/crates/ffw-entry/src/generate.rs
+++ b/crates/ffw-entry/src/generate.rs
@@ -47,7 +47,7 @@
     pub pool: Arc<str>,
     /// Rank of the service's class.
     pub rank: u8,
-    /// Weight of the customer.
+    /// Weight of the workspace.
     pub weight: u32,
     /// Prompt length in tokens.
     pub tokens_in: u32,
@@ -79,10 +79,10 @@
             entry: entry.clone(),
             pool: pool.name.clone(),
             rank: deployment.rank(service),
-            weight: exchange.customer()?.weight,
+            weight: exchange.workspace()?.weight,
             tokens_in: (call.prompt.len() as u32).div_ceil(bytes_per_token),
             tokens_out: call.max_tokens.unwrap_or(service.max_output),
-            prefix: prefix::hashes(&account.customer, &call.prompt, piece_bytes),
+            prefix: prefix::hashes(&account.workspace, &call.prompt, piece_bytes),
             token_time: Duration::from_millis(u64::from(pool.token_ms)),
             call,
             account,
--- a/crates/ffw-entry/src/generate/attempt.rs
+++ b/crates/ffw-entry/src/generate/attempt.rs
@@ -124,7 +124,7 @@
     let account = &work.account;
     let ask = Ask {
         attempt: attempt.clone(),
-        customer: account.customer.clone(),
+        workspace: account.workspace.clone(),
         weight: work.weight,
         service: account.service.name.clone(),
         rank: work.rank,
@@ -175,7 +175,7 @@
         max_tokens: work.tokens_out,
         priority: work.rank,
         resume_from,
-        cache_salt: work.account.customer.clone(),
+        cache_salt: work.account.workspace.clone(),
         kv_transfer_params: None,
     }
 }
--- a/crates/ffw-entry/src/plain.rs
+++ b/crates/ffw-entry/src/plain.rs
@@ -129,7 +129,7 @@
 /// Calls under a claim of the platform, so that the call runs at most once.
 async fn call_claimed(work: Work, key: &str) -> Result<Response> {
     let account = &work.account;
-    let parts = [&*account.customer, &*account.service.name, key];
+    let parts = [&*account.workspace, &*account.service.name, key];
     let name = digest::hex(parts.join("\0").as_bytes());
     let mut digested = format!("{} {}\0", work.method, work.path).into_bytes();
     digested.extend_from_slice(&work.body);
@@ -212,7 +212,7 @@
     call.body = work.body.clone();
     let header = |name: &str, value: &str| Header { name: name.into(), value: value.into() };
     call.headers.push(header("fireflyworks-request", &work.account.request.to_string()));
-    call.headers.push(header("fireflyworks-customer", &work.account.customer));
+    call.headers.push(header("fireflyworks-workspace", &work.account.workspace));
     if let Some(media) = &work.media {
         call.headers.push(header("content-type", media));
     }
--- a/crates/ffw-entry/src/record.rs
+++ b/crates/ffw-entry/src/record.rs
@@ -28,8 +28,8 @@
     pub daemon: Arc<Daemon>,
     /// The request.
     pub request: id::Request,
-    /// Customer.
-    pub customer: Arc<str>,
+    /// Workspace.
+    pub workspace: Arc<str>,
     /// Service.
     pub service: Service,
     /// When the request arrived.
@@ -51,12 +51,12 @@
     /// The account of a request whose service is known.
     ///
     /// # Errors
-    /// The filters have not found customer and service.
+    /// The filters have not found workspace and service.
     pub fn new(daemon: &Arc<Daemon>, exchange: &Exchange) -> Result<Account> {
         Ok(Account {
             daemon: daemon.clone(),
             request: exchange.id.clone(),
-            customer: exchange.customer()?.name.clone(),
+            workspace: exchange.workspace()?.name.clone(),
             service: exchange.service()?.clone(),
             arrived: exchange.arrived,
         })
@@ -67,7 +67,7 @@
         let attempt = Attempt { request: self.request.clone(), number: attempt };
         let subject = Subject {
             attempt,
-            customer: self.customer.clone(),
+            workspace: self.workspace.clone(),
             service: self.service.name.clone(),
         };
         self.daemon.ledger.note(&subject, event);
@@ -126,7 +126,7 @@
             between_tokens: Duration::from_millis(self.service.between_tokens_ms),
         };
         let now = identity::now();
-        self.daemon.burn().add(now, &self.service.name, &self.customer, &sample, &target);
+        self.daemon.burn().add(now, &self.service.name, &self.workspace, &sample, &target);
     }
 }
 
@@ -143,16 +143,16 @@
     }
 }
 
-/// Answers a customer's question for its own records of a request.
+/// Answers a workspace's question for its own records of a request.
 ///
 /// # Errors
-/// [`Kind::NotFound`], also for a request of another customer.
+/// [`Kind::NotFound`], also for a request of another workspace.
 pub async fn serve(daemon: &Arc<Daemon>, exchange: &Exchange, request: &str) -> Result<Response> {
-    let customer = &exchange.customer()?.name;
+    let workspace = &exchange.workspace()?.name;
     let records = ledger::gather(daemon, request).await;
-    let own: Vec<Record> = records.into_iter().filter(|one| one.customer == *customer).collect();
+    let own: Vec<Record> = records.into_iter().filter(|one| one.workspace == *workspace).collect();
     if own.is_empty() {
-        let message = format!("no record of request `{request}` for customer `{customer}`");
+        let message = format!("no record of request `{request}` for workspace `{workspace}`");
         return Err(Error::new(Kind::NotFound, message));
     }
     Ok(server::json_response(200, &own))
--- a/crates/ffw-operator/src/service/convert.rs
+++ b/crates/ffw-operator/src/service/convert.rs
@@ -69,7 +69,7 @@
     }
 }
 
-/// Counts of all daemons, added up by service, customer and window.
+/// Counts of all daemons, added up by service, workspace and window.
 pub fn to_burn(daemon: &Daemon, mut counts: Vec<Burn>) -> Vec<BurnRow> {
     counts.sort_by(|a, b| key(a).cmp(&key(b)));
     let groups = counts.chunk_by(|a, b| key(a) == key(b));
@@ -77,7 +77,7 @@
 }
 
 fn key(burn: &Burn) -> (&str, &str, u64) {
-    (&burn.service, &burn.customer, burn.window_s)
+    (&burn.service, &burn.workspace, burn.window_s)
 }
 
 fn to_row(daemon: &Daemon, group: &[Burn]) -> BurnRow {
@@ -94,7 +94,7 @@
     let objective = service.map_or(0.0, |service| service.objective);
     BurnRow {
         service: group[0].service.to_string(),
-        customer: group[0].customer.to_string(),
+        workspace: group[0].workspace.to_string(),
         window_s: group[0].window_s,
         total: counts.total,
         missed: counts.missed,
@@ -115,7 +115,7 @@
         at_ms: record.at_ms,
         request: record.request.to_string(),
         attempt: record.attempt,
-        customer: record.customer.to_string(),
+        workspace: record.workspace.to_string(),
         service: record.service.to_string(),
         event: describe(&record.event),
         hash: record.hash.to_string(),
--- a/crates/ffw-peer/src/service.rs
+++ b/crates/ffw-peer/src/service.rs
@@ -102,13 +102,13 @@
     pub held: u32,
 }
 
-/// Counts of one service and customer over one window.
+/// Counts of one service and workspace over one window.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Burn {
     /// Service.
     pub service: Arc<str>,
-    /// Customer.
-    pub customer: Arc<str>,
+    /// Workspace.
+    pub workspace: Arc<str>,
     /// Length of the window, in seconds.
     pub window_s: u64,
     /// Requests that ended.
--- a/crates/ffw-protocol/src/admission.rs
+++ b/crates/ffw-protocol/src/admission.rs
@@ -22,9 +22,9 @@
 pub struct Ask {
     /// Attempt that is asked for.
     pub attempt: Attempt,
-    /// Customer that pays.
-    pub customer: Arc<str>,
-    /// Weight of the customer's fair share.
+    /// Workspace that pays.
+    pub workspace: Arc<str>,
+    /// Weight of the workspace's fair share.
     pub weight: u32,
     /// Service asked for.
     pub service: Arc<str>,
@@ -46,7 +46,7 @@
     pub target: Duration,
     /// Time left until the first token is of no use.
     pub patience: Duration,
-    /// Hashes of the prompt's leading pieces, salted by customer, shortest first.
+    /// Hashes of the prompt's leading pieces, salted by workspace, shortest first.
     pub prefix: Vec<u64>,
 }
 
@@ -59,9 +59,9 @@
     Priority,
     /// Its class was below the share that is kept for it.
     Floor,
-    /// Its customer had been served least for its weight.
+    /// Its workspace had been served least for its weight.
     Share,
-    /// Its target is the nearest of its customer's that can still be met, or none can be met and
+    /// Its target is the nearest of its workspace's that can still be met, or none can be met and
     /// its deadline is the nearest.
     Deadline,
     /// The one before it fits no backend server yet.
@@ -81,9 +81,9 @@
     pub waiting: u32,
     /// Rank of the class.
     pub rank: u8,
-    /// Tokens that the customer had been served, over its weight.
+    /// Tokens that the workspace had been served, over its weight.
     pub served: u64,
-    /// Lowest such value among the other customers of the class that waited.
+    /// Lowest such value among the other workspaces of the class that waited.
     pub served_least: u64,
     /// Time since arrival, in milliseconds.
     pub waited_ms: u64,
--- a/crates/ffw-protocol/src/declaration.rs
+++ b/crates/ffw-protocol/src/declaration.rs
@@ -1,5 +1,5 @@
 //! Declarations that operators keep in version control: services, pools, models, priority classes
-//! and customers, as one TOML file a deployment.
+//! and workspaces, as one TOML file a deployment.
 
 use {
     crate::route::{Limits, Route},
@@ -28,9 +28,9 @@
     /// Services that callers ask for.
     #[serde(default, rename = "service")]
     pub services: Vec<Service>,
-    /// Customers and their keys.
-    #[serde(default, rename = "customer")]
-    pub customers: Vec<Customer>,
+    /// Workspaces and their keys.
+    #[serde(default, rename = "workspace")]
+    pub workspaces: Vec<Workspace>,
     /// Routes of requests that name no service.
     #[serde(default, rename = "route")]
     pub routes: Vec<Route>,
@@ -210,10 +210,10 @@
     }
 }
 
-/// A customer.
+/// A workspace.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
-pub struct Customer {
+pub struct Workspace {
     /// Name.
     pub name: Arc<str>,
     /// SHA-256 of its bearer key, in hexadecimal.
@@ -255,6 +255,15 @@
     Problem { thing: thing.into(), message: message.into() }
 }
 
+/// What is wrong with a text that is no declaration.
+fn unreadable(err: &toml::de::Error) -> Problem {
+    let message = err.to_string().trim().to_owned();
+    if message.contains("unknown field `customer`") {
+        return problem("customer", "is called `workspace` now; write [[workspace]]");
+    }
+    problem("declaration", message)
+}
+
 impl Deployment {
     /// Parses and checks a declaration.
     ///
@@ -265,8 +274,7 @@
             let message = format!("{} bytes; at most {MAX_BYTES} are accepted", text.len());
             return Err(vec![problem("declaration", message)]);
         }
-        let parsed: Deployment = toml::from_str(text)
-            .map_err(|err| vec![problem("declaration", err.to_string().trim().to_owned())])?;
+        let parsed: Deployment = toml::from_str(text).map_err(|err| vec![unreadable(&err)])?;
         let problems = parsed.problems();
         if problems.is_empty() { Ok(parsed) } else { Err(problems) }
     }
@@ -299,7 +307,7 @@
         self.check_names(&mut found);
         self.pools.iter().for_each(|pool| self.check_pool(pool, &mut found));
         self.services.iter().for_each(|service| self.check_service(service, &mut found));
-        self.customers.iter().for_each(|customer| self.check_customer(customer, &mut found));
+        self.workspaces.iter().for_each(|workspace| self.check_workspace(workspace, &mut found));
         self.routes.iter().for_each(|route| self.check_route(route, &mut found));
         self.check_floors(&mut found);
         found
@@ -313,8 +321,8 @@
         check_unique("pool", self.pools.iter().map(|pool| &pool.name), found);
         check_unique("class", self.classes.iter().map(|class| &class.name), found);
         check_unique("service", self.services.iter().map(|service| &service.name), found);
-        check_unique("customer", self.customers.iter().map(|customer| &customer.name), found);
-        check_unique("key of customer", self.customers.iter().map(|one| &one.key_sha256), found);
+        check_unique("workspace", self.workspaces.iter().map(|workspace| &workspace.name), found);
+        check_unique("key of workspace", self.workspaces.iter().map(|one| &one.key_sha256), found);
     }
 
     fn check_pool(&self, pool: &Pool, found: &mut Vec<Problem>) {
@@ -371,21 +379,21 @@
         }
     }
 
-    fn check_customer(&self, customer: &Customer, found: &mut Vec<Problem>) {
-        let thing: Arc<str> = format!("customer {}", customer.name).into();
-        for service in &customer.services {
+    fn check_workspace(&self, workspace: &Workspace, found: &mut Vec<Problem>) {
+        let thing: Arc<str> = format!("workspace {}", workspace.name).into();
+        for service in &workspace.services {
             if self.service(service).is_none() {
                 let message = format!("names service `{service}`, which is not declared");
                 found.push(problem(thing.clone(), message));
             }
         }
-        let is_digest = customer.key_sha256.len() == 64
-            && customer.key_sha256.bytes().all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
+        let is_digest = workspace.key_sha256.len() == 64
+            && workspace.key_sha256.bytes().all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
         if !is_digest {
             let message = "`key_sha256` must be 64 lower-case hexadecimal digits: the SHA-256 of the key, never the key";
             found.push(problem(thing.clone(), message));
         }
-        if customer.weight == 0 {
+        if workspace.weight == 0 {
             found.push(problem(thing, "`weight` must be above 0"));
         }
     }
--- a/crates/ffw-protocol/src/error.rs
+++ b/crates/ffw-protocol/src/error.rs
@@ -33,13 +33,13 @@
 /// Kinds of failure that a caller, an operator or a peer can be told.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Kind {
-    /// The bearer key is missing or belongs to no customer.
+    /// The bearer key is missing or belongs to no workspace.
     Unauthenticated,
-    /// The customer may not use this service or see this record.
+    /// The workspace may not use this service or see this record.
     Forbidden,
     /// No declared service has this name.
     UnknownService,
-    /// No declared service of this customer serves this model.
+    /// No declared service of this workspace serves this model.
     UnknownModel,
     /// There is no object, request or path of this name.
     NotFound,
@@ -49,7 +49,7 @@
     TooLarge,
     /// The idempotency key came with another body before.
     KeyReused,
-    /// The customer is above its request rate or its number of open requests.
+    /// The workspace is above its request rate or its number of open requests.
     RateLimited,
     /// The queue can't serve the request before its deadline.
     Overloaded,
@@ -125,7 +125,7 @@
         "forbidden",
         Run::Not,
         false,
-        "ask the operator to list the service under your customer",
+        "ask the operator to list the service under your workspace",
     ),
     row(
         Kind::UnknownService,
--- a/crates/ffw-protocol/src/ledger.rs
+++ b/crates/ffw-protocol/src/ledger.rs
@@ -54,8 +54,8 @@
     pub request: Arc<str>,
     /// Number of the attempt; 0 before the first.
     pub attempt: u32,
-    /// Customer that the record belongs to.
-    pub customer: Arc<str>,
+    /// Workspace that the record belongs to.
+    pub workspace: Arc<str>,
     /// Service asked for.
     pub service: Arc<str>,
     /// What happened.
@@ -72,7 +72,7 @@
             self.at_ms,
             &self.request,
             self.attempt,
-            &self.customer,
+            &self.workspace,
             &self.service,
             &self.event,
         );
--- a/crates/ffw-protocol/src/prefix.rs
+++ b/crates/ffw-protocol/src/prefix.rs
@@ -1,6 +1,6 @@
 //! Hashes of a prompt's leading pieces, by which cached prefixes are found again.
 //!
-//! The salt keeps customers apart: nobody learns from a cache hit what another customer has sent.
+//! The salt keeps workspaces apart: nobody learns from a cache hit what another workspace has sent.
 
 use crate::digest;
 
--- a/crates/ffw-protocol/tests/ledger_chain.rs
+++ b/crates/ffw-protocol/tests/ledger_chain.rs
@@ -16,7 +16,7 @@
             at_ms: number,
             request: "entry-1.1.1".into(),
             attempt: 0,
-            customer: "a".into(),
+            workspace: "a".into(),
             service: "s".into(),
             event,
             hash: "".into(),
@@ -54,7 +54,7 @@
 #[test]
 fn a_changed_record_breaks_it() {
     let mut whole = segment(&records(5), 1, 5);
-    whole.records[2].customer = "b".into();
+    whole.records[2].workspace = "b".into();
     assert_eq!(verify(&[whole]).expect_err("a change").number, 3);
 }
 
@@ -62,7 +62,7 @@
 fn two_records_of_one_number_break_it() {
     let all = records(5);
     let mut other = segment(&all, 3, 5);
-    other.records[0].customer = "b".into();
+    other.records[0].workspace = "b".into();
     other.records[0].hash = other.records[0].sealed_hash(&other.previous);
     let broken = verify(&[segment(&all, 1, 5), other]).expect_err("two histories");
     assert_eq!((broken.number, broken.what), (3, "two records have the same number"));
--- a/crates/ffw-route/src/caller.rs
+++ b/crates/ffw-route/src/caller.rs
@@ -44,6 +44,9 @@
 /// Time after which a caller may come back to another daemon.
 const DRAINING_RETRY_AFTER: Duration = Duration::from_millis(20);
 
+/// Time for an answer to reach its caller.
+const ANSWER_TIME: Duration = Duration::from_millis(20);
+
 /// A request that has passed the filters.
 #[derive(Debug)]
 pub(crate) struct Exchange {
@@ -274,6 +277,8 @@
     }
     gate.note_request(&pool);
     let limit = route.timeout().min(intent.deadline.unwrap_or(Duration::MAX));
+    // The caller must have its answer before it stops waiting.
+    let limit = limit - ANSWER_TIME.min(limit / 20);
     let deadline = began + limit;
     let head = head.clone();
     let exchange = Exchange { head, body, intent, route, pool, snapshot, began, deadline };
--- a/crates/ffw-route/src/stream/ask.rs
+++ b/crates/ffw-route/src/stream/ask.rs
@@ -41,7 +41,7 @@
     let left = |span: Duration| span.saturating_sub(since + TRANSIT);
     Ok(Ask {
         attempt: Attempt { request, number },
-        customer: route.name.clone(),
+        workspace: route.name.clone(),
         weight: 1,
         service: route.name.clone(),
         rank: route.rank,
--- a/crates/ffw-soak/src/plan.rs
+++ b/crates/ffw-soak/src/plan.rs
@@ -46,6 +46,9 @@
     }
 }
 
+/// Servers at the start of the list that serve plain requests.
+const PLAIN_SERVERS: usize = 4;
+
 const HARMS: [Harm; 4] = [Harm::Delay, Harm::Silence, Harm::OneWay, Harm::Reset];
 
 /// The steps of a run with a seed.
@@ -59,7 +62,9 @@
     let server = random.gen_range(0..servers);
     let harm = HARMS[random.gen_range(0..HARMS.len())];
     let span = Duration::from_millis(random.gen_range(200..2_500));
-    match random.gen_range(0..16) {
+    // The plain servers are the first ones of the list.
+    let plain = random.gen_range(0..servers.min(PLAIN_SERVERS));
+    match random.gen_range(0..19) {
         0 | 1 => Step::Restart(daemon),
         2 | 3 => Step::Kill(daemon),
         4 => Step::KillAll,
@@ -73,6 +78,8 @@
         13 => Step::Full(server, span),
         14 => Step::Replace(server, random.gen_range(0..2) == 0),
         15 if random.gen_range(0..2) == 0 => Step::MoveRoutes,
+        16 | 17 => Step::BreakOff(plain, span),
+        18 => Step::Server(plain, Harm::Reset, span),
         _ => Step::Rest(span),
     }
 }
--- a/crates/ffw-support/src/build.rs
+++ b/crates/ffw-support/src/build.rs
@@ -48,11 +48,11 @@
     Attempt { request, number: 1 }
 }
 
-/// An ask of a customer.
-pub fn ask(sequence: u64, customer: &str, rank: u8, tokens_in: u32, tokens_out: u32) -> Ask {
+/// An ask of a workspace.
+pub fn ask(sequence: u64, workspace: &str, rank: u8, tokens_in: u32, tokens_out: u32) -> Ask {
     Ask {
         attempt: attempt("entry-1", sequence),
-        customer: customer.into(),
+        workspace: workspace.into(),
         weight: 1,
         service: Arc::from("service"),
         rank,
--- a/crates/ffw-support/src/cluster.rs
+++ b/crates/ffw-support/src/cluster.rs
@@ -31,10 +31,10 @@
     },
 };
 
-/// Key of the customer `matariki` in the bundled declarations.
+/// Key of the workspace `matariki` in the bundled declarations.
 pub const KEY: &str = "matariki-demo-key";
 
-/// Key of the customer `kahurangi`.
+/// Key of the workspace `kahurangi`.
 pub const OTHER_KEY: &str = "kahurangi-demo-key";
 
 /// What to start.
--- a/crates/fireflyworks/src/command/burn.rs
+++ b/crates/fireflyworks/src/command/burn.rs
@@ -13,7 +13,7 @@
 /// The command.
 pub const ENTRY: Entry = Entry {
     name: "burn",
-    about: "Report how fast each service and customer uses its error budget",
+    about: "Report how fast each service and workspace uses its error budget",
     examples: &[
         Example {
             what: "Read the report at a terminal",
@@ -51,7 +51,7 @@
     println!(
         "{:<16} {:<16} {:>7} {:>8} {:>7} {:>6} {:>8} {:>6} {:>9} {:>12}",
         "service",
-        "customer",
+        "workspace",
         "window",
         "total",
         "missed",
@@ -65,7 +65,7 @@
         println!(
             "{:<16} {:<16} {:>6}m {:>8} {:>7} {:>6} {:>8} {:>6} {:>8.2}x {:>11.0}%",
             row.service,
-            row.customer,
+            row.workspace,
             row.window_s / 60,
             row.total,
             row.missed,
@@ -85,7 +85,7 @@
 fn print_json(reply: &BurnReply) {
     let to_json = |row: &BurnRow| {
         json!({
-            "service": row.service, "customer": row.customer, "window_s": row.window_s,
+            "service": row.service, "workspace": row.workspace, "window_s": row.window_s,
             "total": row.total, "missed": row.missed, "first_token": row.first_token,
             "between_tokens": row.between_tokens, "unavailable": row.unavailable,
             "objective": row.objective, "burn_rate": row.burn_rate,
--- a/crates/fireflyworks/src/command/check.rs
+++ b/crates/fireflyworks/src/command/check.rs
@@ -30,11 +30,11 @@
     match Deployment::parse(&text) {
         Ok(deployment) => {
             println!(
-                "ok: deployment {} with {} services, {} pools, {} customers",
+                "ok: deployment {} with {} services, {} pools, {} workspaces",
                 deployment.deployment,
                 deployment.services.len(),
                 deployment.pools.len(),
-                deployment.customers.len()
+                deployment.workspaces.len()
             );
             Ok(ExitCode::SUCCESS)
         }
--- a/crates/fireflyworks/src/command/explain.rs
+++ b/crates/fireflyworks/src/command/explain.rs
@@ -54,7 +54,12 @@
 
 fn print(record: &Record) {
     println!(
-        "  at_ms={} request={} attempt={} customer={} service={} {}",
-        record.at_ms, record.request, record.attempt, record.customer, record.service, record.event
+        "  at_ms={} request={} attempt={} workspace={} service={} {}",
+        record.at_ms,
+        record.request,
+        record.attempt,
+        record.workspace,
+        record.service,
+        record.event
     );
 }
--- a/crates/fireflyworks/tests/accounts.rs
+++ b/crates/fireflyworks/tests/accounts.rs
@@ -40,7 +40,7 @@
 }
 
 #[test]
-fn a_customer_reads_its_own_records_only() {
+fn a_workspace_reads_its_own_records_only() {
     smol::block_on(async {
         let cluster = Cluster::start(Plan::new(BINARY)).await;
         let answer = cluster.completion(0, 1, 16).send().await;
--- a/crates/fireflyworks/tests/callers.rs
+++ b/crates/fireflyworks/tests/callers.rs
@@ -120,7 +120,7 @@
 }
 
 #[test]
-fn a_customer_above_its_open_requests_is_told_when_to_come_back() {
+fn a_workspace_above_its_open_requests_is_told_when_to_come_back() {
     smol::block_on(async {
         let mut plan = Plan::new(BINARY);
         plan.declaration =
