Remove a call and two functions that nothing uses

A result that is not taken lapses at its engine after half a second; the call that frees one was written and never made. No change of behaviour.

--- a/crates/ffw-http/src/pool.rs
+++ b/crates/ffw-http/src/pool.rs
@@ -66,16 +66,6 @@
         self.lock().retain(|one| !one.has_expired() && is_listed(&one.server));
     }
 
-    /// Idle connections.
-    pub fn len(&self) -> usize {
-        self.lock().len()
-    }
-
-    /// Whether no connection is idle.
-    pub fn is_empty(&self) -> bool {
-        self.lock().is_empty()
-    }
-
     fn lock(&self) -> MutexGuard<'_, Vec<Idle>> {
         self.idle.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/ffw-route/src/dialect.rs
+++ b/crates/ffw-route/src/dialect.rs
@@ -139,8 +139,6 @@
     pub read_note: fn(&Response) -> Note,
     /// Reads the handle from the body of an answer to [`Step::Prefill`] or a move.
     pub read_handle: fn(&[u8]) -> Result<Arc<str>, Malformed>,
-    /// Writes a call that frees a handle.
-    pub write_free: fn(&str) -> Request,
     /// Writes a call that asks the named engine whether it is there.
     pub write_probe: fn(&str) -> Request,
     /// Reads the answer to [`Dialect::write_probe`].
--- a/crates/ffw-route/tests/support/bench.rs
+++ b/crates/ffw-route/tests/support/bench.rs
@@ -162,7 +162,6 @@
     write_call,
     read_note,
     read_handle,
-    write_free: |handle| Request::new("DELETE", handle),
     write_probe: |_| Request::new("GET", "/probe"),
     read_report: |_| Ok(Report { is_busy: false, sequence: 0 }),
     write_order: |_: &Order<'_>| (Request::new("POST", "/order"), Vec::new()),
