Let several servers of a large pool change their role together

Cause: the split of a pool changed one server at a time, and only if that one server gained 7%.

Change: the best split is searched over any number of servers; the gain of 7% counts for all of them together, four fifths of the way are ordered at once, and no more than the other side can spare at the present rate. Small pools change as before.

--- a/crates/ffw-control/src/owner.rs
+++ b/crates/ffw-control/src/owner.rs
@@ -162,9 +162,9 @@
         self.lock().shard.overloaded()
     }
 
-    /// The engine that is to change its role now, if one is.
-    pub fn role_change(&self) -> Option<Change> {
-        self.lock().shard.role_change(identity::now())
+    /// The engines that are to change their role now.
+    pub fn role_changes(&self) -> Vec<Change> {
+        self.lock().shard.role_changes(identity::now())
     }
 
     /// Engines that are passed over until they answer a probe, which is due now.
--- a/crates/ffw-decide/src/shard/roles.rs
+++ b/crates/ffw-decide/src/shard/roles.rs
@@ -1,8 +1,9 @@
 //! How many servers of a pool read prompts and how many make tokens.
 //!
 //! Answers the load pattern of a mix of prompts and answers that the split of the servers does not
-//! fit: one side is full while the other idles. The split is changed one server at a time, only for
-//! a clear gain that has lasted, because a server is away while it changes.
+//! fit: one side is full while the other idles. The split is changed only for a clear gain that has
+//! lasted, because a server is away while it changes. In a large pool one server is no clear gain,
+//! so several change together, as many as the other side can spare at the present rate.
 
 use {
     super::Shard,
@@ -23,9 +24,13 @@
 /// them delays first tokens.
 const PREFILL_SHARE: f64 = 0.9;
 
-/// Least gain in served requests for which a server changes its role.
+/// Least gain in served requests for which servers change their role.
 const GAIN_MIN: f64 = 1.07;
 
+/// Share of the servers on the way to the best split that change together: the mix is an estimate,
+/// and a server that went too far is away twice.
+const TOGETHER_SHARE: f64 = 0.8;
+
 /// Time for which a gain must have lasted.
 const GAIN_LASTS: Duration = Duration::from_secs(2);
 
@@ -47,6 +52,15 @@
     Decode,
 }
 
+/// Servers that should change to one side together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Shift {
+    /// Their new side.
+    pub to: Side,
+    /// How many, one at least.
+    pub count: usize,
+}
+
 /// A server that is to change its role.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Change {
@@ -103,32 +117,61 @@
         by_prefill.min(by_decode)
     }
 
-    /// The side that one server should change to, if that is a clear gain.
-    pub fn change(&self) -> Option<Side> {
-        let to_prefill =
-            Split { prefills: self.prefills + 1, decodes: self.decodes.saturating_sub(1), ..*self };
-        let to_decode =
-            Split { prefills: self.prefills.saturating_sub(1), decodes: self.decodes + 1, ..*self };
+    /// The servers that should change their side now, if that is a clear gain.
+    pub fn shift(&self) -> Option<Shift> {
+        let best = |to: Side| {
+            let most = self.from(to).saturating_sub(1);
+            let rates = (1..=most).map(|count| (count, self.after(to, count).rate()));
+            rates.reduce(|best, next| if next.1 > best.1 { next } else { best })
+        };
         let least = self.rate() * GAIN_MIN;
-        if self.decodes > 1 && to_prefill.rate() > least {
-            return Some(Side::Prefill);
+        let clear =
+            |to: Side| best(to).filter(|(_, rate)| *rate > least).map(|(count, _)| (to, count));
+        let (to, count) = clear(Side::Prefill).or_else(|| clear(Side::Decode))?;
+        let together = (count as f64 * TOGETHER_SHARE).ceil() as usize;
+        let spared =
+            (1..=together).rev().find(|count| self.without(to, *count).rate() >= self.rate());
+        Some(Shift { to, count: spared.unwrap_or(1) })
+    }
+
+    /// Servers of the side that a change to `to` takes from.
+    fn from(&self, to: Side) -> usize {
+        match to {
+            Side::Prefill => self.decodes,
+            Side::Decode => self.prefills,
+        }
+    }
+
+    /// The split once `count` servers have changed.
+    fn after(&self, to: Side, count: usize) -> Split {
+        let rest = self.without(to, count);
+        match to {
+            Side::Prefill => Split { prefills: rest.prefills + count, ..rest },
+            Side::Decode => Split { decodes: rest.decodes + count, ..rest },
+        }
+    }
+
+    /// The split while `count` servers change.
+    fn without(&self, to: Side, count: usize) -> Split {
+        match to {
+            Side::Prefill => Split { decodes: self.decodes - count, ..*self },
+            Side::Decode => Split { prefills: self.prefills - count, ..*self },
         }
-        (self.prefills > 1 && to_decode.rate() > least).then_some(Side::Decode)
     }
 }
 
 impl Shard {
-    /// The server that is to change its role now, if one is.
-    pub fn role_change(&mut self, now: Moment) -> Option<Change> {
+    /// The servers that are to change their role now.
+    pub fn role_changes(&mut self, now: Moment) -> Vec<Change> {
         if now < self.settled_at {
-            return None;
+            return Vec::new();
         }
         let split = self.split(now);
         let is_empty = split.prefills == 0 || split.decodes == 0;
-        let to = if self.roles.seen < SEEN_MIN { None } else { split.change() };
-        let Some(to) = to else {
+        let shift = if self.roles.seen < SEEN_MIN { None } else { split.shift() };
+        let Some(Shift { to, count }) = shift else {
             self.roles.wanted = None;
-            return None;
+            return Vec::new();
         };
         let since = match self.roles.wanted {
             Some(wanted) if wanted.to == to => wanted.since,
@@ -138,9 +181,10 @@
         let lasts = if is_empty { EMPTY_LASTS } else { GAIN_LASTS };
         let is_changing = self.roles.changed_at.is_some_and(|at| now.since(at) < CHANGE_PAUSE);
         if now.since(since) < lasts || is_changing {
-            return None;
+            return Vec::new();
         }
-        self.least_used(now, to).map(|server| Change { server, to })
+        let servers = self.least_used(now, to).into_iter().take(count);
+        servers.map(|server| Change { server, to }).collect()
     }
 
     /// Notes that a server was told to change its role; it takes no new work meanwhile.
@@ -190,18 +234,20 @@
         }
     }
 
-    /// The server of the other side that loses least by changing to `to`.
-    fn least_used(&self, now: Moment, to: Side) -> Option<Server> {
+    /// The servers of the other side, first those that lose least by changing to `to`.
+    fn least_used(&self, now: Moment, to: Side) -> Vec<Server> {
         match to {
             Side::Decode => {
                 let open = self.prefills.iter().filter(|(_, one)| one.is_open(now));
-                let least = open.min_by_key(|(_, one)| (one.free_at, one.server.name.clone()));
-                least.map(|(_, one)| one.server.clone())
+                let mut open: Vec<_> = open.map(|(_, one)| one).collect();
+                open.sort_by_key(|one| (one.free_at, one.server.name.clone()));
+                open.into_iter().map(|one| one.server.clone()).collect()
             }
             Side::Prefill => {
                 let open = self.decodes.iter().filter(|(_, one)| one.is_open(now));
-                let least = open.min_by_key(|(_, one)| (one.places.len(), one.server.name.clone()));
-                least.map(|(_, one)| one.server.clone())
+                let mut open: Vec<_> = open.map(|(_, one)| one).collect();
+                open.sort_by_key(|one| (one.places.len(), one.server.name.clone()));
+                open.into_iter().map(|one| one.server.clone()).collect()
             }
         }
     }
--- a/crates/ffw-route/src/roles.rs
+++ b/crates/ffw-route/src/roles.rs
@@ -47,13 +47,18 @@
             if !owner::is_owner(&gate.daemon, &hosted.pool, &[]) {
                 continue;
             }
-            let Some(change) = hosted.role_change() else { continue };
+            let changes = hosted.role_changes();
+            if changes.is_empty() {
+                continue;
+            }
             let Some(fence) = lease.acquire().await else {
                 timer::sleep(LEASE_PAUSE).await;
                 continue;
             };
-            let ordered = order(&gate, &lease, &change, fence).await;
-            note(&hosted, &change, &ordered);
+            for change in &changes {
+                let ordered = order(&gate, &lease, change, fence).await;
+                note(&hosted, change, &ordered);
+            }
         }
     }
 }
