Probe a server that refuses again and again, and pass it over while busy

Cause: a change of role is known to the owner that ordered it.

Change: the third refusal in a row makes the server due for a probe, and one that reports an open order is passed over for half a second at a time.

Test: seen failing with the limit out of reach.

--- a/crates/ffw-decide/src/shard/renewal.rs
+++ b/crates/ffw-decide/src/shard/renewal.rs
@@ -4,7 +4,7 @@
     super::{
         Effect, Entry, Shard,
         place::Place,
-        server::{Decode, Rest},
+        server::{Decode, Probe, Rest},
     },
     crate::arena::Key,
     ffw_protocol::{
@@ -168,9 +168,9 @@
     }
 
     /// Takes the outcome of a probe over.
-    pub fn note_probe(&mut self, now: Moment, server: &str, is_sound: bool) {
+    pub fn note_probe(&mut self, now: Moment, server: &str, probe: Probe) {
         if let Some(rest) = self.rest_of(server) {
-            rest.note_probe(now, is_sound);
+            rest.note_probe(now, probe);
         }
     }
 
--- a/crates/ffw-decide/src/shard/server.rs
+++ b/crates/ffw-decide/src/shard/server.rs
@@ -20,6 +20,13 @@
 /// Time for which a server that has no room is passed over.
 const REFUSED_REST: Duration = Duration::from_millis(150);
 
+/// Refusals in a row after which a server must answer a probe: it may not be full, but busy with an
+/// order that this owner knows nothing of.
+const REFUSALS_MAX: u32 = 3;
+
+/// Time for which a server that carries out an order is passed over.
+const BUSY_REST: Duration = Duration::from_millis(500);
+
 /// Time for which a server is passed over whose address another one has.
 const REPLACED_REST: Duration = Duration::from_secs(10);
 
@@ -27,10 +34,23 @@
 /// is passed over.
 const UNUSABLE_RESULTS: u32 = 2;
 
+/// What a server answered to a probe.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Probe {
+    /// It can be used.
+    Sound,
+    /// It carries out an order and refuses requests meanwhile.
+    Busy,
+    /// It gave no good answer.
+    Failed,
+}
+
 /// Failures of a server in a row, and until when it is passed over for them.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Rest {
     failures: u32,
+    /// Refusals since it last did its work.
+    refusals: u32,
     until: Moment,
     /// Whether it must answer a probe before it is used again.
     needs_probe: bool,
@@ -53,14 +73,16 @@
     /// Notes that the server has no room.
     pub fn note_refused(&mut self, now: Moment) {
         self.until = self.until.max(now + REFUSED_REST);
+        self.refusals += 1;
+        self.needs_probe |= self.refusals >= REFUSALS_MAX;
     }
 
     /// Notes the outcome of a probe.
-    pub fn note_probe(&mut self, now: Moment, is_sound: bool) {
-        if is_sound {
-            self.needs_probe = false;
-        } else {
-            self.note_failure(now);
+    pub fn note_probe(&mut self, now: Moment, probe: Probe) {
+        match probe {
+            Probe::Sound => (self.needs_probe, self.refusals) = (false, 0),
+            Probe::Busy => self.until = self.until.max(now + BUSY_REST),
+            Probe::Failed => self.note_failure(now),
         }
     }
 
--- a/crates/ffw-decide/tests/shard_failures.rs
+++ b/crates/ffw-decide/tests/shard_failures.rs
@@ -2,7 +2,7 @@
 //! prompt is read to find out whether it is back.
 
 use {
-    ffw_decide::shard::{Effect, Members, Settings, Shard},
+    ffw_decide::shard::{Effect, Members, Settings, Shard, server::Probe},
     ffw_protocol::{
         admission::{Failed, Failing, Grant, Phase, Progress, Release, Renewal, Verdict},
         time::Moment,
@@ -91,7 +91,7 @@
     assert_eq!(pool.shard.probes_due(pool.now).len(), 1);
     assert_ne!(pool.grant().decode.name, broken);
     pool.end(None);
-    pool.shard.note_probe(pool.now, &broken, true);
+    pool.shard.note_probe(pool.now, &broken, Probe::Sound);
     assert!(pool.shard.probes_due(pool.now).is_empty());
     let used: Vec<_> = (0..2).map(|_| pool.grant().decode.name).collect();
     assert!(used.contains(&broken), "the server is not used after a good probe: {used:?}");
@@ -107,6 +107,29 @@
     assert_ne!(pool.grant().decode.name, gone);
 }
 
+/// The owner that ordered a change of its role may have handed the shard over since.
+#[test]
+fn a_server_that_refuses_again_and_again_is_passed_over_while_it_is_busy() {
+    let mut pool = Pool::new(2, 1);
+    for _ in 0..3 {
+        let grant = pool.grant();
+        assert_eq!(&*grant.prefill.name, "prefill-0");
+        pool.fail("prefill-0", Failing::Refused);
+        pool.pass(200);
+    }
+    for _ in 0..10 {
+        let due: Vec<_> = pool.shard.probes_due(pool.now).into_iter().map(|one| one.name).collect();
+        assert_eq!(due, ["prefill-0".into()]);
+        pool.shard.note_probe(pool.now, "prefill-0", Probe::Busy);
+        assert!(pool.shard.probes_due(pool.now).is_empty(), "probed again at once");
+        assert_eq!(&*pool.grant().prefill.name, "prefill-1");
+        pool.end(None);
+        pool.pass(600);
+    }
+    pool.shard.note_probe(pool.now, "prefill-0", Probe::Sound);
+    assert_eq!(&*pool.grant().prefill.name, "prefill-0", "not used after its order");
+}
+
 #[test]
 fn a_prefill_server_whose_results_cannot_be_had_is_passed_over() {
     let mut pool = Pool::new(1, 4);
--- a/crates/ffw-route/src/engine.rs
+++ b/crates/ffw-route/src/engine.rs
@@ -3,6 +3,7 @@
 use {
     crate::{gate::Gate, transport},
     ffw_control::{identity, owner::Hosted},
+    ffw_decide::shard::server::Probe,
     ffw_protocol::admission::Server,
     ffw_runtime::{executor, timer},
     log::info,
@@ -35,10 +36,15 @@
 async fn probe(gate: &Gate, hosted: &Hosted, server: &Server) {
     let request = (gate.dialect.write_probe)(&server.name);
     let answer = transport::ask(gate, server, &request, &[], PROBE_LIMIT).await;
-    let (is_sound, outcome) = match &answer {
-        Ok(whole) => (whole.head.status == 200, whole.head.status.to_string()),
-        Err(failure) => (false, failure.to_string()),
+    let (probe, outcome) = match &answer {
+        Ok(whole) if whole.head.status == 200 => match (gate.dialect.read_report)(&whole.body) {
+            Ok(report) if report.is_busy => (Probe::Busy, "an order is open".to_owned()),
+            Ok(_) => (Probe::Sound, "200".to_owned()),
+            Err(malformed) => (Probe::Failed, malformed.to_string()),
+        },
+        Ok(whole) => (Probe::Failed, whole.head.status.to_string()),
+        Err(failure) => (Probe::Failed, failure.to_string()),
     };
-    info!("event=engine_probed server={} sound={is_sound} outcome=\"{outcome}\"", server.name);
-    hosted.change(|shard| shard.note_probe(identity::now(), &server.name, is_sound));
+    info!("event=engine_probed server={} probe={probe:?} outcome=\"{outcome}\"", server.name);
+    hosted.change(|shard| shard.note_probe(identity::now(), &server.name, probe));
 }
