Count the bodies that come in chunks against the memory for bodies

Cause: room was reserved for the declared length only. A body in chunks declares none, so any number of them, each up to the limit of the configuration, was held at once: on an instance of 110 MB, 27 bodies of 4 MB.

Change: what comes beyond the declared length is reserved as it comes; without room the request is refused as not run.

Test: seen failing for chunks (the request went to its server), passing for a declared length before and after.

--- a/crates/ffw-route/src/caller.rs
+++ b/crates/ffw-route/src/caller.rs
@@ -5,7 +5,7 @@
     crate::{
         answer::{self, After},
         dialect::Intent,
-        gate::Gate,
+        gate::{Gate, Held},
         plain, stream,
     },
     ffw_control::snapshot::Snapshot,
@@ -250,7 +250,7 @@
     caller: &mut Connection,
     head: &Request,
     began: Instant,
-) -> Result<(Exchange, crate::gate::Held<'a>), Rejected> {
+) -> Result<(Exchange, Held<'a>), Rejected> {
     let malformed = |cause: &dyn std::fmt::Display| Error::new(Kind::Malformed, cause.to_string());
     let framing = Framing::of_request(head).map_err(|cause| unread(malformed(&cause)))?;
     let snapshot = gate.daemon.register.config().ok_or_else(|| {
@@ -291,34 +291,67 @@
     head: &Request,
     framing: Framing,
     limit: usize,
-) -> Result<(Vec<u8>, crate::gate::Held<'a>), Error> {
-    let too_large = || Error::new(Kind::TooLarge, format!("the body is larger than {limit} bytes"));
+) -> Result<(Vec<u8>, Held<'a>), Error> {
     let declared = match framing {
         Framing::Length(length) => usize::try_from(length).unwrap_or(usize::MAX),
         _ => 0,
     };
     if declared > limit {
-        return Err(too_large());
+        return Err(too_large(limit));
     }
-    let Some(room) = gate.reserve(declared) else {
-        let error = Error::new(Kind::Overloaded, "no memory for the body");
-        return Err(error.retry_after(RETRY_AFTER));
-    };
+    let Some(mut room) = gate.reserve(declared) else { return Err(no_memory()) };
     let mut decoder = Decoder::new(framing);
     if !decoder.has_ended() && head.fields.has_token("expect", "100-continue") {
         let interim = b"HTTP/1.1 100 Continue\r\n\r\n";
         let written = caller.write(interim, answer::UNREAD_LIMIT).await;
         written.map_err(|err| Error::new(Kind::CallerGone, err.to_string()))?;
     }
-    let reading = caller.read_body(&mut decoder, limit);
+    let reading = read_parts(gate, caller, &mut decoder, limit, declared, &mut room);
     match timer::timeout(BODY_LIMIT, reading).await {
-        Some(Ok(body)) => Ok((body, room)),
-        Some(Err(Fault::TooLarge)) => Err(too_large()),
-        Some(Err(fault)) => Err(Error::new(Kind::Malformed, format!("bad body: {fault}"))),
+        Some(body) => Ok((body?, room)),
         None => Err(Error::new(Kind::Timeout, "the body came too slowly").run(Run::Not)),
     }
 }
 
+/// Reads a body, and reserves room for what comes beyond the declared length: all of it, if the
+/// body comes in chunks.
+async fn read_parts(
+    gate: &Gate,
+    caller: &mut Connection,
+    decoder: &mut Decoder,
+    limit: usize,
+    declared: usize,
+    room: &mut Held<'_>,
+) -> Result<Vec<u8>, Error> {
+    let mut body = Vec::with_capacity(declared);
+    loop {
+        let part = match caller.read_part(decoder).await {
+            Ok(Some(part)) => part,
+            Ok(None) => return Ok(body),
+            Err(fault) => {
+                return Err(Error::new(Kind::Malformed, format!("bad body: {fault}")));
+            }
+        };
+        if body.len() + part.len() > limit {
+            return Err(too_large(limit));
+        }
+        let reserved = declared.max(body.len());
+        let beyond = (body.len() + part.len()).saturating_sub(reserved);
+        if !gate.reserve_more(room, beyond) {
+            return Err(no_memory());
+        }
+        body.extend_from_slice(&part);
+    }
+}
+
+fn too_large(limit: usize) -> Error {
+    Error::new(Kind::TooLarge, format!("the body is larger than {limit} bytes"))
+}
+
+fn no_memory() -> Error {
+    Error::new(Kind::Overloaded, "no memory for the body").retry_after(RETRY_AFTER)
+}
+
 /// The host that a request names, in lower case and without its port.
 fn host_of(head: &Request) -> Result<String, Error> {
     let mut hosts = head.fields.all("host");
--- a/crates/ffw-route/src/gate.rs
+++ b/crates/ffw-route/src/gate.rs
@@ -140,8 +140,14 @@
 
     /// Reserves room for a body while the guard lives; `None` if there is none.
     pub fn reserve(&self, bytes: usize) -> Option<Held<'_>> {
-        let held = hold(&self.buffered, bytes);
-        (self.buffered.load(Ordering::SeqCst) <= self.limits.buffered_bytes).then_some(held)
+        let mut held = hold(&self.buffered, 0);
+        self.reserve_more(&mut held, bytes).then_some(held)
+    }
+
+    /// Reserves so many bytes more for a body; answers whether there is room for them.
+    pub fn reserve_more(&self, held: &mut Held<'_>, bytes: usize) -> bool {
+        held.amount += bytes;
+        self.buffered.fetch_add(bytes, Ordering::SeqCst) + bytes <= self.limits.buffered_bytes
     }
 }
 
--- a/crates/ffw-route/tests/plain.rs
+++ b/crates/ffw-route/tests/plain.rs
@@ -5,7 +5,7 @@
 mod bench;
 
 use {
-    bench::{Backend, Got, Reply, Script, answer, gate, good, listed, not_run, request},
+    bench::{Backend, Got, Reply, Script, answer, gate, good, listed, not_run, request, send},
     ffw_protocol::instance::{Role, State},
     rstest::rstest,
     std::sync::Arc,
@@ -158,3 +158,33 @@
         assert!(backend.calls().is_empty());
     });
 }
+
+/// The bodies that a daemon holds at once are bounded, whether they say their length or come in
+/// chunks.
+#[rstest]
+#[case::with_a_length(false)]
+#[case::in_chunks(true)]
+fn a_body_for_which_there_is_no_memory_is_refused(#[case] in_chunks: bool) {
+    const BYTES: usize = 1_500_000;
+    let body = vec![b'x'; BYTES];
+    let mut bytes = b"POST /once/x HTTP/1.1\r\nHost: h\r\nId: r1\r\n".to_vec();
+    if in_chunks {
+        bytes.extend_from_slice(b"Transfer-Encoding: chunked\r\n\r\n");
+        for chunk in body.chunks(10_000) {
+            bytes.extend_from_slice(format!("{:x}\r\n", chunk.len()).as_bytes());
+            bytes.extend_from_slice(chunk);
+            bytes.extend_from_slice(b"\r\n");
+        }
+        bytes.extend_from_slice(b"0\r\n\r\n");
+    } else {
+        bytes.extend_from_slice(format!("Content-Length: {BYTES}\r\n\r\n").as_bytes());
+        bytes.extend_from_slice(&body);
+    }
+    smol::block_on(async {
+        let backend = Backend::start(script(|_, head| Reply::Bytes(good(head, "whole")))).await;
+        let gate = gate(vec![listed("a", Role::Plain, &backend, State::Live)]);
+        let got = send(&gate, &bytes).await;
+        assert_eq!((got.status, backend.calls().len()), (503, 0), "{got:?}");
+        assert!(gate.reserve(1 << 20).is_some(), "room is kept for a body that was refused");
+    });
+}
