Show routed requests by outcome and step in the metrics

Cause: on the users' platform only logs told how requests ended; the metrics knew declared services alone.

Change: counters by pool and outcome, histograms of wait, prefill, first event, longest pause and whole time, repeats asked for and left, callers' connections, and the time of the store's last answer by kind. Labels are pools and fixed words. The budget answers what is left by the same rule as it takes.

Tests: metrics.rs, each outcome and step.

--- a/crates/ffw-control/src/metrics.rs
+++ b/crates/ffw-control/src/metrics.rs
@@ -1,11 +1,14 @@
 //! Counters and gauges for prometheus.
 
+pub mod routed;
+
 use {
     ffw_runtime::meter::Wire,
     prometheus::{
         Encoder as _, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts,
         Registry, TextEncoder,
     },
+    routed::Routed,
     std::sync::Arc,
 };
 
@@ -39,6 +42,8 @@
     pub unstored_records: IntGauge,
     /// Burn rate in thousandths, by service, workspace and window.
     pub burn_rate: IntGaugeVec,
+    /// Routed requests.
+    pub routed: Routed,
 }
 
 impl Metrics {
@@ -118,6 +123,7 @@
                 "Burn rate of the error budget, in thousandths",
                 &["service", "workspace", "window"],
             )?,
+            routed: Routed::new(&registry)?,
             registry,
         })
     }
--- /dev/null
+++ b/crates/ffw-control/src/metrics/routed.rs
@@ -0,0 +1,117 @@
+//! Metrics of routed requests. The labels are pools of the configuration and words of this file and
+//! of the table of errors, so their number is bounded.
+
+use {
+    prometheus::{
+        HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    },
+    std::time::Duration,
+};
+
+/// Pool of a request that ended before one was chosen.
+pub const NO_POOL: &str = "none";
+
+/// Bounds of the buckets, in seconds.
+const BUCKETS: [f64; 12] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.6, 0.9, 2.0, 5.0, 15.0];
+
+/// Steps of a request whose time is measured.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// A stream waits for its place.
+    Wait,
+    /// Its prompt is read.
+    Prefill,
+    /// From the request to its first event.
+    FirstEvent,
+    /// Longest time between two events of a stream.
+    Pause,
+    /// From the request to the end of its answer.
+    Whole,
+}
+
+impl Step {
+    fn word(self) -> &'static str {
+        match self {
+            Step::Wait => "wait",
+            Step::Prefill => "prefill",
+            Step::FirstEvent => "first_event",
+            Step::Pause => "pause",
+            Step::Whole => "whole",
+        }
+    }
+}
+
+/// Counters, gauges and histograms of routed requests.
+#[derive(Clone, Debug)]
+pub struct Routed {
+    /// Requests that ended, by pool and outcome.
+    requests: IntCounterVec,
+    /// Time of each step, in seconds, by pool.
+    steps: HistogramVec,
+    /// Repeated calls that were asked for, by pool and whether the budget had them.
+    repeats: IntCounterVec,
+    /// Repeated calls that the budget still has, by pool.
+    pub repeats_left: IntGaugeVec,
+    /// Open connections of callers.
+    pub callers: IntGauge,
+    /// Time of day of the store's last answer, in seconds since 1970, by kind of object.
+    pub store_answered: IntGaugeVec,
+}
+
+impl Routed {
+    /// Registers the metrics.
+    ///
+    /// # Errors
+    /// A name is taken or malformed.
+    pub fn new(registry: &Registry) -> Result<Routed, prometheus::Error> {
+        let buckets = BUCKETS.to_vec();
+        let steps = HistogramOpts::new("fireflyworks_routed_step_seconds", "Time of each step");
+        let routed = Routed {
+            requests: IntCounterVec::new(
+                Opts::new("fireflyworks_routed_requests_total", "Routed requests that ended"),
+                &["pool", "outcome"],
+            )?,
+            steps: HistogramVec::new(steps.buckets(buckets), &["pool", "step"])?,
+            repeats: IntCounterVec::new(
+                Opts::new("fireflyworks_routed_repeats_total", "Repeated calls asked for"),
+                &["pool", "allowed"],
+            )?,
+            repeats_left: IntGaugeVec::new(
+                Opts::new("fireflyworks_routed_repeats_left", "Repeated calls left in the window"),
+                &["pool"],
+            )?,
+            callers: IntGauge::new("fireflyworks_callers", "Open connections of callers")?,
+            store_answered: IntGaugeVec::new(
+                Opts::new(
+                    "fireflyworks_store_answered_timestamp_seconds",
+                    "Time of the store's last answer",
+                ),
+                &["kind"],
+            )?,
+        };
+        registry.register(Box::new(routed.requests.clone()))?;
+        registry.register(Box::new(routed.steps.clone()))?;
+        registry.register(Box::new(routed.repeats.clone()))?;
+        registry.register(Box::new(routed.repeats_left.clone()))?;
+        registry.register(Box::new(routed.callers.clone()))?;
+        registry.register(Box::new(routed.store_answered.clone()))?;
+        Ok(routed)
+    }
+
+    /// Counts a request that ended; `outcome` is *served*, *server_failed*, *cut*, *caller_gone* or
+    /// the code of an error.
+    pub fn note_end(&self, pool: &str, outcome: &str) {
+        self.requests.with_label_values(&[pool, outcome]).inc();
+    }
+
+    /// Notes the time of a step.
+    pub fn note_step(&self, pool: &str, step: Step, span: Duration) {
+        self.steps.with_label_values(&[pool, step.word()]).observe(span.as_secs_f64());
+    }
+
+    /// Counts calls that were to be repeated, and whether the budget had them.
+    pub fn note_repeats(&self, pool: &str, calls: u32, is_allowed: bool) {
+        let allowed = if is_allowed { "yes" } else { "no" };
+        self.repeats.with_label_values(&[pool, allowed]).inc_by(u64::from(calls));
+    }
+}
--- a/crates/ffw-decide/src/budget.rs
+++ b/crates/ffw-decide/src/budget.rs
@@ -24,6 +24,15 @@
     parts: VecDeque<Part>,
 }
 
+/// Calls of a pool that could be repeated now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Left {
+    /// The pool.
+    pub pool: Arc<str>,
+    /// Calls.
+    pub calls: u32,
+}
+
 /// Requests and repeats of one daemon, by pool.
 #[derive(Clone, Debug)]
 pub struct Budget {
@@ -46,17 +55,28 @@
     /// Takes `calls` repeated calls from the budget; answers whether they may be made. `slack` is
     /// this daemon's part of the repeats beyond the share of requests.
     pub fn take(&mut self, now: Moment, pool: &Arc<str>, calls: u32, slack: f64) -> bool {
-        let ratio = self.ratio;
-        let account = self.account(now, pool);
-        let sum = |count: fn(&Part) -> u32| account.parts.iter().map(count).sum::<u32>();
-        let allowed = ratio * f64::from(sum(|part| part.requests)) + slack;
-        let is_allowed = f64::from(sum(|part| part.repeats) + calls) <= allowed;
+        let is_allowed = calls <= self.calls_left(now, pool, slack);
         if is_allowed {
             self.part(now, pool).repeats += calls;
         }
         is_allowed
     }
 
+    /// Calls that could be taken now, by pool; see [`Budget::take`].
+    pub fn left(&mut self, now: Moment, slack: f64) -> Vec<Left> {
+        let pools: Vec<Arc<str>> = self.accounts.iter().map(|one| one.pool.clone()).collect();
+        let to_left = |pool: Arc<str>| Left { calls: self.calls_left(now, &pool, slack), pool };
+        pools.into_iter().map(to_left).collect()
+    }
+
+    fn calls_left(&mut self, now: Moment, pool: &Arc<str>, slack: f64) -> u32 {
+        let ratio = self.ratio;
+        let parts = &self.account(now, pool).parts;
+        let sum = |count: fn(&Part) -> u32| parts.iter().map(count).sum::<u32>();
+        let allowed = ratio * f64::from(sum(|part| part.requests)) + slack;
+        (allowed - f64::from(sum(|part| part.repeats))).max(0.0) as u32
+    }
+
     fn account(&mut self, now: Moment, pool: &Arc<str>) -> &mut Account {
         let at = match self.accounts.binary_search_by(|one| one.pool.cmp(pool)) {
             Ok(at) => at,
--- a/crates/ffw-route/src/caller.rs
+++ b/crates/ffw-route/src/caller.rs
@@ -8,7 +8,10 @@
         gate::{Gate, Held},
         plain, stream,
     },
-    ffw_control::snapshot::Snapshot,
+    ffw_control::{
+        metrics::routed::{NO_POOL, Step},
+        snapshot::Snapshot,
+    },
     ffw_http::{
         connection::{Connection, Fault},
         framing::{Decoder, Framing},
@@ -74,6 +77,13 @@
         Instant::now() >= self.deadline
     }
 
+    /// Counts its end.
+    fn note_end(&self, gate: &Gate, outcome: &str) {
+        let routed = &gate.daemon.metrics.routed;
+        routed.note_end(&self.pool, outcome);
+        routed.note_step(&self.pool, Step::Whole, self.began.elapsed());
+    }
+
     /// Time that is left.
     pub(crate) fn left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
@@ -169,17 +179,25 @@
     let (exchange, _room) = match accept(gate, caller, &head, began).await {
         Ok(accepted) => accepted,
         Err(Rejected { error, is_read }) => {
+            gate.daemon.metrics.routed.note_end(NO_POOL, error.kind.row().code);
             return refuse(gate, caller, &head, &error, is_read).await;
         }
     };
-    if exchange.route.is_stream {
-        return match stream::serve(gate, &exchange, caller).await {
-            stream::End::Whole(After::Keep) => End::Keep,
-            stream::End::Whole(After::Close) | stream::End::Cut => End::Close,
-            stream::End::Failed(error) => refuse(gate, caller, &head, &error, true).await,
-        };
+    if !exchange.route.is_stream {
+        return serve_plain(gate, &exchange, caller).await;
+    }
+    let end = stream::serve(gate, &exchange, caller).await;
+    let outcome = match &end {
+        stream::End::Whole(_) => "served",
+        stream::End::Cut => "cut",
+        stream::End::Failed(error) => error.kind.row().code,
+    };
+    exchange.note_end(gate, outcome);
+    match end {
+        stream::End::Whole(After::Keep) => End::Keep,
+        stream::End::Whole(After::Close) | stream::End::Cut => End::Close,
+        stream::End::Failed(error) => refuse(gate, caller, &head, &error, true).await,
     }
-    serve_plain(gate, &exchange, caller).await
 }
 
 async fn serve_plain(gate: &Gate, exchange: &Exchange, caller: &mut Connection) -> End {
@@ -190,6 +208,13 @@
         None
     };
     let served = smol::future::or(serving, gone).await;
+    let outcome = match &served {
+        None => "caller_gone",
+        Some(Err(error)) => error.kind.row().code,
+        Some(Ok(served)) if served.head.status >= 500 => "server_failed",
+        Some(Ok(_)) => "served",
+    };
+    exchange.note_end(gate, outcome);
     let head = &exchange.head;
     match served {
         None => {
--- a/crates/ffw-route/src/gate.rs
+++ b/crates/ffw-route/src/gate.rs
@@ -107,10 +107,26 @@
 
     /// Takes `calls` repeated calls to a pool from the budget; answers whether they may be made.
     pub fn take_repeat(&self, pool: &Arc<str>, calls: u32) -> bool {
+        let slack = self.slack();
+        let is_allowed = self.budget().take(ffw_control::identity::now(), pool, calls, slack);
+        self.daemon.metrics.routed.note_repeats(pool, calls, is_allowed);
+        is_allowed
+    }
+
+    /// This daemon's part of the repeats beyond the share of requests.
+    fn slack(&self) -> f64 {
         let roster = self.daemon.register.roster();
         let daemons = roster.instances.iter().filter(|one| one.role == Role::Entry).count();
-        let slack = self.limits.retry_slack * SLACK_SHARE / daemons.max(1) as f64;
-        self.budget().take(ffw_control::identity::now(), pool, calls, slack)
+        self.limits.retry_slack * SLACK_SHARE / daemons.max(1) as f64
+    }
+
+    /// Brings the gauges of the retry budget up to date.
+    pub fn export(&self) {
+        let slack = self.slack();
+        for left in self.budget().left(ffw_control::identity::now(), slack) {
+            let gauge = &self.daemon.metrics.routed.repeats_left;
+            gauge.with_label_values(&[&*left.pool]).set(i64::from(left.calls));
+        }
     }
 
     fn budget(&self) -> MutexGuard<'_, Budget> {
--- a/crates/ffw-route/src/server.rs
+++ b/crates/ffw-route/src/server.rs
@@ -54,8 +54,10 @@
         }
         let (gate, open) = (gate.clone(), open.clone());
         open.fetch_add(1, Ordering::SeqCst);
+        gate.daemon.metrics.routed.callers.inc();
         executor::detach(async move {
-            caller::serve(gate, Connection::new(stream, Wire::Request, SILENCE)).await;
+            caller::serve(gate.clone(), Connection::new(stream, Wire::Request, SILENCE)).await;
+            gate.daemon.metrics.routed.callers.dec();
             open.fetch_sub(1, Ordering::SeqCst);
         });
     }
@@ -97,6 +99,7 @@
 fn probe(gate: &Gate, path: &str) -> (u16, String) {
     if path == "/metrics" {
         burn::export(&gate.daemon);
+        gate.export();
         return (200, gate.daemon.metrics.text().to_string());
     }
     if path != gate.dialect.ready_path {
--- a/crates/ffw-route/src/stream.rs
+++ b/crates/ffw-route/src/stream.rs
@@ -14,7 +14,10 @@
         caller::{self, Exchange},
         gate::Gate,
     },
-    ffw_control::admission::{self, Decision, Place},
+    ffw_control::{
+        admission::{self, Decision, Place},
+        metrics::routed::Step,
+    },
     ffw_http::connection::Connection,
     ffw_protocol::{
         admission::{Failing, Phase, Refusal, Server},
@@ -106,14 +109,18 @@
     async fn run(&mut self) -> End {
         let mut places = 0;
         loop {
+            let asked_at = Instant::now();
             let place = match self.place(places).await {
                 Ok(place) => place,
                 Err(error) => return self.relay.fail(error),
             };
+            self.note_step(Step::Wait, asked_at.elapsed());
             places += 1;
             let mut place = place;
             let setback = match self.try_place(&mut place).await {
                 Ok(after) => {
+                    self.note_step(Step::FirstEvent, self.relay.first_event());
+                    self.note_step(Step::Pause, self.relay.longest_gap());
                     self.log_served(&place);
                     place.release(self.relay.emitted(), true, None);
                     return End::Whole(after);
@@ -137,6 +144,10 @@
         }
     }
 
+    fn note_step(&self, step: Step, span: Duration) {
+        self.gate.daemon.metrics.routed.note_step(&self.exchange.pool, step, span);
+    }
+
     fn log_served(&self, place: &Place) {
         let Exchange { intent, route, began, .. } = self.exchange;
         let Some(tokens) = intent.tokens else { return };
@@ -184,7 +195,9 @@
         self.check_servers(place)?;
         // Where no prefill server is left, the decode server reads the prompt itself.
         let reads_itself = place.grant.prefill.name == place.grant.decode.name;
+        let began = Instant::now();
         let mut source = if reads_itself { None } else { Some(self.prefill(place).await?) };
+        self.note_step(Step::Prefill, began.elapsed());
         let usable_until = Instant::now() + self.result_life();
         let mut origin: Option<Origin> = None;
         loop {
--- /dev/null
+++ b/crates/ffw-route/tests/metrics.rs
@@ -0,0 +1,110 @@
+//! What the counters and histograms of routed requests show after each kind of end.
+
+#[path = "support/bench.rs"]
+#[allow(dead_code, reason = "each test file uses a part of it")]
+mod bench;
+
+use {
+    bench::{Backend, Reply, Script, answer, gate, good, listed, not_run, request},
+    ffw_http::message::Request,
+    ffw_protocol::instance::{Role, State},
+    rstest::rstest,
+    std::sync::Arc,
+};
+
+fn script(reply: impl Fn(usize, &Request) -> Reply + Send + Sync + 'static) -> Script {
+    Arc::new(reply)
+}
+
+/// Value of a metric in prometheus's text format; 0 if it is not there.
+fn value(text: &str, metric: &str) -> u64 {
+    let line = text.lines().find_map(|line| line.strip_prefix(metric));
+    line.map_or(0, |value| value.trim().parse().expect("a whole number"))
+}
+
+#[rstest]
+#[case::served("/once/x", script(|_, head| Reply::Bytes(good(head, "whole"))), "served")]
+#[case::failed_by_its_server(
+    "/once/x",
+    script(|_, head| Reply::Bytes(answer(head, 500, "Signature: s\r\n", "no"))),
+    "server_failed"
+)]
+#[case::cut("/once/x", script(|_, _| Reply::Reset), "backend_failed")]
+#[case::refused("/once/x", script(|_, head| Reply::Bytes(not_run(head))), "backend_refused")]
+fn the_outcome_of_a_plain_request_is_counted(
+    #[case] path: &str,
+    #[case] reply: Script,
+    #[case] outcome: &str,
+) {
+    smol::block_on(async {
+        let backend = Backend::start(reply).await;
+        let gate = gate(vec![listed("a", Role::Plain, &backend, State::Live)]);
+        request(&gate, path).await;
+        let text = gate.daemon.metrics.text();
+        let labels = format!("{{outcome=\"{outcome}\",pool=\"plain\"}}");
+        let counted = format!("fireflyworks_routed_requests_total{labels}");
+        assert_eq!(value(&text, &counted), 1, "{text}");
+        let timed = "fireflyworks_routed_step_seconds_count{pool=\"plain\",step=\"whole\"}";
+        assert_eq!(value(&text, timed), 1, "{text}");
+    });
+}
+
+#[test]
+fn a_request_without_a_route_is_counted_without_a_pool() {
+    smol::block_on(async {
+        let gate = gate(Vec::new());
+        request(&gate, "/nowhere/x").await;
+        let counted = "fireflyworks_routed_requests_total{outcome=\"not_found\",pool=\"none\"}";
+        assert_eq!(value(&gate.daemon.metrics.text(), counted), 1);
+    });
+}
+
+#[test]
+fn each_step_of_a_stream_is_timed() {
+    smol::block_on(async {
+        let reader = script(|_, head| Reply::Bytes(answer(head, 200, "", "handle")));
+        let maker = script(|_, head| {
+            let id = head.fields.text("Id").unwrap_or_default();
+            let head = format!("HTTP/1.1 200 X\r\nId: {id}\r\nSignature: s\r\n");
+            let event = "id: 0\ndata: x\n\n";
+            Reply::Bytes(format!("{head}Content-Length: {}\r\n\r\n{event}", event.len()).into())
+        });
+        let (reader, maker) = (Backend::start(reader).await, Backend::start(maker).await);
+        let gate = gate(vec![
+            listed("maker", Role::Decode, &maker, State::Live),
+            listed("reader", Role::Prefill, &reader, State::Live),
+        ]);
+        assert_eq!(request(&gate, "/stream/x").await.status, 200);
+        let text = gate.daemon.metrics.text();
+        for step in ["wait", "prefill", "first_event", "pause", "whole"] {
+            let timed = format!(
+                "fireflyworks_routed_step_seconds_count{{pool=\"engines\",step=\"{step}\"}}"
+            );
+            assert_eq!(value(&text, &timed), 1, "{step}: {text}");
+        }
+    });
+}
+
+/// Two repeats of one request: the first server that is tried refuses, and so does the second.
+#[test]
+fn repeats_and_what_is_left_of_their_budget_are_shown() {
+    smol::block_on(async {
+        let reply = script(|_, head| Reply::Bytes(not_run(head)));
+        let (a, b) = (Backend::start(reply.clone()).await, Backend::start(reply).await);
+        let gate = gate(vec![
+            listed("a", Role::Plain, &a, State::Live),
+            listed("b", Role::Plain, &b, State::Live),
+        ]);
+        gate.note_request(&"plain".into());
+        gate.export();
+        let left = "fireflyworks_routed_repeats_left{pool=\"plain\"}";
+        let before = value(&gate.daemon.metrics.text(), left);
+        request(&gate, "/once/x").await;
+        gate.export();
+        let text = gate.daemon.metrics.text();
+        let repeats = "fireflyworks_routed_repeats_total{allowed=\"yes\",pool=\"plain\"}";
+        assert_eq!(value(&text, repeats), 2, "{text}");
+        // Its own request earned one repeat.
+        assert_eq!(value(&text, left), before + 1 - 2, "{text}");
+    });
+}
