--- a/crates/ffw-decide/src/budget.rs
+++ b/crates/ffw-decide/src/budget.rs
@@ -47,6 +47,11 @@
         Budget { ratio, window, accounts: Vec::new() }
     }
 
+    /// Takes another ratio and window over; what was counted stays.
+    pub fn configure(&mut self, ratio: f64, window: Duration) {
+        (self.ratio, self.window) = (ratio, window);
+    }
+
     /// Notes a request for a pool.
     pub fn note_request(&mut self, now: Moment, pool: &Arc<str>) {
         self.part(now, pool).requests += 1;
--- a/crates/ffw-decide/tests/retry_budget.rs
+++ b/crates/ffw-decide/tests/retry_budget.rs
@@ -33,6 +33,17 @@
     assert!(taken.len() > 100, "the budget was hardly used: {}", taken.len());
 }
 
+#[test]
+fn a_new_ratio_counts_at_once_and_what_was_taken_stays() {
+    let mut budget = Budget::new(1.0, WINDOW);
+    let now = Moment::from_millis(1);
+    (0..10).for_each(|_| budget.note_request(now, &pool()));
+    assert!(budget.take(now, &pool(), 4, 0.0));
+    budget.configure(0.5, WINDOW);
+    assert_eq!(budget.left(now, 0.0)[0].calls, 1);
+    assert!(!budget.take(now, &pool(), 2, 0.0));
+}
+
 #[test]
 fn a_place_takes_both_of_its_calls_or_none() {
     let mut budget = Budget::new(0.2, WINDOW);
--- a/crates/ffw-route/src/gate.rs
+++ b/crates/ffw-route/src/gate.rs
@@ -28,8 +28,7 @@
     pub dialect: Dialect,
     /// Idle connections to backend servers.
     pub idle: Pool,
-    /// Limits of repeated sends.
-    pub limits: Limits,
+    limits: Mutex<Limits>,
     balance: Mutex<Balance>,
     budget: Mutex<Budget>,
     turn: AtomicU64,
@@ -86,7 +85,7 @@
             daemon,
             dialect,
             idle: Pool::default(),
-            limits,
+            limits: Mutex::new(limits),
             balance: Mutex::default(),
             budget: Mutex::new(Budget::new(limits.retry_ratio, limits.retry_window)),
             turn: AtomicU64::new(u64::from(rand::random::<u32>())),
@@ -95,6 +94,17 @@
         })
     }
 
+    /// Limits that the deployment sets, at this moment.
+    pub fn limits(&self) -> Limits {
+        *self.limits.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes new limits over.
+    pub fn configure(&self, limits: Limits) {
+        *self.limits.lock().unwrap_or_else(PoisonError::into_inner) = limits;
+        self.budget().configure(limits.retry_ratio, limits.retry_window);
+    }
+
     /// Plain servers and what is known of each.
     pub fn balance(&self) -> MutexGuard<'_, Balance> {
         self.balance.lock().unwrap_or_else(PoisonError::into_inner)
@@ -117,7 +127,7 @@
     fn slack(&self) -> f64 {
         let roster = self.daemon.register.roster();
         let daemons = roster.instances.iter().filter(|one| one.role == Role::Entry).count();
-        self.limits.retry_slack * SLACK_SHARE / daemons.max(1) as f64
+        self.limits().retry_slack * SLACK_SHARE / daemons.max(1) as f64
     }
 
     /// Brings the gauges of the retry budget up to date.
@@ -136,7 +146,7 @@
     /// Whether a request that comes now can be answered before this process ends.
     pub fn can_finish(&self, is_stream: bool) -> bool {
         let needed = if is_stream { STREAM_TIME } else { PLAIN_TIME };
-        !self.daemon.is_draining() || self.daemon.draining_for() + needed < self.limits.grace
+        !self.daemon.is_draining() || self.daemon.draining_for() + needed < self.limits().grace
     }
 
     /// A number that differs from call to call.
@@ -163,7 +173,7 @@
     /// Reserves so many bytes more for a body; answers whether there is room for them.
     pub fn reserve_more(&self, held: &mut Held<'_>, bytes: usize) -> bool {
         held.amount += bytes;
-        self.buffered.fetch_add(bytes, Ordering::SeqCst) + bytes <= self.limits.buffered_bytes
+        self.buffered.fetch_add(bytes, Ordering::SeqCst) + bytes <= self.limits().buffered_bytes
     }
 }
 
--- a/crates/ffw-route/src/server.rs
+++ b/crates/ffw-route/src/server.rs
@@ -48,7 +48,7 @@
                 continue;
             }
         };
-        if open.load(Ordering::SeqCst) >= gate.limits.connections {
+        if open.load(Ordering::SeqCst) >= gate.limits().connections {
             warn!("event=connection_refused cause=too_many_connections");
             continue;
         }
--- a/crates/fireflyworks/src/command/route.rs
+++ b/crates/fireflyworks/src/command/route.rs
@@ -27,6 +27,7 @@
         announce, dialect::DIALECT, follow, lease, settings::Settings, store::Store,
     },
     log::{LevelFilter, info, warn},
+    smol::channel::Receiver,
     std::{
         process::ExitCode,
         sync::Arc,
@@ -40,6 +41,9 @@
 /// Pause between two looks at what a shutdown waits for.
 const LOOK_PAUSE: Duration = Duration::from_millis(50);
 
+/// Period at which the settings file is looked at without a signal.
+const RELOAD_PERIOD: Duration = Duration::from_secs(5);
+
 /// Share of the memory that bodies may take.
 const BODY_SHARE: usize = 4;
 
@@ -110,22 +114,43 @@
     executor::detach(roles::run(gate.clone(), lease::keeper(&store)));
     executor::detach(server::serve_readiness(gate.clone(), readiness));
     executor::detach(server::serve(gate.clone(), callers));
-    while let Ok(Signal::Reload) = signals.recv().await {
-        reload(&settings);
-    }
-    shut_down(&gate, settings.grace).await;
+    run_until_told_to_end(&gate, settings.clone(), &signals).await;
+    shut_down(&gate).await;
     announce::retire(&store, &settings.instance).await;
     info!("event=shutdown_done open={}", gate.in_flight());
     Ok(ExitCode::SUCCESS)
 }
 
-/// Reads the settings file again. What it says is used at the next start; until then, the log says
-/// what has changed.
-fn reload(known: &Settings) {
-    match Settings::read() {
-        Ok(read) if read == *known => info!("event=reloaded changed=nothing"),
-        Ok(read) => info!("event=reloaded changed=settings known={known:?} read={read:?}"),
-        Err(fault) => warn!("event=reload_failed error=\"{fault}\""),
+/// Reads the settings file again when a signal says so, and now and then, as it may change without.
+async fn run_until_told_to_end(gate: &Gate, mut known: Settings, signals: &Receiver<Signal>) {
+    let mut is_wrong = false;
+    loop {
+        let signal = timer::timeout(RELOAD_PERIOD, signals.recv()).await;
+        if let Some(Ok(Signal::Stop) | Err(_)) = signal {
+            return;
+        }
+        let is_asked = signal.is_some();
+        match Settings::read() {
+            Ok(read) if read == known => {
+                if is_asked {
+                    info!("event=reloaded changed=nothing");
+                }
+                is_wrong = false;
+            }
+            Ok(read) => {
+                let changed = known.differences(&read).join(",");
+                info!("event=reloaded changed={changed} before={known:?} now={read:?}");
+                gate.configure(limits(&read));
+                known = read;
+                is_wrong = false;
+            }
+            Err(fault) => {
+                if is_asked || !is_wrong {
+                    warn!("event=reload_failed error=\"{fault}\"");
+                }
+                is_wrong = true;
+            }
+        }
     }
 }
 
@@ -141,11 +166,11 @@
 }
 
 /// Not ready first; then what still comes is served, and what is open ends, within the grace.
-async fn shut_down(gate: &Gate, grace: Duration) {
+async fn shut_down(gate: &Gate) {
     info!("event=shutdown_begun open={}", gate.in_flight());
     gate.daemon.drain();
     let began = Instant::now();
-    let last = grace.saturating_sub(GRACE_MARGIN);
+    let last = gate.limits().grace;
     let first = gate::INGRESS_LAG.min(last);
     while began.elapsed() < first || gate.in_flight() > 0 && began.elapsed() < last {
         timer::sleep(LOOK_PAUSE).await;
