Let callers that meet a daemon without configuration come back later

No daemon that kept the configuration was left; serving without it is not allowed.

Change: the time to come back is as long as the daemon has been without, from 0.5 to 4 s. The doubling rest of failed servers, which stood twice, is retry::delay now.

--- a/crates/ffw-decide/src/balance.rs
+++ b/crates/ffw-decide/src/balance.rs
@@ -6,6 +6,7 @@
 //! request at a time.
 
 use {
+    crate::retry,
     ffw_protocol::time::Moment,
     std::{sync::Arc, time::Duration},
 };
@@ -132,8 +133,7 @@
             Outcome::Failed => {
                 server.success -= server.success * SAMPLE_WEIGHT;
                 server.failures += 1;
-                let rest = REST_FIRST * 2_u32.saturating_pow(server.failures.min(8) - 1);
-                server.rests_until = now + rest.min(REST_MAX);
+                server.rests_until = now + retry::delay(server.failures, REST_FIRST, REST_MAX);
             }
             Outcome::Abandoned => {}
         }
--- a/crates/ffw-decide/src/retry.rs
+++ b/crates/ffw-decide/src/retry.rs
@@ -7,6 +7,13 @@
     first.saturating_mul(1_u32 << failures.saturating_sub(1).min(16)).min(most)
 }
 
+/// Time after which to come back to something that has been away for `age`: an outage that has lasted
+/// is taken to last as long again. Answers the load pattern of callers that come back once only,
+/// while all daemons have started anew and the store is out.
+pub fn after_outage(age: Duration, least: Duration, most: Duration) -> Duration {
+    age.clamp(least, most)
+}
+
 /// Tokens that one call earns, in hundredths of a retry.
 const EARNED: u32 = 20;
 
--- a/crates/ffw-decide/src/shard/server.rs
+++ b/crates/ffw-decide/src/shard/server.rs
@@ -2,7 +2,7 @@
 
 use {
     super::place::Place,
-    crate::{arena::Key, cache::Hints},
+    crate::{arena::Key, cache::Hints, retry},
     ffw_protocol::{admission, time::Moment},
     std::time::Duration,
 };
@@ -70,8 +70,7 @@
     pub fn note_failure(&mut self, now: Moment) {
         self.failures += 1;
         self.failing += (1.0 - self.failing) * FAILURE_WEIGHT;
-        let rest = REST_FIRST * 2_u32.saturating_pow(self.failures.min(8) - 1);
-        self.until = now + rest.min(REST_MAX);
+        self.until = now + retry::delay(self.failures, REST_FIRST, REST_MAX);
         self.needs_probe = true;
     }
 
--- a/crates/ffw-route/src/caller.rs
+++ b/crates/ffw-route/src/caller.rs
@@ -12,6 +12,7 @@
         metrics::routed::{NO_POOL, Step},
         snapshot::Snapshot,
     },
+    ffw_decide::retry,
     ffw_http::{
         connection::{Connection, Fault},
         framing::{Decoder, Framing},
@@ -41,9 +42,13 @@
 /// Longest time for the body of a request.
 const BODY_LIMIT: Duration = Duration::from_secs(10);
 
-/// Time after which a caller that was refused for want of a configuration or memory may come back.
+/// Time after which a caller that was refused for want of memory may come back, and least time for
+/// one that was refused for want of a configuration.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Most time after which a caller that was refused for want of a configuration may come back.
+const NOT_READY_RETRY_MAX: Duration = Duration::from_secs(4);
+
 /// Time after which a caller may come back to another daemon.
 const DRAINING_RETRY_AFTER: Duration = Duration::from_millis(20);
 
@@ -280,7 +285,8 @@
     let framing = Framing::of_request(head).map_err(|cause| unread(malformed(&cause)))?;
     let snapshot = gate.daemon.register.config().ok_or_else(|| {
         let error = Error::new(Kind::NotReady, "no configuration is known yet");
-        unread(error.retry_after(RETRY_AFTER))
+        let age = gate.began.elapsed();
+        unread(error.retry_after(retry::after_outage(age, RETRY_AFTER, NOT_READY_RETRY_MAX)))
     })?;
     let limits = snapshot.limits();
     let intent = (gate.dialect.read_intent)(head).map_err(|cause| unread(malformed(&cause)))?;
--- a/crates/ffw-route/src/gate.rs
+++ b/crates/ffw-route/src/gate.rs
@@ -12,7 +12,7 @@
             Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicU64, AtomicUsize, Ordering},
         },
-        time::Duration,
+        time::{Duration, Instant},
     },
 };
 
@@ -26,6 +26,8 @@
     pub daemon: Arc<Daemon>,
     /// How heads are spelled.
     pub dialect: Dialect,
+    /// When it began to serve.
+    pub began: Instant,
     /// Idle connections to backend servers.
     pub idle: Pool,
     limits: Mutex<Limits>,
@@ -84,6 +86,7 @@
         Arc::new(Gate {
             daemon,
             dialect,
+            began: Instant::now(),
             idle: Pool::default(),
             limits: Mutex::new(limits),
             balance: Mutex::default(),
