--- a/crates/ffw-control/src/daemon.rs
+++ b/crates/ffw-control/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        admission::Desk, identity::Identity, ledger::Ledger, metrics::Metrics, owner::Host,
+        admission::Desk, host::Host, identity::Identity, ledger::Ledger, metrics::Metrics,
         snapshot::Register, suspect,
     },
     ffw_decide::{baseline::Policy, burn::Book},
--- a/crates/ffw-control/src/lib.rs
+++ b/crates/ffw-control/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod change;
 pub mod claim;
 pub mod daemon;
+pub mod host;
 pub mod identity;
 pub mod ledger;
 pub mod metrics;
--- a/crates/ffw-control/src/report.rs
+++ b/crates/ffw-control/src/report.rs
@@ -1,7 +1,7 @@
 //! Reads what engines report: load, cache events, and whether they mean to leave.
 
 use {
-    crate::{daemon::Daemon, identity, owner::Hosted},
+    crate::{daemon::Daemon, host::Hosted, identity},
     ffw_backend::engine,
     ffw_decide::baseline::Policy,
     ffw_protocol::instance::{Instance, Role},
--- a/crates/ffw-control/src/sweep.rs
+++ b/crates/ffw-control/src/sweep.rs
@@ -3,7 +3,7 @@
 //! entry's. An entry that was restarted disowns what its old process had.
 
 use {
-    crate::{daemon::Daemon, owner, owner::Hosted},
+    crate::{daemon::Daemon, host::Hosted, owner},
     ffw_backend::engine,
     ffw_protocol::{
         admission::{Attempt, Server},
--- a/crates/ffw-route/src/engine.rs
+++ b/crates/ffw-route/src/engine.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{gate::Gate, transport},
-    ffw_control::{identity, owner::Hosted},
+    ffw_control::{host::Hosted, identity},
     ffw_decide::shard::server::Probe,
     ffw_protocol::admission::Server,
     ffw_runtime::{executor, timer},
--- a/crates/ffw-route/src/roles.rs
+++ b/crates/ffw-route/src/roles.rs
@@ -7,10 +7,7 @@
         lease::{Keeper, Lease},
         transport,
     },
-    ffw_control::{
-        identity,
-        owner::{self, Hosted},
-    },
+    ffw_control::{host::Hosted, identity, owner},
     ffw_decide::shard::roles::Change,
     ffw_runtime::timer,
     log::{info, warn},
