Log the split that a change of roles was decided by

With the split in the line: the first decision takes 0.106 s of a prefill server and 0.462 s of a decode server a request, the one 10 s later 0.111 s and 0.335 s, as answers are overestimated before any was seen.

Ruled out: the chance of a few requests in the moving averages; a pool replayed at 100 requests a second with sizes at random changes nothing to and fro, with the averages as they are or over five seconds.

The overestimate stays open.

--- a/crates/ffw-decide/src/shard/roles.rs
+++ b/crates/ffw-decide/src/shard/roles.rs
@@ -62,12 +62,14 @@
 }
 
 /// A server that is to change its role.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Change {
     /// The server.
     pub server: Server,
     /// Its new role.
     pub to: Side,
+    /// The split that decided.
+    pub split: Split,
 }
 
 /// What requests bring, as moving averages, and what was last decided.
@@ -184,7 +186,7 @@
             return Vec::new();
         }
         let servers = self.least_used(now, to).into_iter().take(count);
-        servers.map(|server| Change { server, to }).collect()
+        servers.map(|server| Change { server, to, split }).collect()
     }
 
     /// Notes that a server was told to change its role; it takes no new work meanwhile.
--- a/crates/ffw-route/src/roles.rs
+++ b/crates/ffw-route/src/roles.rs
@@ -61,12 +61,14 @@
 }
 
 fn note(hosted: &Hosted, change: &Change, ordered: &Ordered) {
-    let Change { server, to } = change;
+    let Change { server, to, split } = change;
     let pool = &hosted.pool;
     match ordered {
-        Ordered::Sent => {
-            info!("event=role_ordered pool={pool} server={} role={to:?}", server.name);
-        }
+        Ordered::Sent => info!(
+            "event=role_ordered pool={pool} server={} role={to:?} prefills={} decodes={} \
+             prefill_s={:.3} decode_s={:.3}",
+            server.name, split.prefills, split.decodes, split.prefill_s, split.decode_s
+        ),
         Ordered::NotSent(cause) => {
             let name = &server.name;
             warn!("event=role_not_ordered pool={pool} server={name} role={to:?} cause=\"{cause}\"");
@@ -82,7 +84,7 @@
 }
 
 async fn order(gate: &Gate, lease: &Lease, change: &Change, fence: u64) -> Ordered {
-    let Change { server, to } = change;
+    let Change { server, to, .. } = change;
     let asking = (gate.dialect.write_probe)(&server.name);
     let report = match transport::ask(gate, server, &asking, &[], CALL_LIMIT).await {
         Ok(whole) if whole.head.status == 200 => (gate.dialect.read_report)(&whole.body),
