Measure a prefill server's work and the delay of messages apart

Cause: the time from a grant to the report of its end counted as work of the prefill server, and the next prompt was sent when that time was over.

Change: shard::pace learns the work from prompts that queued at their server and the delay from those that did not; a prompt is sent by the delay before its server is free, at once if it only waits for the server; each report plans the open prompts of its server anew. The split of the roles uses the measured work.

Ruled out: a longer horizon alone; it commits prompts early where messages are fast.

--- a/crates/ffw-decide/src/shard.rs
+++ b/crates/ffw-decide/src/shard.rs
@@ -10,6 +10,7 @@
 pub mod invariant;
 mod members;
 pub mod memory;
+pub mod pace;
 mod queue;
 mod rebalance;
 mod renewal;
--- a/crates/ffw-decide/src/shard/queue.rs
+++ b/crates/ffw-decide/src/shard/queue.rs
@@ -231,7 +231,7 @@
             prefill: prefill_server,
             decode: decode.server.clone(),
             pieces: plan.pieces,
-            start_in: plan.start.since(now),
+            start_in: plan.sent_at.since(now),
             reason,
             basis,
         };
@@ -242,7 +242,8 @@
             expected_output: plan.expected_output,
             phase: Phase::Prefill,
             emitted: 0,
-            start: plan.start,
+            sent_at: plan.sent_at,
+            nominal_prefill: plan.nominal_prefill,
             prefill_end: plan.prefill_end,
             transfer_end: plan.transfer_end,
             last_reported_at: now,
--- a/crates/ffw-decide/src/shard/renewal.rs
+++ b/crates/ffw-decide/src/shard/renewal.rs
@@ -10,7 +10,7 @@
     super::{
         Effect, Row, Shard,
         reservation::Reservation,
-        server::{Backoff, Decode, Probe},
+        server::{Backoff, Decode, Prefill, Probe},
     },
     crate::arena::Key,
     ffw_protocol::{
@@ -229,8 +229,7 @@
         }
     }
 
-    /// Corrects the prefill server's schedule by the difference between the predicted and the
-    /// actual end of a prefill.
+    /// Records the reported end of a prefill, and plans the server's other prompts anew from it.
     fn record_prefilled(&mut self, now: Moment, key: Key<Reservation>, reservation: &Reservation) {
         if let Some(reservation) = self.reservations.get_mut(key) {
             reservation.prefill_end = now;
@@ -239,15 +238,33 @@
             reservation.transfer_end = reservation.transfer_end.max(now + transfer);
         }
         let Some(prefill) = reservation.prefill else { return };
-        let Some(server) = self.prefills.get_mut(prefill) else { return };
-        server.backoff.record_success();
-        server.record_prefill_time(
-            reservation.prefill_end.since(reservation.start),
-            now.since(reservation.start),
-        );
-        let late = now.since(reservation.prefill_end);
-        let early = reservation.prefill_end.since(now);
-        server.free_at = (server.free_at + late - early).max(now);
+        if let Some(server) = self.prefills.get_mut(prefill) {
+            server.backoff.record_success();
+            server.pace.record(now, reservation.sent_at, reservation.nominal_prefill);
+        }
+        self.replan_prefills(now, prefill);
+    }
+
+    /// Predicts anew when a prefill server has finished the prompts that it has not reported yet,
+    /// in the order in which they were sent. The first of them started when the last report came.
+    fn replan_prefills(&mut self, now: Moment, prefill: Key<Prefill>) {
+        let Some(server) = self.prefills.get(prefill) else { return };
+        let pace = server.pace;
+        let is_open = |reservation: &Reservation| {
+            reservation.prefill == Some(prefill) && reservation.phase == Phase::Prefill
+        };
+        let mut open: Vec<&mut Reservation> =
+            self.reservations.values_mut().filter(|reservation| is_open(reservation)).collect();
+        open.sort_unstable_by_key(|reservation| reservation.sent_at);
+        let mut free_at = pace.reported_at();
+        for reservation in open {
+            let start = free_at.max(reservation.sent_at + pace.delay());
+            free_at = (start + pace.work_time(reservation.nominal_prefill)).max(now);
+            reservation.prefill_end = free_at;
+        }
+        if let Some(server) = self.prefills.get_mut(prefill) {
+            server.free_at = free_at.max(now);
+        }
     }
 
     /// Shortens the reserved time of a decode server's link to the transfers that are still open.
@@ -280,7 +297,8 @@
             expected_output: self.planned_output(&ask),
             phase: progress.phase,
             emitted: progress.emitted,
-            start: now,
+            sent_at: now,
+            nominal_prefill: span,
             prefill_end: plan_end,
             transfer_end: plan_end + self.settings.transfer_time(ask.tokens_in),
             last_reported_at: now,
@@ -342,16 +360,8 @@
             let share = f64::from(reservation.emitted) / f64::from(ask.tokens_out.max(1));
             self.output_share += (share.min(1.0) - self.output_share) * OUTPUT_SAMPLE_WEIGHT;
         }
-        if reservation.phase == Phase::Prefill {
-            self.release_prefill_time(now, &reservation);
-        }
-    }
-
-    /// Frees the rest of the reserved prefill time of an attempt that ended before its prefill did.
-    fn release_prefill_time(&mut self, now: Moment, reservation: &Reservation) {
-        let unused = reservation.prefill_end.since(now.max(reservation.start));
-        if let Some(server) = reservation.prefill.and_then(|key| self.prefills.get_mut(key)) {
-            server.free_at = (server.free_at - unused).max(now);
+        if let (Phase::Prefill, Some(prefill)) = (reservation.phase, reservation.prefill) {
+            self.replan_prefills(now, prefill);
         }
     }
 
--- a/crates/ffw-decide/src/shard/reservation.rs
+++ b/crates/ffw-decide/src/shard/reservation.rs
@@ -19,7 +19,8 @@
     std::{cmp::Reverse, time::Duration},
 };
 
-/// Longest time by which a grant may precede the start of its prefill.
+/// Longest time by which a grant may precede the start of its prefill, beside the delay of the
+/// messages.
 pub const START_HORIZON: Duration = Duration::from_millis(20);
 
 /// Time to prefill a prompt at a decode server, as a multiple of that at a prefill server.
@@ -47,9 +48,11 @@
     pub phase: Phase,
     /// Output tokens so far.
     pub emitted: u32,
-    /// Planned start of its prefill.
-    pub start: Moment,
-    /// Planned end of its prefill, or the actual one.
+    /// When the call for its prefill is sent.
+    pub sent_at: Moment,
+    /// Nominal time of its prefill, at a server of the nominal rate.
+    pub nominal_prefill: Duration,
+    /// When the end of its prefill is predicted to be reported, or was reported.
     pub prefill_end: Moment,
     /// Planned end of its transfer.
     pub transfer_end: Moment,
@@ -110,9 +113,11 @@
     pub decode: Key<Decode>,
     /// Memory pieces to reserve.
     pub pieces: u32,
-    /// When the prefill starts.
-    pub start: Moment,
-    /// When the prefill ends.
+    /// When the call for the prefill is sent.
+    pub sent_at: Moment,
+    /// Nominal time of the prefill, at a server of the nominal rate.
+    pub nominal_prefill: Duration,
+    /// When the end of the prefill is predicted to be reported.
     pub prefill_end: Moment,
     /// When the transfer ends.
     pub transfer_end: Moment,
@@ -162,7 +167,7 @@
     });
     let (prefill, work) = match works.min_by_key(|(_, work, handicap)| work.rank(now, *handicap)) {
         Some((prefill, work, _)) if !ask.is_read => (prefill, work),
-        _ if ask.is_read => (None, Work { free_at: now, span: Duration::ZERO, cached: 0 }),
+        _ if ask.is_read => (None, Work::none(now)),
         None if settings.decode_reads => (None, Work::at_decode(now, ask, settings)),
         _ => return Err(Blocked::NoServer),
     };
@@ -180,16 +185,15 @@
             Room::At(time) => time.max(server.link_free_at),
             Room::Never => Moment::NEVER,
         };
-        let result = prefill_start(now, ready, &work, settings);
-        match result {
-            Ok(start) => {
-                let prefill_end = start + work.span;
+        match schedule(now, ready, &work, settings) {
+            Ok(Schedule { sent_at, prefill_end }) => {
                 let transfer_start = prefill_end.max(ready);
                 let plan = Plan {
                     prefill,
                     decode,
                     pieces,
-                    start,
+                    sent_at,
+                    nominal_prefill: work.nominal,
                     prefill_end,
                     transfer_end: transfer_start + settings.transfer_time(ask.tokens_in),
                     cached: work.cached,
@@ -241,49 +245,80 @@
 
 /// The prefill of a request at one server.
 struct Work {
+    /// When the server is predicted to have finished its earlier prompts, as its reports show it.
     free_at: Moment,
+    /// Delay of the messages to and from the server.
+    delay: Duration,
+    /// Time at a server of the nominal rate.
+    nominal: Duration,
+    /// Predicted time at this server.
     span: Duration,
     cached: u32,
 }
 
 impl Work {
+    fn none(now: Moment) -> Work {
+        let zero = Duration::ZERO;
+        Work { free_at: now, delay: zero, nominal: zero, span: zero, cached: 0 }
+    }
+
     fn at_prefill(ask: &Ask, settings: &Settings, server: &Prefill) -> Work {
         let cached_count = server.hints.cached_prefix_count(&ask.prefix) as u32;
         // The last prompt token is always computed, as the first output token follows from it.
         let cached = (cached_count * settings.piece_tokens).min(ask.tokens_in.saturating_sub(1));
-        let span = settings.prefill_time(ask.tokens_in - cached).mul_f64(server.slowness);
-        Work { free_at: server.free_at, span, cached }
+        let nominal = settings.prefill_time(ask.tokens_in - cached);
+        let (delay, span) = (server.pace.delay(), server.pace.work_time(nominal));
+        Work { free_at: server.free_at, delay, nominal, span, cached }
     }
 
     /// The prefill of the prompt at the decode server.
     fn at_decode(now: Moment, ask: &Ask, settings: &Settings) -> Work {
         let span = settings.prefill_time(ask.tokens_in) * DECODE_PREFILL_FACTOR;
-        Work { free_at: now, span, cached: 0 }
+        Work { nominal: span, span, ..Work::none(now) }
+    }
+
+    /// When the server starts on the prompt if the call is sent at once, as its reports show it.
+    fn earliest_start(&self, now: Moment) -> Moment {
+        self.free_at.max(now + self.delay)
     }
 
     /// Sort key of the choice. A server that can start now is preferred whatever its handicap, so
     /// that no request waits while a server is idle.
     fn rank(&self, now: Moment, handicap: Duration) -> (bool, Moment) {
-        let start = self.free_at.max(now);
-        (start > now + START_HORIZON, start + self.span + handicap)
+        let start = self.earliest_start(now);
+        (start > now + self.delay + START_HORIZON, start + self.span + handicap)
     }
 }
 
-/// Start of the prefill: as early as its server is free, but so late that the result need not wait
+/// When the call for a prefill is sent, and when its end is predicted to be reported.
+struct Schedule {
+    sent_at: Moment,
+    prefill_end: Moment,
+}
+
+/// Plans the prefill as early as its server is free, but so late that the result need not wait
 /// longer than [`Settings::result_wait_max`] until `ready`, when the decode server is ready for it.
 ///
+/// A prompt that only waits for its server is sent at once, so that the server has it when it
+/// finishes the one before.
+///
 /// # Errors
-/// If the start is further away than [`START_HORIZON`], the time at which it can be granted.
-fn prefill_start(
+/// If the start is further away than [`START_HORIZON`] and the delay of the messages, the time at
+/// which it can be granted.
+fn schedule(
     now: Moment,
     ready: Moment,
     work: &Work,
     settings: &Settings,
-) -> Result<Moment, Moment> {
-    let earliest = work.free_at.max(now);
+) -> Result<Schedule, Moment> {
+    let earliest = work.earliest_start(now);
     let latest_end = ready - settings.result_wait_max();
     let start = earliest.max(latest_end - work.span);
-    if start <= now + START_HORIZON { Ok(start) } else { Err(start - START_HORIZON) }
+    if start > now + work.delay + START_HORIZON {
+        return Err(start - work.delay - START_HORIZON);
+    }
+    let sent_at = if start > earliest { now.max(start - work.delay) } else { now };
+    Ok(Schedule { sent_at, prefill_end: start + work.span })
 }
 
 /// When a decode server has a slot and the memory for a request.
--- a/crates/ffw-decide/src/shard/roles.rs
+++ b/crates/ffw-decide/src/shard/roles.rs
@@ -237,13 +237,17 @@
         let token_time_s = times.iter().sum::<f64>() / times.len().max(1) as f64;
         let token_time_s =
             if times.is_empty() { self.settings.token_time.as_secs_f64() } else { token_time_s };
+        let paces: Vec<f64> = prefills.iter().map(|(_, prefill)| prefill.pace.slowness()).collect();
+        let slowness = paces.iter().sum::<f64>() / paces.len().max(1) as f64;
+        let slowness = if paces.is_empty() { 1.0 } else { slowness };
         let memory = f64::from(self.settings.pieces) * f64::from(self.settings.piece_tokens);
         let request_tokens = (self.roles.prompt_tokens + self.roles.output_tokens / 2.0).max(1.0);
         let concurrency = (memory / request_tokens).min(f64::from(self.settings.slots)).max(1.0);
         Split {
             prefills: usable_prefills.count() + to_prefill,
             decodes: usable_decodes.count() + to_decode,
-            prefill_s: self.roles.prompt_tokens / f64::from(self.settings.prefill_rate.max(1)),
+            prefill_s: self.roles.prompt_tokens / f64::from(self.settings.prefill_rate.max(1))
+                * slowness,
             decode_s: self.roles.output_tokens * token_time_s / concurrency,
         }
     }
--- a/crates/ffw-decide/src/shard/server.rs
+++ b/crates/ffw-decide/src/shard/server.rs
@@ -5,7 +5,7 @@
 //! that no prompt is prefilled only to find out whether it works again.
 
 use {
-    super::reservation::Reservation,
+    super::{pace::Pace, reservation::Reservation},
     crate::{arena::Key, cache::Hints, retry},
     ffw_protocol::{admission, time::Moment},
     std::time::Duration,
@@ -136,12 +136,12 @@
     pub leaving: bool,
     /// Time until which it counts as changing its role; 0 if it is not.
     pub changing_until: Moment,
-    /// Predicted end of its reserved work.
+    /// When the end of its last granted prefill is predicted to be reported.
     pub free_at: Moment,
     /// Prefixes that it has probably cached.
     pub hints: Hints,
-    /// Moving average of the ratio of measured to nominal prefill time, 0.5 to 4.
-    pub slowness: f64,
+    /// Its speed and the delay of messages to and from it.
+    pub pace: Pace,
     /// Requests in its load report beyond the reservations of this shard.
     pub unaccounted: u32,
     /// Its recent failures and backoff.
@@ -159,7 +159,7 @@
             changing_until: Moment(0),
             free_at: Moment(0),
             hints: Hints::default(),
-            slowness: 1.0,
+            pace: Pace::default(),
             unaccounted: 0,
             backoff: Backoff::default(),
             unusable_results: 0,
@@ -178,17 +178,6 @@
             self.backoff.record_failure(now);
         }
     }
-
-    /// Updates [`Prefill::slowness`] by the predicted and the actual time of a prefill.
-    pub fn record_prefill_time(&mut self, predicted: Duration, taken: Duration) {
-        if predicted.is_zero() {
-            return;
-        }
-        let sample = (taken.as_secs_f64() / predicted.as_secs_f64()).clamp(0.5, 4.0);
-        let sample = sample * self.slowness;
-        self.slowness += (sample - self.slowness) * SAMPLE_WEIGHT;
-        self.slowness = self.slowness.clamp(0.5, 4.0);
-    }
 }
 
 /// A decode server.
--- a/crates/ffw-support/src/drive.rs
+++ b/crates/ffw-support/src/drive.rs
@@ -1,6 +1,7 @@
 //! Simulation of one shard with deterministic engines in virtual time. A prefill server processes
 //! one prompt at a time, and a decode server has a fixed number of slots. A prefill result that no
-//! decode server has begun to fetch within its lifetime is wasted.
+//! decode server has begun to fetch within its lifetime is wasted. Grants, and reports that a
+//! prompt is prefilled, can be given a delay.
 
 use {
     crate::build,
@@ -9,7 +10,11 @@
         admission::{Ask, Attempt, Grant, Phase, Progress, Refusal, Release, Renewal, Verdict},
         time::Moment,
     },
-    std::{collections::BTreeMap, sync::Arc, time::Duration},
+    std::{
+        collections::{BTreeMap, VecDeque},
+        sync::Arc,
+        time::Duration,
+    },
 };
 
 /// Length of one step of virtual time.
@@ -76,11 +81,15 @@
     pub ended: Vec<Outcome>,
     /// Grants in the order in which they were made.
     pub grants: Vec<Grant>,
+    /// Time from a grant to its prefill server, and from the end of a prefill to the shard.
+    pub message_delay: Duration,
     settings: Settings,
     requests: BTreeMap<Attempt, Request>,
     runs: Vec<Run>,
     prefill_free_at: BTreeMap<Arc<str>, Moment>,
     renewed_at: Moment,
+    /// Reports on their way to the shard, in order of their arrival.
+    reports: VecDeque<(Moment, Renewal)>,
 }
 
 /// A request as it was sent to the shard.
@@ -103,11 +112,13 @@
             now,
             ended: Vec::new(),
             grants: Vec::new(),
+            message_delay: Duration::ZERO,
             settings,
             requests: BTreeMap::new(),
             runs: Vec::new(),
             prefill_free_at: BTreeMap::new(),
             renewed_at: now,
+            reports: VecDeque::new(),
         }
     }
 
@@ -129,6 +140,7 @@
         while self.now < end {
             self.now = self.now + STEP;
             self.advance_engines();
+            self.deliver_reports();
             self.renew();
             self.decide();
         }
@@ -155,7 +167,7 @@
     fn start_run(&mut self, attempt: &Attempt, grant: Grant) {
         let Some(request) = self.requests.get(attempt).cloned() else { return };
         let free_at = self.prefill_free_at.entry(grant.prefill.name.clone()).or_insert(Moment(0));
-        let start = (*free_at).max(self.now + grant.start_in);
+        let start = (*free_at).max(self.now + grant.start_in + self.message_delay);
         let ends_at = start + self.settings.prefill_time(request.ask.tokens_in);
         *free_at = ends_at;
         self.grants.push(grant.clone());
@@ -234,7 +246,14 @@
     fn send_progress(&mut self, index: usize, full: bool) {
         let progress = vec![self.progress(&self.runs[index])];
         let renewal = Renewal { progress, ..self.renewal(full) };
-        self.shard.renew(self.now, &renewal);
+        self.reports.push_back((self.now + self.message_delay, renewal));
+    }
+
+    fn deliver_reports(&mut self) {
+        while self.reports.front().is_some_and(|(arrival, _)| *arrival <= self.now) {
+            let Some((_, renewal)) = self.reports.pop_front() else { return };
+            self.shard.renew(self.now, &renewal);
+        }
     }
 
     fn progress(&self, run: &Run) -> Progress {
