--- a/crates/ffw-control/src/admission.rs
+++ b/crates/ffw-control/src/admission.rs
@@ -11,8 +11,8 @@
     ffw_peer::service::RenewalReply,
     ffw_protocol::{
         admission::{
-            Ask, Attempt, Basis, Cause, Failed, Grant, Phase, Progress, Reason, Refusal, Release,
-            Renewal, Verdict,
+            Ask, Attempt, AttemptKey, Basis, Cause, Failed, Grant, Phase, Progress, Reason,
+            Refusal, Release, Renewal, Update, Verdict,
         },
         error::{Error, Kind, Result},
         instance::{Instance, Role},
@@ -65,7 +65,7 @@
     /// Number of admission requests that wait for a decision.
     waiting: usize,
     /// Open reservations with the progress of their attempts.
-    open: Vec<Progress>,
+    open: Vec<Open>,
     /// Attempts whose progress goes into the next renewal, full or not.
     changed: Vec<Attempt>,
     /// Attempts that the owner has asked to move to another decode server.
@@ -74,6 +74,20 @@
     releases: Vec<Release>,
 }
 
+/// An open reservation.
+#[derive(Debug)]
+struct Open {
+    progress: Progress,
+    /// Daemon that has granted or acknowledged it, and is told only what changes; empty if none has.
+    known_by: Arc<str>,
+}
+
+impl Open {
+    fn attempt(&self) -> &Attempt {
+        &self.progress.ask.attempt
+    }
+}
+
 impl State {
     fn is_idle(&self) -> bool {
         self.open.is_empty() && self.releases.is_empty() && self.waiting == 0
@@ -91,6 +105,23 @@
         self.lock().moves = attempts.to_vec();
     }
 
+    /// Records that an owner has accepted a renewal, in which it does not know some attempts.
+    fn record_accepted(&self, owner: &Arc<str>, reported: &[Progress], unknown: &[AttemptKey]) {
+        let mut state = self.lock();
+        for open in &mut state.open {
+            if reported.iter().any(|progress| progress.ask.attempt == *open.attempt()) {
+                open.known_by = owner.clone();
+            }
+            if unknown.contains(&open.attempt().key()) {
+                open.known_by = "".into();
+            }
+        }
+        drop(state);
+        if !unknown.is_empty() {
+            self.wake.try_send(()).ok();
+        }
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -115,7 +146,7 @@
         let pools = self.lock().clone();
         let is_held = |attempt: &Attempt| {
             let has_open = |client: &Arc<PoolClient>| {
-                client.lock().open.iter().any(|progress| progress.ask.attempt == *attempt)
+                client.lock().open.iter().any(|open| open.attempt() == attempt)
             };
             pools.iter().any(has_open)
         };
@@ -152,9 +183,8 @@
     /// owner at once.
     pub fn record_phase(&self, phase: Phase) {
         let mut state = self.client.lock();
-        if let Some(progress) = state.open.iter_mut().find(|open| open.ask.attempt == self.attempt)
-        {
-            progress.phase = phase;
+        if let Some(open) = state.open.iter_mut().find(|open| *open.attempt() == self.attempt) {
+            open.progress.phase = phase;
         }
         if phase == Phase::Transfer {
             state.changed.push(self.attempt.clone());
@@ -166,9 +196,8 @@
     /// Records the number of tokens emitted so far, for the next full renewal.
     pub fn record_emitted(&self, emitted: u32) {
         let mut state = self.client.lock();
-        if let Some(progress) = state.open.iter_mut().find(|open| open.ask.attempt == self.attempt)
-        {
-            progress.emitted = emitted;
+        if let Some(open) = state.open.iter_mut().find(|open| *open.attempt() == self.attempt) {
+            open.progress.emitted = emitted;
         }
     }
 
@@ -187,7 +216,7 @@
     fn queue_release(&self, emitted: u32, confirmed: bool, failed: Option<Failed>) {
         let attempt = self.attempt.clone();
         let mut state = self.client.lock();
-        state.open.retain(|open| open.ask.attempt != attempt);
+        state.open.retain(|open| *open.attempt() != attempt);
         state.releases.push(Release { attempt, emitted, confirmed, failed });
         drop(state);
         self.client.wake.try_send(()).ok();
@@ -256,13 +285,14 @@
 
 fn open_reservation(client: Arc<PoolClient>, ask: Ask, grant: Grant) -> Decision {
     let attempt = ask.attempt.clone();
-    client.lock().open.push(Progress {
+    let progress = Progress {
         ask,
         prefill: grant.prefill.name.clone(),
         decode: grant.decode.name.clone(),
         phase: Phase::Prefill,
         emitted: 0,
-    });
+    };
+    client.lock().open.push(Open { progress, known_by: grant.owner.clone() });
     Decision::Reservation(Reservation { grant, attempt, client, is_released: false })
 }
 
@@ -356,18 +386,29 @@
         state.releases.clear();
         return None;
     }
-    let is_listed = |progress: &&Progress| full || changed.contains(&progress.ask.attempt);
+    let suspects = owner::skipped_daemons(daemon);
+    let receiver = owner::find_owner(daemon, &client.pool, &suspects);
+    let receiver = receiver.map_or(daemon.identity.instance.clone(), |owner| owner.name);
+    let is_listed = |open: &&Open| full || changed.contains(open.attempt());
+    let (known, unknown): (Vec<&Open>, Vec<&Open>) =
+        state.open.iter().filter(is_listed).partition(|open| open.known_by == receiver);
     Some(Renewal {
         entry: daemon.identity.instance.clone(),
         incarnation: daemon.identity.incarnation,
         pool: client.pool.clone(),
         full,
-        suspects: owner::skipped_daemons(daemon),
-        progress: state.open.iter().filter(is_listed).cloned().collect(),
+        suspects,
+        progress: unknown.into_iter().map(|open| open.progress.clone()).collect(),
+        updates: known.into_iter().map(update).collect(),
         releases: state.releases.clone(),
     })
 }
 
+fn update(open: &Open) -> Update {
+    let Progress { phase, emitted, .. } = open.progress;
+    Update { attempt: open.attempt().key(), phase, emitted }
+}
+
 fn has_no_owner(policy: Policy) -> bool {
     matches!(policy, Policy::RoundRobin | Policy::LeastLoad)
 }
@@ -380,11 +421,18 @@
     else {
         let reply = owner::renew(daemon, &renewal);
         client.record_moves(&reply.moves);
+        if reply.is_owner {
+            client.record_accepted(own, &renewal.progress, &reply.unknown);
+        }
         return reply.is_owner;
     };
+    let reported = renewal.progress.clone();
     let reply = renew_peer(daemon, owner.address, renewal).await;
     match reply {
         Ok(reply) => {
+            if reply.is_owner {
+                client.record_accepted(&owner.name, &reported, &reply.unknown);
+            }
             if reply.config > daemon.view.config_number() {
                 crate::relay::pull(daemon, owner.address).await;
             }
--- a/crates/ffw-control/src/owned.rs
+++ b/crates/ffw-control/src/owned.rs
@@ -52,6 +52,8 @@
     pub(crate) stepped_at: Moment,
     /// Time of the last renewal, or of the start if there was none.
     pub(crate) renewed_at: Moment,
+    /// Time of the last check of the invariants.
+    pub(crate) checked_at: Moment,
 }
 
 /// An admission request that waits for its decision.
--- a/crates/ffw-control/src/owner.rs
+++ b/crates/ffw-control/src/owner.rs
@@ -9,10 +9,11 @@
         daemon::{Daemon, Mode},
         identity,
         owned::{OwnedShard, QueueGuard, State},
+        snapshot::Snapshot,
     },
     ffw_backend::engine,
     ffw_decide::{baseline::Policy, shard},
-    ffw_peer::service::RenewalReply,
+    ffw_peer::service::{RenewalReply, Roster},
     ffw_protocol::{
         admission::{Ask, Attempt, Basis, Cause, Refusal, Release, Renewal, Server, Verdict},
         declaration::PoolKind,
@@ -35,6 +36,13 @@
 /// Shortest pause between two steps of a shard.
 const STEP_PERIOD_MIN: Duration = Duration::from_millis(1);
 
+/// Period at which a shard is brought up to date with an unchanged view, because entries are
+/// dropped some time after they have left it.
+const VIEW_PERIOD: Duration = Duration::from_millis(500);
+
+/// Period at which the invariants of a shard are checked. A broken one stays broken.
+const CHECK_PERIOD: Duration = Duration::from_millis(100);
+
 /// A longer gap between two steps means that the process was paused, and that another daemon may
 /// have decided for the shard meanwhile.
 const PAUSE_LIMIT: Duration = Duration::from_millis(1_000);
@@ -125,22 +133,31 @@
 pub fn renew(daemon: &Arc<Daemon>, renewal: &Renewal) -> RenewalReply {
     let config = daemon.view.config_number();
     let is_draining = daemon.is_draining();
-    let refused = RenewalReply { is_owner: false, is_draining, config, moves: Vec::new() };
+    let refused = RenewalReply {
+        is_owner: false,
+        is_draining,
+        config,
+        moves: Vec::new(),
+        unknown: Vec::new(),
+    };
     if !is_owner(daemon, &renewal.pool, &renewal.suspects) {
         return refused;
     }
     let Some(owned) = find_or_create(daemon, &renewal.pool) else {
         return refused;
     };
-    owned.lock().renewed_at = identity::now();
-    let mut moves = Vec::new();
-    owned.change(|shard| {
-        shard.renew(identity::now(), renewal);
-        if renewal.full {
-            moves = shard.runs_to_move(identity::now(), &renewal.entry);
-        }
-    });
-    RenewalReply { is_owner: true, is_draining, config, moves }
+    let now = identity::now();
+    let mut state = owned.lock();
+    state.renewed_at = now;
+    let renewed = state.shard.renew(now, renewal);
+    let moves =
+        if renewal.full { state.shard.runs_to_move(now, &renewal.entry) } else { Vec::new() };
+    drop(state);
+    // Periodic reports of progress alone make no decision possible.
+    if renewed.frees_resources {
+        owned.wake.try_send(()).ok();
+    }
+    RenewalReply { is_owner: true, is_draining, config, moves, unknown: renewed.unknown }
 }
 
 /// The shard of a pool, which is created if this daemon does not own it yet. None if no
@@ -160,7 +177,13 @@
     let mut shard = shard::Shard::new(now, daemon.identity.instance.clone(), epoch, settings);
     shard.set_members(&members(daemon, pool));
     let (wake, woken) = channel::bounded(1);
-    let state = Mutex::new(State { shard, waiters: Vec::new(), stepped_at: now, renewed_at: now });
+    let state = Mutex::new(State {
+        shard,
+        waiters: Vec::new(),
+        stepped_at: now,
+        renewed_at: now,
+        checked_at: now,
+    });
     let owned = Arc::new(OwnedShard { pool: pool.clone(), state, wake });
     all.insert(index, owned.clone());
     info!("event=shard_owned pool={pool} epoch={epoch}");
@@ -204,8 +227,9 @@
 /// Steps a shard until this daemon is no longer its owner and the shard is no longer in use, then
 /// gives it up. A daemon that shuts down gives it up at once if another daemon is left to own it.
 async fn run_shard(daemon: Arc<Daemon>, owned: Arc<OwnedShard>, woken: Receiver<()>) {
+    let mut applied = None;
     while is_owner(&daemon, &owned.pool, &[]) || is_in_use(&owned) {
-        update_from_view(&daemon, &owned);
+        update_from_view(&daemon, &owned, &mut applied);
         let wake_at = step(&daemon, &owned);
         let pause = wake_at.since(identity::now()).clamp(STEP_PERIOD_MIN, STEP_PERIOD_MAX);
         let _ = timer::timeout(pause, woken.recv()).await;
@@ -223,19 +247,45 @@
     !state.waiters.is_empty() || identity::now().since(state.renewed_at) < LINGER_TIME
 }
 
-/// Brings the shard's settings, members and entries up to date with the view.
-fn update_from_view(daemon: &Daemon, owned: &OwnedShard) {
+/// What a shard was last brought up to date with.
+struct Applied {
+    roster: Arc<Roster>,
+    config: Arc<Snapshot>,
+    leaving: Vec<Arc<str>>,
+    at: Moment,
+}
+
+impl Applied {
+    fn is_current(&self, now: &Applied) -> bool {
+        Arc::ptr_eq(&self.roster, &now.roster)
+            && Arc::ptr_eq(&self.config, &now.config)
+            && self.leaving == now.leaving
+            && now.at.since(self.at) < VIEW_PERIOD
+    }
+}
+
+/// Brings the shard's settings, members and entries up to date with the view, if the view has
+/// changed or [`VIEW_PERIOD`] has passed. Steps come up to a thousand times a second.
+fn update_from_view(daemon: &Daemon, owned: &OwnedShard, applied: &mut Option<Applied>) {
+    let Some(config) = daemon.view.config() else { return };
+    let roster = daemon.view.roster();
+    let leaving = daemon.owned_shards.self_reported_leaving();
+    let now = Applied { roster: roster.clone(), config, leaving, at: identity::now() };
+    if applied.as_ref().is_some_and(|applied| applied.is_current(&now)) {
+        return;
+    }
+    *applied = Some(now);
     let Some(settings) = shard_settings(daemon, &owned.pool) else { return };
     let members = members(daemon, &owned.pool);
-    let roster = daemon.view.roster();
     let daemons = roster.instances.iter().filter(|instance| instance.role == Role::Entry);
-    let names: Vec<Arc<str>> = daemons.map(|listed| listed.name.clone()).collect();
+    let mut names: Vec<Arc<str>> = daemons.map(|listed| listed.name.clone()).collect();
+    names.sort_unstable();
     let mut state = owned.lock();
     state.shard.configure(settings);
     state.shard.set_members(&members);
     // A list without this daemon cancels no entries: it is empty because none has been read yet, or
     // it is older than this daemon's registration.
-    if names.contains(&daemon.identity.instance) {
+    if names.binary_search(&daemon.identity.instance).is_ok() {
         state.shard.cancel_unlisted_entries(identity::now(), &names);
     }
 }
@@ -254,9 +304,9 @@
     }
     state.stepped_at = now;
     let effects = state.shard.step(now);
-    if let Err(rule) = state.shard.check() {
-        error!("event=invariant_broken pool={} rule=\"{rule}\"", owned.pool);
-        debug_assert!(false, "{rule}");
+    if now.since(state.checked_at) >= CHECK_PERIOD {
+        state.checked_at = now;
+        check(owned, &state);
     }
     let wake_at = state.shard.wake_at();
     daemon
@@ -275,6 +325,13 @@
     wake_at
 }
 
+fn check(owned: &OwnedShard, state: &State) {
+    if let Err(rule) = state.shard.check() {
+        error!("event=invariant_broken pool={} rule=\"{rule}\"", owned.pool);
+        debug_assert!(false, "{rule}");
+    }
+}
+
 fn apply_effect(
     daemon: &Arc<Daemon>,
     owned: &Arc<OwnedShard>,
--- a/crates/ffw-control/tests/leaving_servers.rs
+++ b/crates/ffw-control/tests/leaving_servers.rs
@@ -16,6 +16,7 @@
         address: SocketAddr::from(([127, 0, 0, 1], 9)),
         pool: "p".into(),
         state,
+        capacity: 0,
     }
 }
 
--- a/crates/ffw-control/tests/reservations.rs
+++ b/crates/ffw-control/tests/reservations.rs
@@ -39,6 +39,7 @@
         address: UNUSED_ADDRESS,
         pool: "notes".into(),
         state: State::Live,
+        capacity: 0,
     };
     let instances = vec![engine("decode-1", Role::Decode), engine("prefill-1", Role::Prefill)];
     daemon.view.offer_roster(Roster::new(1, instances));
--- a/crates/ffw-decide/src/shard.rs
+++ b/crates/ffw-decide/src/shard.rs
@@ -13,7 +13,7 @@
 pub mod pace;
 mod queue;
 mod rebalance;
-mod renewal;
+pub mod renewal;
 pub mod reservation;
 mod review;
 pub mod roles;
--- a/crates/ffw-decide/src/shard/renewal.rs
+++ b/crates/ffw-decide/src/shard/renewal.rs
@@ -14,7 +14,10 @@
     },
     crate::arena::Key,
     ffw_protocol::{
-        admission::{Ask, Attempt, Failed, Failing, Phase, Progress, Release, Renewal, Server},
+        admission::{
+            Ask, Attempt, AttemptKey, Failed, Failing, Phase, Progress, Release, Renewal, Server,
+        },
+        id,
         time::Moment,
     },
     std::{sync::Arc, time::Duration},
@@ -39,19 +42,44 @@
 /// Weight of one answer in the moving average of the output share.
 const OUTPUT_SAMPLE_WEIGHT: f64 = 0.05;
 
+/// What a renewal changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Renewed {
+    /// Attempts that were reported as known and are not; their entry must report them with their
+    /// admission request.
+    pub unknown: Vec<AttemptKey>,
+    /// Whether a server may have become free, so that a waiting request may be granted.
+    pub frees_resources: bool,
+}
+
 impl Shard {
     /// Applies an entry's renewal.
-    pub fn renew(&mut self, now: Moment, renewal: &Renewal) {
+    pub fn renew(&mut self, now: Moment, renewal: &Renewal) -> Renewed {
         self.cancel_older_incarnations(renewal);
+        let mut renewed =
+            Renewed { frees_resources: !renewal.releases.is_empty(), unknown: Vec::new() };
         for release in &renewal.releases {
             self.release(now, release);
         }
         for progress in &renewal.progress {
-            self.record_progress(now, progress);
+            let Some(key) = self.find(&progress.ask.attempt) else {
+                self.adopt(now, progress);
+                continue;
+            };
+            renewed.frees_resources |=
+                self.record_progress(now, key, progress.phase, progress.emitted);
+        }
+        for update in &renewal.updates {
+            let Some(key) = self.find(&attempt_of(renewal, update.attempt)) else {
+                renewed.unknown.push(update.attempt);
+                continue;
+            };
+            renewed.frees_resources |= self.record_progress(now, key, update.phase, update.emitted);
         }
         if renewal.full {
             self.record_missing(now, renewal);
         }
+        renewed
     }
 
     fn cancel_older_incarnations(&mut self, renewal: &Renewal) {
@@ -65,16 +93,17 @@
     /// Counts a miss for each reservation of the entry that a full renewal does not list, and
     /// cancels those that were missed too often.
     fn record_missing(&mut self, now: Moment, renewal: &Renewal) {
-        let mut listed: Vec<&Attempt> =
-            renewal.progress.iter().map(|progress| &progress.ask.attempt).collect();
-        listed.sort();
+        let reported = renewal.progress.iter().map(|progress| progress.ask.attempt.key());
+        let known = renewal.updates.iter().map(|update| update.attempt);
+        let mut listed: Vec<AttemptKey> = reported.chain(known).collect();
+        listed.sort_unstable();
         let mut abandoned = Vec::new();
         for reservation in self.reservations.values_mut() {
             let attempt = &reservation.ask.attempt;
             let is_from_entry = attempt.request.instance == renewal.entry
                 && attempt.request.incarnation == renewal.incarnation;
             if !is_from_entry
-                || listed.binary_search(&attempt).is_ok()
+                || listed.binary_search(&attempt.key()).is_ok()
                 || now.since(reservation.reserved_at) < MISS_AGE_MIN
             {
                 continue;
@@ -101,13 +130,14 @@
         self.cancel_where(|other| other == attempt);
     }
 
-    /// Cancels reservations of entries that are not in the instance list `names`. The list lags, so
-    /// a reservation that its entry has reported within `UNLISTED_TIMEOUT` is kept. Requests in the
+    /// Cancels reservations of entries that are not in the instance list `names`, which is sorted.
+    /// The list lags, so a reservation that its entry has reported within `UNLISTED_TIMEOUT` is kept. Requests in the
     /// queue are not affected, as they end with the connection of their entry.
     pub fn cancel_unlisted_entries(&mut self, now: Moment, names: &[Arc<str>]) {
         let condition = |reservation: &Reservation| {
-            let is_listed = names.contains(&reservation.ask.attempt.request.instance);
-            !is_listed && now.since(reservation.last_reported_at) > UNLISTED_TIMEOUT
+            let is_listed =
+                || names.binary_search(&reservation.ask.attempt.request.instance).is_ok();
+            now.since(reservation.last_reported_at) > UNLISTED_TIMEOUT && !is_listed()
         };
         let to_cancel = self.reservations.keys_where(condition);
         to_cancel.into_iter().for_each(|key| self.cancel(key));
@@ -197,50 +227,56 @@
         }
     }
 
-    fn record_progress(&mut self, now: Moment, progress: &Progress) {
-        let Some(key) = self.find(&progress.ask.attempt) else {
-            self.adopt(now, progress);
-            return;
-        };
-        let Some(reservation) = self.reservations.get_mut(key) else { return };
-        let before = reservation.clone();
+    /// Records the progress of a reservation; returns whether it has reached a further phase.
+    fn record_progress(
+        &mut self,
+        now: Moment,
+        key: Key<Reservation>,
+        phase: Phase,
+        emitted: u32,
+    ) -> bool {
+        let Some(reservation) = self.reservations.get_mut(key) else { return false };
+        let (phase_before, emitted_before) = (reservation.phase, reservation.emitted);
+        let span = now.since(reservation.last_reported_at);
         reservation.missed_renewals = 0;
-        reservation.phase = reservation.phase.max(progress.phase);
-        reservation.emitted = reservation.emitted.max(progress.emitted);
+        reservation.phase = reservation.phase.max(phase);
+        reservation.emitted = reservation.emitted.max(emitted);
         reservation.last_reported_at = now;
-        let after = reservation.clone();
-        if before.phase == Phase::Decode && after.emitted > before.emitted {
-            let span = now.since(before.last_reported_at);
-            if let Some(decode) = self.decodes.get_mut(after.decode) {
-                decode.record_tokens(after.emitted - before.emitted, span);
-            }
+        let (phase, emitted) = (reservation.phase, reservation.emitted);
+        let (prefill, decode) = (reservation.prefill, reservation.decode);
+        if phase_before == Phase::Decode
+            && emitted > emitted_before
+            && let Some(decode) = self.decodes.get_mut(decode)
+        {
+            decode.record_tokens(emitted - emitted_before, span);
         }
-        if before.phase == Phase::Prefill && after.phase > Phase::Prefill {
-            self.record_prefilled(now, key, &before);
+        if phase_before == Phase::Prefill && phase > Phase::Prefill {
+            self.record_prefilled(now, key);
         }
-        if before.phase < Phase::Decode && after.phase == Phase::Decode {
-            self.recompute_link_time(now, after.decode);
-            if let Some(decode) = self.decodes.get_mut(after.decode) {
+        if phase_before < Phase::Decode && phase == Phase::Decode {
+            self.recompute_link_time(now, decode);
+            if let Some(decode) = self.decodes.get_mut(decode) {
                 decode.backoff.record_success();
             }
-            if let Some(prefill) = after.prefill.and_then(|key| self.prefills.get_mut(key)) {
+            if let Some(prefill) = prefill.and_then(|key| self.prefills.get_mut(key)) {
                 prefill.record_result(now, true);
             }
         }
+        phase > phase_before
     }
 
     /// Records the reported end of a prefill, and plans the server's other prompts anew from it.
-    fn record_prefilled(&mut self, now: Moment, key: Key<Reservation>, reservation: &Reservation) {
-        if let Some(reservation) = self.reservations.get_mut(key) {
-            reservation.prefill_end = now;
-            // A transfer that was planned later still waits for its slot.
-            let transfer = self.settings.transfer_time(reservation.ask.tokens_in);
-            reservation.transfer_end = reservation.transfer_end.max(now + transfer);
-        }
+    fn record_prefilled(&mut self, now: Moment, key: Key<Reservation>) {
+        let Some(reservation) = self.reservations.get_mut(key) else { return };
+        reservation.prefill_end = now;
+        // A transfer that was planned later still waits for its slot.
+        let transfer = self.settings.transfer_time(reservation.ask.tokens_in);
+        reservation.transfer_end = reservation.transfer_end.max(now + transfer);
+        let (sent_at, nominal) = (reservation.sent_at, reservation.nominal_prefill);
         let Some(prefill) = reservation.prefill else { return };
         if let Some(server) = self.prefills.get_mut(prefill) {
             server.backoff.record_success();
-            server.pace.record(now, reservation.sent_at, reservation.nominal_prefill);
+            server.pace.record(now, sent_at, nominal);
         }
         self.replan_prefills(now, prefill);
     }
@@ -374,3 +410,13 @@
         expired.into_iter().for_each(|key| self.cancel(key));
     }
 }
+
+/// An attempt of the entry that sends the renewal.
+fn attempt_of(renewal: &Renewal, key: AttemptKey) -> Attempt {
+    let request = id::Request {
+        instance: renewal.entry.clone(),
+        incarnation: renewal.incarnation,
+        sequence: key.sequence,
+    };
+    Attempt { request, number: key.number }
+}
--- a/crates/ffw-decide/src/shard/reservation.rs
+++ b/crates/ffw-decide/src/shard/reservation.rs
@@ -172,6 +172,13 @@
         _ => return Err(Blocked::NoServer),
     };
     let live = || decodes.iter().filter(|(_, decode)| decode.is_open(now));
+    // While prompts queue at all prefill servers, the decode servers are not looked at.
+    let earliest = schedule(now, now, &work, settings);
+    if let Err(retry_at) = earliest
+        && live().next().is_some()
+    {
+        return Err(Blocked::Until(retry_at));
+    }
     let all_back_off = live().all(|(_, server)| server.backoff.is_backing_off(now));
     for (decode, server) in
         live().filter(|(_, server)| all_back_off || !server.backoff.is_backing_off(now))
--- a/crates/ffw-decide/tests/listing_outage.rs
+++ b/crates/ffw-decide/tests/listing_outage.rs
@@ -19,6 +19,7 @@
         address: ([127, 0, 0, 1], 80).into(),
         pool: "p".into(),
         state: State::Live,
+        capacity: 0,
     }
 }
 
--- a/crates/ffw-peer/src/handshake.rs
+++ b/crates/ffw-peer/src/handshake.rs
@@ -13,7 +13,7 @@
 };
 
 /// Both sides of a connection must have the same version.
-const PROTOCOL_VERSION: u8 = 1;
+const PROTOCOL_VERSION: u8 = 2;
 
 const NONCE_BYTES: usize = 32;
 
--- a/crates/ffw-peer/src/service.rs
+++ b/crates/ffw-peer/src/service.rs
@@ -2,7 +2,7 @@
 
 use {
     ffw_protocol::{
-        admission::{Ask, Attempt, Renewal, Verdict},
+        admission::{Ask, Attempt, AttemptKey, Renewal, Verdict},
         config::Version,
         instance::Instance,
         ledger::{Record, Segment},
@@ -22,6 +22,9 @@
     pub config: u64,
     /// Attempts of the sender that are to be migrated to another decode server.
     pub moves: Vec<Attempt>,
+    /// Attempts that were reported without their admission request and that the receiver does not
+    /// know. The sender reports them with it.
+    pub unknown: Vec<AttemptKey>,
 }
 
 /// Versions of a daemon's configuration and instance list.
--- a/crates/ffw-protocol/src/admission.rs
+++ b/crates/ffw-protocol/src/admission.rs
@@ -195,6 +195,33 @@
     pub emitted: u32,
 }
 
+/// An attempt of an entry's process, without the entry and the process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct AttemptKey {
+    /// Number of the request in its process.
+    pub sequence: u64,
+    /// Number of the attempt.
+    pub number: u32,
+}
+
+impl Attempt {
+    /// The attempt without its entry and process.
+    pub fn key(&self) -> AttemptKey {
+        AttemptKey { sequence: self.request.sequence, number: self.number }
+    }
+}
+
+/// State of one granted attempt that the owner knows already.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Update {
+    /// The attempt, of the entry that sends the renewal.
+    pub attempt: AttemptKey,
+    /// Phase that the attempt is in.
+    pub phase: Phase,
+    /// Output tokens so far.
+    pub emitted: u32,
+}
+
 /// End of one granted attempt.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Release {
@@ -239,13 +266,16 @@
     pub incarnation: u64,
     /// Pool that the shard belongs to.
     pub pool: Arc<str>,
-    /// Whether `progress` lists every reservation that the entry holds in the pool.
+    /// Whether `progress` and `updates` together list every reservation that the entry holds in the
+    /// pool.
     pub full: bool,
     /// Names of the daemons that precede the receiver in the order of ownership and that the entry
     /// can't reach.
     pub suspects: Vec<Arc<str>>,
-    /// Attempts that hold a reservation.
+    /// Attempts that hold a reservation and that the receiver may not know.
     pub progress: Vec<Progress>,
+    /// Attempts that hold a reservation and that the receiver has granted or acknowledged.
+    pub updates: Vec<Update>,
     /// Attempts whose reservation is released.
     pub releases: Vec<Release>,
 }
--- a/crates/ffw-protocol/src/instance.rs
+++ b/crates/ffw-protocol/src/instance.rs
@@ -45,6 +45,10 @@
     pub pool: Arc<str>,
     /// Whether it accepts new work.
     pub state: State,
+    /// Capacity of a daemon for work on behalf of other daemons, in thousandths of a core; 0 if it
+    /// is not known, and for backend servers.
+    #[serde(default)]
+    pub capacity: u32,
 }
 
 impl Instance {
--- a/crates/ffw-route/tests/support/harness.rs
+++ b/crates/ffw-route/tests/support/harness.rs
@@ -297,6 +297,7 @@
         address: backend.address,
         pool: pool.into(),
         state,
+        capacity: 0,
     }
 }
 
--- a/crates/ffw-standin/src/main.rs
+++ b/crates/ffw-standin/src/main.rs
@@ -144,6 +144,7 @@
         address: required(matches, "address")?,
         pool: required::<String>(matches, "pool")?.into(),
         state: State::Live,
+        capacity: 0,
     };
     let platform = required(matches, "platform")?;
     let call = Call::new(platform, Method::Post, "/control/instances").json(&instance);
--- a/crates/ffw-support/src/cluster.rs
+++ b/crates/ffw-support/src/cluster.rs
@@ -203,6 +203,7 @@
             address,
             pool: pool.into(),
             state: State::Live,
+            capacity: 0,
         });
     }
 
@@ -215,6 +216,7 @@
             address: node.address,
             pool: self.plan.pool.into(),
             state: State::Leaving,
+            capacity: 0,
         });
     }
 
--- a/crates/fireflyworks/src/command/route.rs
+++ b/crates/fireflyworks/src/command/route.rs
@@ -15,6 +15,7 @@
     ffw_decide::baseline::Policy,
     ffw_http::server as listener,
     ffw_peer::{handshake::Secret, link::PeerConnections},
+    ffw_protocol::instance::{Instance, Role, State},
     ffw_route::{
         engine, roles,
         router::{self, Limits, Router},
@@ -109,7 +110,7 @@
     executor::detach(ffw_peer::server::serve(peers, secret, calls::handlers(&daemon)));
     let store = Arc::new(Store::new(settings.store));
     follow::start(&daemon, &store);
-    executor::detach(announce::announce(store.clone(), daemon.clone(), settings.peers));
+    executor::detach(announce::announce(store.clone(), daemon.clone(), own_instance(&settings)));
     executor::detach(announce::remove_unreachable_daemons(store.clone(), daemon.clone()));
     executor::detach(relay::run_without_platform(daemon.clone()));
     executor::detach(owner::run_owned_shards(daemon.clone()));
@@ -161,6 +162,19 @@
     }
 }
 
+/// This daemon, as other daemons list it.
+fn own_instance(settings: &Settings) -> Instance {
+    Instance {
+        name: settings.instance.clone(),
+        role: Role::Entry,
+        data_centre: settings.data_centre.clone(),
+        address: settings.peers,
+        pool: "".into(),
+        state: State::Live,
+        capacity: settings.capacity,
+    }
+}
+
 fn limits(settings: &Settings) -> Limits {
     Limits {
         retry_ratio: settings.retry_ratio,
