Follow what servers say in their responses: that they leave, and that they want no requests

A leaving server says so in all its answers, and one that refuses with 503 may name a time for which it wants nothing from that daemon. Neither was read.

Change: ffw_decide::notice keeps both. A server that said that it leaves takes no work from then on, whatever the instance list shows, until it is another instance; the daemon tells the owner with the next renewal, the owner tells the entries in its replies, and news between daemons carry it. A server that wants no requests is left out of the choice of plain servers and, by a list in the admission request, of the owner's search; both are checked again before a request is sent, also for moved runs. If all servers of a pool want none, the request is rejected at once with the time that the first one named.

--- a/crates/ffw-control/src/admission.rs
+++ b/crates/ffw-control/src/admission.rs
@@ -6,7 +6,7 @@
 //! The baseline policies without an owner choose servers here and send no renewals.
 
 use {
-    crate::{daemon::Daemon, owner, suspect},
+    crate::{daemon::Daemon, identity, owner, suspect},
     ffw_decide::baseline::{self, Choice, Policy},
     ffw_peer::service::RenewalReply,
     ffw_protocol::{
@@ -72,6 +72,8 @@
     moves: Vec<Attempt>,
     /// Releases that the owner has not accepted yet.
     releases: Vec<Release>,
+    /// Whether a server has said that it is leaving since the last renewal.
+    has_notices: bool,
 }
 
 /// An open reservation.
@@ -141,6 +143,14 @@
         client
     }
 
+    /// Tells the owners at once of servers that are leaving.
+    pub fn report_notices(&self) {
+        for client in self.lock().iter() {
+            client.lock().has_notices = true;
+            client.wake.try_send(()).ok();
+        }
+    }
+
     /// Those of the attempts for which this entry has no open reservation.
     pub fn disowned(&self, attempts: Vec<Attempt>) -> Vec<Attempt> {
         let pools = self.lock().clone();
@@ -265,6 +275,7 @@
         ask.waited += began.elapsed();
         ask.target = ask.target.saturating_sub(began.elapsed());
         ask.patience = ask.patience.saturating_sub(began.elapsed());
+        ask.avoid = daemon.view.notices().quiet(identity::now());
         if ask.patience.is_zero() {
             let message = format!("no owner of pool {pool} decided before the deadline");
             return Err(Error::new(Kind::Overloaded, message));
@@ -381,7 +392,8 @@
 fn build_renewal(daemon: &Daemon, client: &PoolClient, full: bool) -> Option<Renewal> {
     let mut state = client.lock();
     let changed = std::mem::take(&mut state.changed);
-    let has_changes = !changed.is_empty() || !state.releases.is_empty();
+    let has_notices = std::mem::take(&mut state.has_notices);
+    let has_changes = !changed.is_empty() || !state.releases.is_empty() || has_notices;
     if state.is_idle() || !full && !has_changes || has_no_owner(daemon.policy) {
         state.releases.clear();
         return None;
@@ -401,6 +413,7 @@
         progress: unknown.into_iter().map(|open| open.progress.clone()).collect(),
         updates: known.into_iter().map(update).collect(),
         releases: state.releases.clone(),
+        leaving: daemon.view.notices().leaving(),
     })
 }
 
@@ -440,6 +453,7 @@
                 suspect::suspect(daemon, &owner.name, owner.address);
             }
             client.record_moves(&reply.moves);
+            daemon.view.accept_leaving(&reply.leaving);
             reply.is_owner
         }
         Err(err) => {
--- a/crates/ffw-control/src/calls.rs
+++ b/crates/ffw-control/src/calls.rs
@@ -52,6 +52,7 @@
         known: daemon.view.versions(),
         config: config.map(|snapshot| snapshot.version.clone()),
         roster: roster.is_newer_than(&peer_versions).then(|| Roster::clone(&roster)),
+        leaving: daemon.view.notices().leaving(),
     }
 }
 
--- a/crates/ffw-control/src/owner.rs
+++ b/crates/ffw-control/src/owner.rs
@@ -139,7 +139,9 @@
         config,
         moves: Vec::new(),
         unknown: Vec::new(),
+        leaving: Vec::new(),
     };
+    daemon.view.accept_leaving(&renewal.leaving);
     if !is_owner(daemon, &renewal.pool, &renewal.suspects) {
         return refused;
     }
@@ -157,7 +159,14 @@
     if renewed.frees_resources {
         owned.wake.try_send(()).ok();
     }
-    RenewalReply { is_owner: true, is_draining, config, moves, unknown: renewed.unknown }
+    RenewalReply {
+        is_owner: true,
+        is_draining,
+        config,
+        moves,
+        unknown: renewed.unknown,
+        leaving: daemon.view.notices().leaving(),
+    }
 }
 
 /// The shard of a pool, which is created if this daemon does not own it yet. None if no
@@ -269,7 +278,8 @@
 fn update_from_view(daemon: &Daemon, owned: &OwnedShard, applied: &mut Option<Applied>) {
     let Some(config) = daemon.view.config() else { return };
     let roster = daemon.view.roster();
-    let leaving = daemon.owned_shards.self_reported_leaving();
+    let mut leaving = daemon.owned_shards.self_reported_leaving();
+    leaving.extend(daemon.view.notices().leaving());
     let now = Applied { roster: roster.clone(), config, leaving, at: identity::now() };
     if applied.as_ref().is_some_and(|applied| applied.is_current(&now)) {
         return;
--- a/crates/ffw-control/src/relay.rs
+++ b/crates/ffw-control/src/relay.rs
@@ -267,6 +267,7 @@
     if let Some(roster) = updates.roster {
         daemon.view.offer_roster(roster);
     }
+    daemon.view.accept_leaving(&updates.leaving);
     Some(updates.known)
 }
 
--- a/crates/ffw-control/src/snapshot.rs
+++ b/crates/ffw-control/src/snapshot.rs
@@ -3,8 +3,9 @@
 //! in any order, and only a newer one replaces what is there.
 
 use {
+    crate::identity,
     arc_swap::{ArcSwap, ArcSwapOption},
-    ffw_decide::{config, order::Floor, rendezvous, shard},
+    ffw_decide::{config, notice::Notices, order::Floor, rendezvous, shard},
     ffw_peer::service::{Roster, Versions},
     ffw_protocol::{
         admission,
@@ -15,7 +16,7 @@
     },
     log::{error, info},
     std::{
-        sync::{Arc, Mutex, PoisonError},
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
 };
@@ -109,6 +110,8 @@
     rankings: Mutex<Vec<Ranking>>,
     /// This daemon's instance, once it has registered at the platform.
     own: Mutex<Option<Instance>>,
+    /// What backend servers said of themselves in their responses.
+    notices: Mutex<Notices>,
 }
 
 /// The live daemons in rendezvous order for one key, at one version of the instance list.
@@ -283,17 +286,67 @@
         daemons
     }
 
-    /// Whether a backend server takes no new work: because the instance list, an operator's drain
-    /// or the server's own report says that it is leaving.
+    /// Notices of backend servers in their responses to this daemon; what they say of leaving, also
+    /// to other daemons.
+    pub fn notices(&self) -> MutexGuard<'_, Notices> {
+        self.notices.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Records servers that are leaving, as other daemons have noticed. A server that is not listed
+    /// is left out, as daemons would otherwise remind each other of it for ever.
+    pub fn accept_leaving(&self, servers: &[Arc<str>]) {
+        if servers.is_empty() {
+            return;
+        }
+        let roster = self.roster.load();
+        let is_listed = |name: &Arc<str>| {
+            roster.instances.binary_search_by(|listed| listed.name.cmp(name)).is_ok()
+        };
+        for server in servers.iter().filter(|server| is_listed(server)) {
+            if self.notices().record_leaving(identity::now(), server) {
+                info!("event=server_leaving server={server} told_by=peer");
+            }
+        }
+    }
+
+    /// Drops notices that no longer matter.
+    pub fn clean_up_notices(&self) {
+        let roster = self.roster.load();
+        let is_listed = |name: &str| {
+            roster.instances.binary_search_by(|listed| (*listed.name).cmp(name)).is_ok()
+        };
+        self.notices().clean_up(identity::now(), is_listed);
+    }
+
+    /// If each server of a pool and role that takes work wants no requests from this daemon for a
+    /// time: the time until the first of them takes requests again.
+    pub fn quiet_time(&self, pool: &str, role: Role) -> Option<Duration> {
+        let roster = self.roster.load();
+        let servers = roster.instances.iter().filter(|instance| {
+            instance.role == role && &*instance.pool == pool && !self.is_leaving(instance, &[])
+        });
+        let mut shortest = None;
+        for server in servers {
+            let left = self.notices().quiet_left(identity::now(), &server.name)?;
+            shortest = Some(shortest.map_or(left, |shortest: Duration| shortest.min(left)));
+        }
+        shortest
+    }
+
+    /// Whether a backend server takes no new work: because the instance list, an operator's drain,
+    /// the server's own report or one of its responses says that it is leaving.
     pub fn is_leaving(&self, instance: &Instance, self_reported_leaving: &[Arc<str>]) -> bool {
         let config = self.config.load();
         let is_drained = config
             .as_ref()
             .is_some_and(|snapshot| snapshot.version.drained.contains(&instance.name));
-        !instance.is_live() || is_drained || self_reported_leaving.contains(&instance.name)
+        !instance.is_live()
+            || is_drained
+            || self_reported_leaving.contains(&instance.name)
+            || self.notices().is_leaving(&instance.name)
     }
 
-    /// Whether a backend server is listed and takes new work. Servers' own reports are not looked
+    /// Whether a backend server is listed and takes new work. Servers' load reports are not looked
     /// at.
     pub fn takes_work(&self, server: &str) -> bool {
         let roster = self.roster.load();
--- a/crates/ffw-control/tests/leaving_servers.rs
+++ b/crates/ffw-control/tests/leaving_servers.rs
@@ -107,3 +107,25 @@
     view.offer_roster(Roster::new(6, vec![server("live", State::Live)]));
     assert_eq!(view.ranked("p").len(), 1, "a list without this daemon has removed it");
 }
+
+/// One daemon learns from a response that a server leaves, and tells the others before the instance
+/// list does.
+#[test]
+fn a_server_that_a_peer_has_noticed_to_leave_takes_no_work() {
+    let view = View::default();
+    view.offer_roster(Roster::new(5, vec![server("s", State::Live)]));
+    view.accept_leaving(&["s".into()]);
+    assert!(!view.takes_work("s"));
+    view.offer_roster(Roster::new(6, vec![server("s", State::Live)]));
+    assert!(!view.takes_work("s"), "a newer list puts the server back into use");
+}
+
+/// Daemons forget servers that are gone at different times. Guards against a notice that they remind
+/// each other of for ever.
+#[test]
+fn a_peer_does_not_bring_back_the_notice_of_an_unlisted_server() {
+    let view = View::default();
+    view.offer_roster(Roster::new(5, vec![server("s", State::Live)]));
+    view.accept_leaving(&["gone".into()]);
+    assert!(view.notices().leaving().is_empty());
+}
--- a/crates/ffw-decide/src/lib.rs
+++ b/crates/ffw-decide/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod estimate;
 pub mod lease;
 pub mod listing;
+pub mod notice;
 pub mod order;
 pub mod rendezvous;
 pub mod retry;
--- a/crates/ffw-decide/src/shard/reservation.rs
+++ b/crates/ffw-decide/src/shard/reservation.rs
@@ -159,7 +159,10 @@
     let pieces = settings.pieces_of(ask);
     let mut best: Option<Choice> = None;
     let mut blocked = Blocked::NoServer;
-    let live = || prefills.iter().filter(|(_, prefill)| prefill.is_open(now));
+    let live = || {
+        let open = prefills.iter().filter(|(_, prefill)| prefill.is_open(now));
+        open.filter(|(_, prefill)| ask.allows(&prefill.server.name))
+    };
     let all_back_off = live().all(|(_, server)| server.backoff.is_backing_off(now));
     let live = live().filter(|(_, server)| all_back_off || !server.backoff.is_backing_off(now));
     let works = live.map(|(key, server)| {
@@ -171,7 +174,10 @@
         None if settings.decode_reads => (None, Work::at_decode(now, ask, settings)),
         _ => return Err(Blocked::NoServer),
     };
-    let live = || decodes.iter().filter(|(_, decode)| decode.is_open(now));
+    let live = || {
+        let open = decodes.iter().filter(|(_, decode)| decode.is_open(now));
+        open.filter(|(_, decode)| ask.allows(&decode.server.name))
+    };
     // While prompts queue at all prefill servers, the decode servers are not looked at.
     let earliest = schedule(now, now, &work, settings);
     if let Err(retry_at) = earliest
--- a/crates/ffw-decide/tests/shard_prefill.rs
+++ b/crates/ffw-decide/tests/shard_prefill.rs
@@ -3,7 +3,7 @@
 
 use {
     ffw_decide::shard::{Settings, pace::Pace},
-    ffw_protocol::time::Moment,
+    ffw_protocol::{admission::Ask, time::Moment},
     ffw_support::{
         build,
         drive::{Drive, End},
@@ -128,3 +128,23 @@
     let wasted = drive.ended.iter().filter(|ended| ended.end == End::Wasted).count();
     assert_eq!(wasted, 0);
 }
+
+/// Servers that want no requests from the entry of an admission request.
+#[rstest]
+#[case::a_prefill_server(&["prefill-0"])]
+#[case::a_decode_server(&["decode-3"])]
+#[case::one_of_each(&["decode-0", "prefill-1"])]
+fn servers_that_want_no_requests_are_not_granted(#[case] avoid: &[&str]) {
+    let mut drive = prefill_bound(Duration::ZERO);
+    for number in 0..40 {
+        let avoid = avoid.iter().map(|name| (*name).into()).collect();
+        drive.ask(Ask { avoid, ..build::ask(number, "a", 0, PROMPT, 100) }, 100);
+    }
+    drive.advance(Duration::from_secs(6));
+    assert_eq!(drive.grants.len(), 40);
+    for grant in &drive.grants {
+        for name in [&grant.prefill.name, &grant.decode.name] {
+            assert!(!avoid.contains(&&**name), "{name} was granted");
+        }
+    }
+}
--- a/crates/ffw-entry/src/generate/attempt.rs
+++ b/crates/ffw-entry/src/generate/attempt.rs
@@ -149,6 +149,7 @@
         target: generation.time_to_target(),
         patience: generation.time_to_deadline(resume_from > 0),
         prefix: generation.prefix_hashes.clone(),
+        avoid: Vec::new(),
     };
     match admission::reserve(&recorder.daemon, &generation.pool, ask).await {
         Ok(Decision::Reservation(reservation)) => Ok(reservation),
--- a/crates/ffw-peer/src/service.rs
+++ b/crates/ffw-peer/src/service.rs
@@ -25,6 +25,8 @@
     /// Attempts that were reported without their admission request and that the receiver does not
     /// know. The sender reports them with it.
     pub unknown: Vec<AttemptKey>,
+    /// Backend servers that have said in a response that they are leaving.
+    pub leaving: Vec<Arc<str>>,
 }
 
 /// Versions of a daemon's configuration and instance list.
@@ -47,6 +49,8 @@
     pub config: Option<Version>,
     /// Its instance list; `None` unless a part of it is newer.
     pub roster: Option<Roster>,
+    /// Backend servers that have said in a response that they are leaving.
+    pub leaving: Vec<Arc<str>>,
 }
 
 /// The platform's instance list. Daemons and backend servers may be read one after the other, so
--- a/crates/ffw-protocol/src/admission.rs
+++ b/crates/ffw-protocol/src/admission.rs
@@ -52,6 +52,15 @@
     pub patience: Duration,
     /// Hashes of the prompt's prefixes, salted with the workspace, shortest prefix first.
     pub prefix: Vec<u64>,
+    /// Servers that want no requests from this entry now, in order of name.
+    pub avoid: Vec<Arc<str>>,
+}
+
+impl Ask {
+    /// Whether the entry may send requests to the server.
+    pub fn allows(&self, server: &str) -> bool {
+        self.avoid.binary_search_by(|name| (**name).cmp(server)).is_err()
+    }
 }
 
 /// Why a request was served before those that still wait.
@@ -278,4 +287,6 @@
     pub updates: Vec<Update>,
     /// Attempts whose reservation is released.
     pub releases: Vec<Release>,
+    /// Backend servers that have said in a response that they are leaving.
+    pub leaving: Vec<Arc<str>>,
 }
--- a/crates/ffw-route/src/dialect.rs
+++ b/crates/ffw-route/src/dialect.rs
@@ -94,6 +94,11 @@
     /// Time for which the server keeps the connection open when idle; `None` if it does not state
     /// one.
     pub keep_alive: Option<Duration>,
+    /// Whether the server states that it is leaving.
+    pub is_leaving: bool,
+    /// Time for which the server, which refused the request, wants no further ones from this
+    /// daemon; `None` if it does not state one.
+    pub quiet_time: Option<Duration>,
 }
 
 /// A running request that is to be moved to another server.
--- a/crates/ffw-route/src/plain.rs
+++ b/crates/ffw-route/src/plain.rs
@@ -58,14 +58,16 @@
     let mut tried: Vec<Arc<str>> = Vec::new();
     let mut sends = 0;
     let message = format!("no server of pool {} can take the request", request.pool);
-    let mut fallback = Err(Error::new(Kind::NoBackend, message).retry_after(RETRY_AFTER));
+    let quiet_time = router.daemon.view.quiet_time(&request.pool, Role::Plain);
+    let retry_after = quiet_time.unwrap_or(RETRY_AFTER);
+    let mut fallback = Err(Error::new(Kind::NoBackend, message).retry_after(retry_after));
     loop {
         let Some(server) = choose(router, request, &tried) else { return fallback };
         tried.push(server.name.clone());
         let started_at = Instant::now();
         let result = send(router, request, &server).await;
         record_outcome(router, &server, started_at, &result);
-        sends += u32::from(!matches!(result, Err(Failure::Unreached(_))));
+        sends += u32::from(!matches!(result, Err(Failure::Unreached(_) | Failure::Withheld(_))));
         let is_last = sends >= request.route.attempts || request.is_expired();
         let (cause, outcome) = match classify(request, &server, result) {
             AttemptOutcome::Final(served) => {
@@ -145,6 +147,7 @@
     };
     match result {
         Err(Failure::Unreached(cause)) => failed(Kind::BackendRefused, cause, Run::Not),
+        Err(Failure::Withheld(cause)) => failed(Kind::BackendRefused, cause.into(), Run::Not),
         Err(Failure::Broken(cause)) => failed(Kind::BackendFailed, cause, Run::Unknown),
         Err(Failure::TimedOut) => failed(Kind::Timeout, "no answer in time".into(), Run::Unknown),
         Ok(response) if response.response_info.is_not_run => {
@@ -213,6 +216,7 @@
             Outcome::Failed
         }
         Ok(_) => Outcome::Answered(started_at.elapsed()),
+        Err(Failure::Withheld(_)) => Outcome::Rejected,
         Err(_) => Outcome::Failed,
     };
     router.balancer().record_end(identity::now(), &server.name, outcome);
@@ -224,6 +228,7 @@
         instance.role == Role::Plain
             && instance.pool == request.pool
             && !router.daemon.view.is_leaving(instance, &[])
+            && router.withholding_cause(&instance.name).is_none()
     };
     let instances: Vec<&Instance> = roster.instances.iter().filter(is_candidate).collect();
     let local_data_centre = &router.daemon.identity.data_centre;
--- a/crates/ffw-route/src/router.rs
+++ b/crates/ffw-route/src/router.rs
@@ -6,12 +6,13 @@
 //! finish in the remaining time are refused.
 
 use {
-    crate::dialect::Dialect,
-    ffw_control::daemon::Daemon,
+    crate::dialect::{Dialect, ResponseInfo},
+    ffw_control::{daemon::Daemon, identity},
     ffw_decide::{balance::Balancer, budget::Budget},
     ffw_http::pool::Pool,
     ffw_protocol::instance::Role,
     ffw_runtime::timer,
+    log::info,
     std::{
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
@@ -120,16 +121,43 @@
         self.balancer.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Records what a backend server said of itself in a response.
+    pub fn record_notices(&self, server: &Arc<str>, response: &ResponseInfo) {
+        let view = &self.daemon.view;
+        if response.is_leaving && view.notices().record_leaving(identity::now(), server) {
+            info!("event=server_leaving server={server} told_by=response");
+            self.daemon.admission.report_notices();
+        }
+        if let Some(span) = response.quiet_time {
+            info!("event=server_quiet server={server} ms={}", span.as_millis());
+            view.notices().record_quiet(identity::now(), server, span);
+        }
+    }
+
+    /// Why a backend server must not be sent a request now, by its own notices; `None` if it may.
+    pub fn withholding_cause(&self, server: &str) -> Option<&'static str> {
+        let notices = self.daemon.view.notices();
+        if notices.is_leaving(server) {
+            return Some("it is leaving");
+        }
+        let is_quiet = notices.quiet_left(identity::now(), server).is_some();
+        is_quiet.then_some("it wants no requests for a time")
+    }
+
+    /// Whether a backend server is listed, takes new work, and wants requests from this daemon.
+    pub fn may_send(&self, server: &str) -> bool {
+        self.daemon.view.takes_work(server) && self.withholding_cause(server).is_none()
+    }
+
     /// Records a request to a pool in the retry budget.
     pub fn record_request(&self, pool: &Arc<str>) {
-        self.budget().record_request(ffw_control::identity::now(), pool);
+        self.budget().record_request(identity::now(), pool);
     }
 
     /// Takes `count` retries to a pool from the budget; returns whether they may be made.
     pub fn take_retries(&self, pool: &Arc<str>, count: u32) -> bool {
         let retry_slack_share = self.retry_slack_share();
-        let is_allowed =
-            self.budget().take(ffw_control::identity::now(), pool, count, retry_slack_share);
+        let is_allowed = self.budget().take(identity::now(), pool, count, retry_slack_share);
         self.daemon.metrics.routed.record_retries(pool, count, is_allowed);
         is_allowed
     }
@@ -145,7 +173,7 @@
     /// Updates the gauges of the retry budget.
     pub fn update_gauges(&self) {
         let retry_slack_share = self.retry_slack_share();
-        for remaining in self.budget().remaining(ffw_control::identity::now(), retry_slack_share) {
+        for remaining in self.budget().remaining(identity::now(), retry_slack_share) {
             let gauge = &self.daemon.metrics.routed.retries_left;
             gauge.with_label_values(&[&*remaining.pool]).set(i64::from(remaining.calls));
         }
@@ -210,5 +238,6 @@
         };
         router.idle_connections.retain(is_listed);
         router.balancer().retain(is_listed);
+        router.daemon.view.clean_up_notices();
     }
 }
--- a/crates/ffw-route/src/stream.rs
+++ b/crates/ffw-route/src/stream.rs
@@ -28,6 +28,7 @@
     ffw_protocol::{
         admission::{Failing, Phase, Refusal, Server},
         error::{Error, Kind, Result, Run},
+        instance::Role,
     },
     ffw_runtime::timer,
     log::{debug, info},
@@ -197,6 +198,10 @@
     /// prefill and a decode server for this request.
     async fn reserve(&self, number: u32) -> Result<Reservation> {
         let daemon = &self.router.daemon;
+        if let Some(quiet_time) = self.quiet_time() {
+            let message = format!("the servers of pool {} want no requests", self.request.pool);
+            return Err(Error::new(Kind::NoBackend, message).retry_after(quiet_time));
+        }
         let ask =
             ask::build(self.request, &self.relay, daemon.identity.next_request(), number, false)?;
         match admission::reserve(daemon, &self.request.pool, ask).await? {
@@ -205,6 +210,16 @@
         }
     }
 
+    /// If the servers that a stream needs want no requests from this daemon for a time: the time
+    /// until the first of them takes requests again.
+    fn quiet_time(&self) -> Option<Duration> {
+        let view = &self.router.daemon.view;
+        let pool = self.request.snapshot.deployment.pool(&self.request.pool);
+        let decode_reads = pool.is_some_and(|pool| pool.decode_reads);
+        let prefill = view.quiet_time(&self.request.pool, Role::Prefill).filter(|_| !decode_reads);
+        view.quiet_time(&self.request.pool, Role::Decode).max(prefill)
+    }
+
     async fn run_attempt(
         &mut self,
         reservation: &mut Reservation,
@@ -280,7 +295,7 @@
         if !is_refused || origin.tries > CONTINUE_TRIES_MAX {
             return Err(failure);
         }
-        if self.router.daemon.view.takes_work(&origin.server.name) {
+        if self.router.may_send(&origin.server.name) {
             reservation.grant.decode = origin.server.clone();
         } else {
             timer::sleep(CONTINUE_PAUSE).await;
@@ -321,7 +336,7 @@
         else {
             return None;
         };
-        let may_send = daemon.view.takes_work(&reservation.grant.decode.name)
+        let may_send = self.router.may_send(&reservation.grant.decode.name)
             && self.router.take_retries(&self.request.pool, 1);
         may_send.then_some(reservation)
     }
@@ -336,17 +351,20 @@
     /// a server is leaving.
     fn check_servers(&self, reservation: &Reservation) -> std::result::Result<(), AttemptFailure> {
         let servers = [&reservation.grant.prefill, &reservation.grant.decode];
-        let view = &self.router.daemon.view;
-        let Some(leaving) = servers.into_iter().find(|server| !view.takes_work(&server.name))
+        let router = self.router;
+        let Some(unusable) = servers.into_iter().find(|server| !router.may_send(&server.name))
         else {
             return Ok(());
         };
-        let message = format!("backend server {} is leaving", leaving.name);
+        let is_leaving = !router.daemon.view.takes_work(&unusable.name);
+        let state = if is_leaving { "is leaving" } else { "wants no requests for a time" };
+        let message = format!("backend server {} {state}", unusable.name);
+        let how = if is_leaving { Failing::Replaced } else { Failing::Refused };
         Err(AttemptFailure {
             error: Error::new(Kind::BackendRefused, message)
                 .run(if self.may_have_run { Run::Unknown } else { Run::Not })
                 .retry_after(RETRY_AFTER),
-            failed: Some(failure::failed_server(leaving, Failing::Replaced)),
+            failed: Some(failure::failed_server(unusable, how)),
             may_retry: self.may_restart(),
             retry_calls: 0,
         })
--- a/crates/ffw-route/src/stream/ask.rs
+++ b/crates/ffw-route/src/stream/ask.rs
@@ -64,5 +64,6 @@
         target: remaining(target),
         patience: remaining(patience).min(request.time_left()),
         prefix: Vec::new(),
+        avoid: Vec::new(),
     })
 }
--- a/crates/ffw-route/src/stream/calls.rs
+++ b/crates/ffw-route/src/stream/calls.rs
@@ -57,8 +57,12 @@
             may_retry: self.may_restart(),
             retry_calls: 1,
         };
-        let response =
-            response.map_err(|failure| not_prefilled(Failing::Broken, failure.to_string()))?;
+        let response = response.map_err(|failure| match failure {
+            Failure::Withheld(cause) => {
+                not_prefilled(Failing::Refused, cause.into()).without_calls()
+            }
+            failure => not_prefilled(Failing::Broken, failure.to_string()),
+        })?;
         if response.head.status != 200 {
             let cause = format!("{} answered {}", server.name, response.head.status);
             return Err(not_prefilled(
@@ -115,6 +119,9 @@
             }
             Ok(response) => response,
             Err(Failure::Unreached(cause)) => return Err(not_run(cause, Failing::Broken)),
+            Err(Failure::Withheld(cause)) => {
+                return Err(not_run(cause.into(), Failing::Refused).without_calls());
+            }
             Err(failure @ (Failure::Broken(_) | Failure::TimedOut)) => {
                 self.may_have_run = true;
                 return Err(self.broken_run(server, &failure.to_string()));
--- a/crates/ffw-route/src/stream/failure.rs
+++ b/crates/ffw-route/src/stream/failure.rs
@@ -22,6 +22,13 @@
     pub(super) retry_calls: u32,
 }
 
+impl AttemptFailure {
+    /// The failure of an attempt that called no server, so that another one repeats nothing.
+    pub(super) fn without_calls(self) -> AttemptFailure {
+        AttemptFailure { retry_calls: 0, ..self }
+    }
+}
+
 pub(super) fn failed_server(server: &Server, failing: Failing) -> Failed {
     Failed { server: server.name.clone(), how: failing }
 }
--- a/crates/ffw-route/src/stream/moving.rs
+++ b/crates/ffw-route/src/stream/moving.rs
@@ -106,7 +106,7 @@
     }
 
     fn takes_work(&self, reservation: &Reservation) -> bool {
-        self.router.daemon.view.takes_work(&reservation.grant.decode.name)
+        self.router.may_send(&reservation.grant.decode.name)
     }
 
     fn start_reserving(&self, ask: Ask) -> State {
--- a/crates/ffw-route/src/transport.rs
+++ b/crates/ffw-route/src/transport.rs
@@ -77,6 +77,8 @@
 pub(crate) enum Failure {
     /// No byte of the request was sent.
     Unreached(String),
+    /// The request was not sent, because the server has said that it wants none.
+    Withheld(&'static str),
     /// The connection failed or the response is invalid; the server may have run the request.
     Broken(String),
     /// No response arrived in time; the server may have run the request.
@@ -87,6 +89,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Failure::Unreached(cause) => write!(f, "not reached: {cause}"),
+            Failure::Withheld(cause) => write!(f, "not sent: {cause}"),
             Failure::Broken(cause) => write!(f, "broken: {cause}"),
             Failure::TimedOut => f.write_str("no answer in time"),
         }
@@ -114,7 +117,10 @@
     outgoing: &OutgoingRequest<'_>,
 ) -> Result<IncomingResponse, Failure> {
     let (server, head_deadline) = (outgoing.server, outgoing.head_deadline);
+    check_notices(router, server)?;
     let mut connection = connect(router, server, head_deadline, outgoing.reuse_idle_max).await?;
+    // The server may have answered another request while the connection was opened.
+    check_notices(router, server)?;
     let time_left = outgoing.deadline.saturating_duration_since(Instant::now());
     let call = Call {
         server: &outgoing.server.name,
@@ -164,6 +170,7 @@
     let (response, is_request_sent_whole) = exchanged.map_err(|fault| broken(&fault))?;
     let framing = Framing::of_response(&response, &head.method).map_err(|err| broken(&err))?;
     let response_info = (router.dialect.parse_response)(&response);
+    router.record_notices(&server.name, &response_info);
     let (decoder, server) = (Decoder::new(framing), server.name.clone());
     let response = IncomingResponse {
         head: response,
@@ -176,6 +183,10 @@
     response.into_full(router, UNRELAYED_BODY_BYTES_MAX, deadline).await
 }
 
+fn check_notices(router: &Router, server: &Server) -> Result<(), Failure> {
+    router.withholding_cause(&server.name).map_or(Ok(()), |cause| Err(Failure::Withheld(cause)))
+}
+
 async fn connect(
     router: &Router,
     server: &Server,
@@ -201,6 +212,7 @@
     let (mut head, is_request_sent_whole) = connection.exchange(bytes, HEAD_BYTES_MAX).await?;
     for _ in 0..STALE_RESPONSES_MAX {
         let response_info = (router.dialect.parse_response)(&head);
+        router.record_notices(&outgoing.server.name, &response_info);
         let is_stale = response_info.id.as_ref().is_some_and(|id| **id != *outgoing.id);
         if !is_stale {
             return Ok((head, response_info, is_request_sent_whole));
--- a/crates/ffw-route/tests/support/harness.rs
+++ b/crates/ffw-route/tests/support/harness.rs
@@ -203,6 +203,10 @@
     (head, b"{}".to_vec())
 }
 
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
 fn parse_response(head: &Response) -> ResponseInfo {
     ResponseInfo {
         id: head.fields.text("Id").map(Arc::from),
@@ -210,6 +214,8 @@
         is_signed: head.fields.has("Signature"),
         load: None,
         keep_alive: None,
+        is_leaving: head.fields.has("Leaving"),
+        quiet_time: head.fields.text("Quiet-Ms").and_then(|text| text.parse().ok()).map(millis),
     }
 }
 
--- a/crates/ffw-support/src/build.rs
+++ b/crates/ffw-support/src/build.rs
@@ -64,5 +64,6 @@
         target: Duration::from_secs(30),
         patience: Duration::from_secs(30),
         prefix: Vec::new(),
+        avoid: Vec::new(),
     }
 }
