Follow a store that is restored from an earlier copy of itself

The daemons kept watching from void revisions, took the new lists for outdated ones until the revisions had caught up, and could have given orders under a lease that the store no longer had.

Ruled out: one lease object for all eras with a higher fencing number; a write with a revision that the restored store gives out again would put an old lease back, and its successor's number would repeat.

The soak's store restores and states an era; the soak injects no restores yet. ffw-platform's own store client does not read an era.

--- a/crates/ffw-decide/src/lease.rs
+++ b/crates/ffw-decide/src/lease.rs
@@ -5,6 +5,12 @@
 //! returned the lease's current resource version, on its own clock, and waits longer than any
 //! holder may act. Clocks of different instances are never compared. Each change of holder raises
 //! the fencing number, by which engines can reject orders of an earlier holder.
+//!
+//! The store may be restored from an earlier copy of itself, in which the lease is older or missing.
+//! From then on no lease of before is in force: each holder must acquire it again, and fencing
+//! numbers start above a base that is higher than all of before. A lease that is missing after a
+//! restore may still be acted on by a holder that has not noticed, so it is created only after
+//! [`TAKEOVER_TIME`].
 
 use {
     ffw_protocol::time::Moment,
@@ -55,6 +61,10 @@
     /// Start of the read that first returned the current resource version, or of its write.
     version_seen_at: Moment,
     held_since: Option<Moment>,
+    /// Fencing numbers of leases that are in force are above this one.
+    fence_base: u64,
+    /// Time from which a missing lease may be created.
+    create_from: Moment,
 }
 
 /// A conditional write of the lease object.
@@ -70,7 +80,31 @@
     /// A tracker that has not read the lease yet. `incarnation` identifies this process among those
     /// of the instance.
     pub fn new(instance: Arc<str>, incarnation: u64) -> Tracker {
-        Tracker { instance, incarnation, seen: None, version_seen_at: Moment(0), held_since: None }
+        Tracker {
+            instance,
+            incarnation,
+            seen: None,
+            version_seen_at: Moment(0),
+            held_since: None,
+            fence_base: 0,
+            create_from: Moment(0),
+        }
+    }
+
+    /// Records that the store may have been restored just before `now`: a lease of before is not
+    /// held any more, and no missing one is created for [`TAKEOVER_TIME`]. Fencing numbers from now
+    /// on are above `fence_base`.
+    pub fn record_restore(&mut self, now: Moment, fence_base: u64) {
+        self.fence_base = self.fence_base.max(fence_base);
+        self.create_from = now + TAKEOVER_TIME;
+        self.held_since = None;
+        self.seen = None;
+        self.version_seen_at = now;
+    }
+
+    /// Raises the number above which fencing numbers are given, without a restore.
+    pub fn raise_fence_base(&mut self, fence_base: u64) {
+        self.fence_base = self.fence_base.max(fence_base);
     }
 
     /// Records the object as it was read; `None` if it does not exist. `now` is a time before the
@@ -91,16 +125,18 @@
     /// holder's lease may still be in force.
     pub fn next_write(&self, now: Moment) -> Option<Write> {
         let Some(seen) = &self.seen else {
-            return Some(Write::Create(self.own_lease(1, 0)));
+            let create = Write::Create(self.own_lease(self.fence_base + 1, 0));
+            return (now >= self.create_from).then_some(create);
         };
         let lease = &seen.lease;
-        if self.is_own(lease) {
+        if self.is_own(lease) && lease.fence > self.fence_base {
             let renewed = self.own_lease(lease.fence, lease.renewals + 1);
             return Some(Write::Replace(seen.resource_version.clone(), renewed));
         }
         let is_expired = now.since(self.version_seen_at) >= TAKEOVER_TIME;
         is_expired.then(|| {
-            Write::Replace(seen.resource_version.clone(), self.own_lease(lease.fence + 1, 0))
+            let fence = lease.fence.max(self.fence_base) + 1;
+            Write::Replace(seen.resource_version.clone(), self.own_lease(fence, 0))
         })
     }
 
--- a/crates/ffw-decide/src/listing.rs
+++ b/crates/ffw-decide/src/listing.rs
@@ -55,6 +55,12 @@
         Some(outage)
     }
 
+    /// Records that the store was restored from an earlier copy of itself, which lacks what
+    /// instances have written since. Removals are delayed as after an outage.
+    pub fn record_restore(&mut self, now: Moment) {
+        self.removals_delayed_until = now + REWRITE_TIME_MAX;
+    }
+
     /// Adds or replaces an object; `instance` is `None` if the object can't be used.
     pub fn put(&mut self, key: &Arc<str>, instance: Option<Instance>) {
         let object = Object { key: key.clone(), instance, remove_at: None };
--- a/crates/ffw-decide/tests/listing_outage.rs
+++ b/crates/ffw-decide/tests/listing_outage.rs
@@ -83,3 +83,14 @@
     listing.remove(Moment::from_millis(1_200), &key);
     assert!(!has_instances(&mut listing, 1_201));
 }
+
+/// A store that was restored from a copy lacks what instances have written since; they write it
+/// again.
+#[test]
+fn an_object_that_a_restored_store_lacks_is_kept_for_the_delay() {
+    let (mut listing, _) = listing();
+    listing.record_restore(Moment::from_millis(6_000));
+    listing.retain(Moment::from_millis(6_000), |_| false);
+    assert!(has_instances(&mut listing, 8_000));
+    assert!(!has_instances(&mut listing, 8_200));
+}
--- a/crates/ffw-route/src/lease.rs
+++ b/crates/ffw-route/src/lease.rs
@@ -21,6 +21,9 @@
     pub read: Box<dyn Fn() -> StoreFuture<Option<Stored>> + Send + Sync>,
     /// Creates or replaces the lease, unless the object has changed since it was read.
     pub write: Box<dyn Fn(Write) -> StoreFuture<Stored> + Send + Sync>,
+    /// Number below all fencing numbers that are valid now; rises each time the store is restored
+    /// from an earlier copy of itself.
+    pub fence_base: Box<dyn Fn() -> u64 + Send + Sync>,
 }
 
 impl fmt::Debug for Storage {
@@ -34,17 +37,41 @@
 pub struct Lease {
     storage: Storage,
     tracker: Tracker,
+    /// Value of [`Storage::fence_base`] that the tracker knows.
+    fence_base: u64,
 }
 
 impl Lease {
     /// A lease that has not been read yet.
     pub fn new(storage: Storage, instance: Arc<str>, incarnation: u64) -> Lease {
-        Lease { storage, tracker: Tracker::new(instance, incarnation) }
+        let fence_base = (storage.fence_base)();
+        let mut tracker = Tracker::new(instance, incarnation);
+        // The store may have been restored just before this process started.
+        tracker.record_restore(clock::boot_time(), fence_base);
+        Lease { storage, tracker, fence_base }
     }
 
-    /// Fencing number; `None` if this daemon does not hold the lease now.
+    /// Fencing number; `None` if this daemon does not hold the lease now, or the store was restored
+    /// since it acquired the lease.
     pub fn fence(&self) -> Option<u64> {
-        self.tracker.fence(clock::boot_time())
+        let is_void = (self.storage.fence_base)() != self.fence_base;
+        if is_void { None } else { self.tracker.fence(clock::boot_time()) }
+    }
+
+    /// Takes over a change of the base of fencing numbers. The first era of the store that becomes
+    /// known is no restore.
+    fn update_fence_base(&mut self) {
+        let fence_base = (self.storage.fence_base)();
+        let before = std::mem::replace(&mut self.fence_base, fence_base);
+        if fence_base == before {
+            return;
+        }
+        if before == 0 {
+            self.tracker.raise_fence_base(fence_base);
+        } else {
+            warn!("event=lease_void cause=store_restored fence_base={fence_base}");
+            self.tracker.record_restore(clock::boot_time(), fence_base);
+        }
     }
 
     /// Returns the fencing number if the lease is held; otherwise reads the lease and tries to
@@ -54,6 +81,7 @@
         if let Some(fence) = self.fence() {
             return Some(fence);
         }
+        self.update_fence_base();
         // The age of the lease is measured from the start of the read.
         let started_at = clock::boot_time();
         match (self.storage.read)().await {
--- a/crates/ffw-soak/src/store.rs
+++ b/crates/ffw-soak/src/store.rs
@@ -1,6 +1,7 @@
 //! Stand-in for the object store of the platform: objects by kind and name with one revision
-//! counter, and watches. It can drop its history and lose the responses to writes; outages are
-//! injected by a [`Proxy`](crate::proxy::Proxy) in front of it.
+//! counter, and watches. It can drop its history, lose the responses to writes, and be restored from
+//! an earlier copy of itself; outages are injected by a [`Proxy`](crate::proxy::Proxy) in front of
+//! it.
 
 use {
     crate::wire::{self, Exchange},
@@ -40,6 +41,15 @@
     revision: u64,
     objects: Vec<Object>,
     history: Vec<Event>,
+    /// Number that each response states and that rises with each restore; 0 if none is stated.
+    era: u64,
+}
+
+/// A copy of a store's objects.
+#[derive(Clone, Debug)]
+pub struct Copy {
+    revision: u64,
+    objects: Vec<Object>,
 }
 
 /// The store. Clones share its state.
@@ -99,6 +109,34 @@
         self.lock().history.clear();
     }
 
+    /// Sets the era that each response states from now on.
+    pub fn set_era(&self, era: u64) {
+        self.lock().era = era;
+    }
+
+    /// Copies the objects as they are now.
+    pub fn copy(&self) -> Copy {
+        let state = self.lock();
+        Copy { revision: state.revision, objects: state.objects.clone() }
+    }
+
+    /// Restores the objects and the revision of a copy, in the next era. What was written since the
+    /// copy is lost.
+    pub fn restore(&self, copy: &Copy) {
+        let mut state = self.lock();
+        state.revision = copy.revision;
+        state.objects = copy.objects.clone();
+        state.history.clear();
+        state.era += 1;
+    }
+
+    /// Name and content of each object of a kind.
+    pub fn objects(&self, kind: &str) -> Vec<(String, Value)> {
+        let state = self.lock();
+        let of_kind = state.objects.iter().filter(|object| object.kind == kind);
+        of_kind.map(|object| (object.name.clone(), object.spec.clone())).collect()
+    }
+
     /// Sets whether writes are applied but their connection is closed without a response.
     pub fn set_loses_responses(&self, loses: bool) {
         self.loses_responses.store(loses, Ordering::SeqCst);
@@ -129,7 +167,12 @@
             return None;
         }
         let body = body.to_string();
-        exchange.answer(Response::new(status), body.as_bytes()).await.ok()?;
+        let mut head = Response::new(status);
+        let era = self.lock().era;
+        if era > 0 {
+            head.fields.set("Store-Era", era.to_string());
+        }
+        exchange.answer(head, body.as_bytes()).await.ok()?;
         Some(exchange)
     }
 
@@ -189,6 +232,9 @@
 
     fn changes(&self, kind: &str, since: u64) -> Option<(u16, Value)> {
         let state = self.lock();
+        if since > state.revision {
+            return Some((410, json!({})));
+        }
         let first = state.history.first().map_or(state.revision + 1, |event| event.object.revision);
         if since + 1 < first && since < state.revision {
             return Some((410, json!({})));
