--- a/crates/ffw-decide/src/shard.rs
+++ b/crates/ffw-decide/src/shard.rs
@@ -10,7 +10,6 @@
 pub mod invariant;
 mod members;
 pub mod memory;
-pub mod pace;
 mod queue;
 mod rebalance;
 pub mod renewal;
@@ -18,6 +17,7 @@
 mod review;
 pub mod roles;
 pub mod server;
+pub mod timing;
 
 use {
     crate::{
--- a/crates/ffw-decide/src/shard/renewal.rs
+++ b/crates/ffw-decide/src/shard/renewal.rs
@@ -276,7 +276,7 @@
         let Some(prefill) = reservation.prefill else { return };
         if let Some(server) = self.prefills.get_mut(prefill) {
             server.backoff.record_success();
-            server.pace.record(now, sent_at, nominal);
+            server.timing.record(now, sent_at, nominal);
         }
         self.replan_prefills(now, prefill);
     }
@@ -285,17 +285,17 @@
     /// in the order in which they were sent. The first of them started when the last report came.
     fn replan_prefills(&mut self, now: Moment, prefill: Key<Prefill>) {
         let Some(server) = self.prefills.get(prefill) else { return };
-        let pace = server.pace;
+        let timing = server.timing;
         let is_open = |reservation: &Reservation| {
             reservation.prefill == Some(prefill) && reservation.phase == Phase::Prefill
         };
         let mut open: Vec<&mut Reservation> =
             self.reservations.values_mut().filter(|reservation| is_open(reservation)).collect();
         open.sort_unstable_by_key(|reservation| reservation.sent_at);
-        let mut free_at = pace.reported_at();
+        let mut free_at = timing.reported_at();
         for reservation in open {
-            let start = free_at.max(reservation.sent_at + pace.delay());
-            free_at = (start + pace.work_time(reservation.nominal_prefill)).max(now);
+            let start = free_at.max(reservation.sent_at + timing.delay());
+            free_at = (start + timing.work_time(reservation.nominal_prefill)).max(now);
             reservation.prefill_end = free_at;
         }
         if let Some(server) = self.prefills.get_mut(prefill) {
--- a/crates/ffw-decide/src/shard/reservation.rs
+++ b/crates/ffw-decide/src/shard/reservation.rs
@@ -280,7 +280,7 @@
         // The last prompt token is always computed, as the first output token follows from it.
         let cached = (cached_count * settings.piece_tokens).min(ask.tokens_in.saturating_sub(1));
         let nominal = settings.prefill_time(ask.tokens_in - cached);
-        let (delay, span) = (server.pace.delay(), server.pace.work_time(nominal));
+        let (delay, span) = (server.timing.delay(), server.timing.work_time(nominal));
         Work { free_at: server.free_at, delay, nominal, span, cached }
     }
 
--- a/crates/ffw-decide/src/shard/roles.rs
+++ b/crates/ffw-decide/src/shard/roles.rs
@@ -233,21 +233,18 @@
         let usable_decodes = decodes.iter().filter(|(_, server)| {
             now >= server.changing_until && !server.backoff.is_backing_off(now)
         });
-        let times: Vec<f64> = decodes.iter().map(|(_, decode)| decode.token_time_s).collect();
-        let token_time_s = times.iter().sum::<f64>() / times.len().max(1) as f64;
+        let token_times = decodes.iter().map(|(_, decode)| decode.token_time_s);
         let token_time_s =
-            if times.is_empty() { self.settings.token_time.as_secs_f64() } else { token_time_s };
-        let paces: Vec<f64> = prefills.iter().map(|(_, prefill)| prefill.pace.slowness()).collect();
-        let slowness = paces.iter().sum::<f64>() / paces.len().max(1) as f64;
-        let slowness = if paces.is_empty() { 1.0 } else { slowness };
+            mean(token_times).unwrap_or_else(|| self.settings.token_time.as_secs_f64());
+        let slowness = mean(prefills.iter().map(|(_, prefill)| prefill.timing.slowness()));
+        let prefill_rate = f64::from(self.settings.prefill_rate.max(1)) / slowness.unwrap_or(1.0);
         let memory = f64::from(self.settings.pieces) * f64::from(self.settings.piece_tokens);
         let request_tokens = (self.roles.prompt_tokens + self.roles.output_tokens / 2.0).max(1.0);
         let concurrency = (memory / request_tokens).min(f64::from(self.settings.slots)).max(1.0);
         Split {
             prefills: usable_prefills.count() + to_prefill,
             decodes: usable_decodes.count() + to_decode,
-            prefill_s: self.roles.prompt_tokens / f64::from(self.settings.prefill_rate.max(1))
-                * slowness,
+            prefill_s: self.roles.prompt_tokens / prefill_rate,
             decode_s: self.roles.output_tokens * token_time_s / concurrency,
         }
     }
@@ -271,3 +268,9 @@
         }
     }
 }
+
+/// Mean of the values; `None` if there are none.
+fn mean(values: impl Iterator<Item = f64>) -> Option<f64> {
+    let (sum, count) = values.fold((0.0, 0_u32), |(sum, count), value| (sum + value, count + 1));
+    (count > 0).then(|| sum / f64::from(count))
+}
--- a/crates/ffw-decide/src/shard/server.rs
+++ b/crates/ffw-decide/src/shard/server.rs
@@ -5,7 +5,7 @@
 //! that no prompt is prefilled only to find out whether it works again.
 
 use {
-    super::{pace::Pace, reservation::Reservation},
+    super::{reservation::Reservation, timing::Timing},
     crate::{arena::Key, cache::Hints, retry},
     ffw_protocol::{admission, time::Moment},
     std::time::Duration,
@@ -141,7 +141,7 @@
     /// Prefixes that it has probably cached.
     pub hints: Hints,
     /// Its speed and the delay of messages to and from it.
-    pub pace: Pace,
+    pub timing: Timing,
     /// Requests in its load report beyond the reservations of this shard.
     pub unaccounted: u32,
     /// Its recent failures and backoff.
@@ -159,7 +159,7 @@
             changing_until: Moment(0),
             free_at: Moment(0),
             hints: Hints::default(),
-            pace: Pace::default(),
+            timing: Timing::default(),
             unaccounted: 0,
             backoff: Backoff::default(),
             unusable_results: 0,
--- a/crates/ffw-decide/src/shard/pace.rs
+++ b/crates/ffw-decide/src/shard/timing.rs
@@ -25,7 +25,7 @@
 
 /// Speed of a prefill server and delay of the messages to and from it.
 #[derive(Clone, Copy, Debug)]
-pub struct Pace {
+pub struct Timing {
     /// Moving average of the ratio of measured to nominal prefill time.
     slowness: f64,
     /// Moving average of the delay of the messages of one prompt, there and back together.
@@ -34,13 +34,13 @@
     reported_at: Moment,
 }
 
-impl Default for Pace {
-    fn default() -> Pace {
-        Pace { slowness: 1.0, delay_s: DELAY_INITIAL.as_secs_f64(), reported_at: Moment(0) }
+impl Default for Timing {
+    fn default() -> Timing {
+        Timing { slowness: 1.0, delay_s: DELAY_INITIAL.as_secs_f64(), reported_at: Moment(0) }
     }
 }
 
-impl Pace {
+impl Timing {
     /// Time that the server works on a prompt with this nominal prefill time.
     pub fn work_time(&self, nominal: Duration) -> Duration {
         nominal.mul_f64(self.slowness)
--- a/crates/ffw-decide/tests/shard_prefill.rs
+++ b/crates/ffw-decide/tests/shard_prefill.rs
@@ -2,7 +2,7 @@
 //! virtual time.
 
 use {
-    ffw_decide::shard::{Settings, pace::Pace},
+    ffw_decide::shard::{Settings, timing::Timing},
     ffw_protocol::{admission::Ask, time::Moment},
     ffw_support::{
         build,
@@ -87,15 +87,15 @@
 #[test]
 fn queued_prompts_measure_the_speed_of_their_server() {
     let nominal = Duration::from_millis(100);
-    let mut pace = Pace::default();
+    let mut timing = Timing::default();
     // Each call is sent 60 ms before the report of the previous one; each takes 150 ms.
     let mut now = Moment::from_millis(1_000);
     for _ in 0..60 {
         let sent_at = now - Duration::from_millis(60);
         now = now + Duration::from_millis(150);
-        pace.record(now, sent_at, nominal);
+        timing.record(now, sent_at, nominal);
     }
-    assert!((pace.slowness() - 1.5).abs() < 0.05, "{pace:?}");
+    assert!((timing.slowness() - 1.5).abs() < 0.05, "{timing:?}");
 }
 
 /// Prompts that find their server idle measure the delay of the messages, which must not count as
@@ -103,13 +103,13 @@
 #[test]
 fn single_prompts_measure_the_delay_of_messages() {
     let nominal = Duration::from_millis(100);
-    let mut pace = Pace::default();
+    let mut timing = Timing::default();
     for n in 1..60 {
         let sent_at = Moment::from_millis(n * 1_000);
-        pace.record(sent_at + Duration::from_millis(145), sent_at, nominal);
+        timing.record(sent_at + Duration::from_millis(145), sent_at, nominal);
     }
-    assert!((pace.slowness() - 1.0).abs() < 0.01, "{pace:?}");
-    assert!(pace.delay().as_millis().abs_diff(45) <= 1, "{pace:?}");
+    assert!((timing.slowness() - 1.0).abs() < 0.01, "{timing:?}");
+    assert!(timing.delay().as_millis().abs_diff(45) <= 1, "{timing:?}");
 }
 
 /// A lull of single prompts between two bursts, with messages that take longer in the second one.
