Restore the store in the soak; log the generated tokens of a stream

The soak takes copies of its store, takes it away for 0.2 to 4 s and restores it in the next era; servers and the operator write again 0.6 s later (--restores). The restores have a generator of their own, so that plans without them stay as they are.

stream_served named the largest output that may be asked output=; it is output_max= now, and generated= tells the tokens that the answer had.

--- a/crates/ffw-route/src/stream.rs
+++ b/crates/ffw-route/src/stream.rs
@@ -168,14 +168,15 @@
         let Some(tokens) = request_info.tokens else { return };
         let grant = &reservation.grant;
         info!(
-            "event=stream_served request={} route={} prefill={} decode={} prompt={} output={} \
-             hint={:?} events={} ms={} first_ms={} gap_ms={} reason={:?} waited_ms={} \
+            "event=stream_served request={} route={} prefill={} decode={} prompt={} generated={} \
+             output_max={} hint={:?} events={} ms={} first_ms={} gap_ms={} reason={:?} waited_ms={} \
              waiting={} served={} served_least={} owner={} epoch={} grant={} config={}",
             request_info.id,
             route.name,
             grant.prefill.name,
             grant.decode.name,
             tokens.prompt,
+            self.relay.emitted_tokens(),
             tokens.output,
             tokens.output_hint,
             self.relay.events(),
--- a/crates/ffw-soak/src/main.rs
+++ b/crates/ffw-soak/src/main.rs
@@ -2,7 +2,7 @@
 //! callers. Exits with failure if a run has any.
 
 use {
-    clap::{Arg, ArgMatches, Command},
+    clap::{Arg, ArgAction, ArgMatches, Command},
     eyre::Result,
     ffw_runtime::executor,
     ffw_soak::run::{self, Options},
@@ -19,6 +19,12 @@
         .arg(option("runs", "1", "Number of runs; each uses the next seed"))
         .arg(option("steps", "24", "Number of steps in the plan of each run"))
         .arg(option("processes", "4", "Daemons"))
+        .arg(
+            Arg::new("restores")
+                .long("restores")
+                .action(ArgAction::SetTrue)
+                .help("Also restore the store from copies of itself"),
+        )
         .arg(option("program", "target/release/fireflyworks", "Path of the daemons' program"))
         .arg(option("folder", "target/soak", "Folder for settings, plans and logs"))
 }
@@ -32,6 +38,7 @@
         let options = Options {
             seed,
             steps: number(&matches, "steps")? as usize,
+            restores: matches.get_flag("restores"),
             daemons: number(&matches, "processes")? as usize,
             program: text(&matches, "program").into(),
             folder: folder.clone(),
--- a/crates/ffw-soak/src/plan.rs
+++ b/crates/ffw-soak/src/plan.rs
@@ -36,6 +36,9 @@
     /// A server is replaced by a new one. Its object in the store is set to `draining` if the flag
     /// is true, and is removed otherwise.
     Replace(usize, bool),
+    /// The store is away for a time and comes back as it was before that time. Soon after, servers
+    /// and the operator write again what it has lost.
+    Restore(Duration),
     /// The configuration moves the plain routes to the other plain service.
     MoveRoutes,
     /// No fault is injected for a time.
@@ -60,6 +63,22 @@
     (0..steps).map(|_| draw_step(&mut random, daemons, servers)).collect()
 }
 
+/// Number of steps between two restores of the store.
+const STEPS_PER_RESTORE: usize = 4;
+
+/// Adds restores of the store to a plan. They are drawn from a generator of their own, so that the
+/// other steps stay as they are.
+pub fn add_restores(seed: u64, steps: Vec<Step>) -> Vec<Step> {
+    let mut random = ChaCha8Rng::seed_from_u64(!seed);
+    let mut with_restores = Vec::new();
+    for chunk in steps.chunks(STEPS_PER_RESTORE) {
+        with_restores.extend_from_slice(chunk);
+        let away = Duration::from_millis(random.gen_range(200..4_000));
+        with_restores.push(Step::Restore(away));
+    }
+    with_restores
+}
+
 fn draw_step(random: &mut ChaCha8Rng, daemons: usize, servers: usize) -> Step {
     let daemon = random.gen_range(0..daemons);
     let server = random.gen_range(0..servers);
--- a/crates/ffw-soak/src/run.rs
+++ b/crates/ffw-soak/src/run.rs
@@ -33,6 +33,12 @@
 /// Kind of the objects in the store that describe servers.
 const SERVER_KIND: &str = "servers";
 
+/// Prefix of the kinds of objects that the daemons write.
+const OWN_KINDS: &str = "fireflyworks-";
+
+/// Time after a restore of the store until servers and the operator write again what it has lost.
+const REWRITE_TIME: Duration = Duration::from_millis(600);
+
 /// Pause between two steps.
 const STEP_PAUSE: Duration = Duration::from_millis(250);
 
@@ -55,6 +61,8 @@
     pub seed: u64,
     /// Number of steps of the plan.
     pub steps: usize,
+    /// Whether the store is restored from copies of itself, in addition to the steps.
+    pub restores: bool,
     /// Number of daemons.
     pub daemons: usize,
     /// Program of the daemons.
@@ -112,8 +120,11 @@
         callers.push(executor::spawn(caller::run(number, addresses, outcomes, stop, random)));
     }
     let options = &harness.options;
-    let steps =
+    let mut steps =
         plan::draw(options.seed, options.steps, harness.daemons.len(), harness.servers.len());
+    if options.restores {
+        steps = plan::add_restores(options.seed, steps);
+    }
     let text: Vec<String> = steps.iter().map(Step::to_string).collect();
     fs::write(options.folder.join("plan.txt"), text.join("\n"))?;
     for step in steps {
@@ -136,6 +147,7 @@
 impl Harness {
     async fn start(options: Options) -> Result<Harness> {
         let (store, address) = Store::start().await?;
+        store.set_era(1);
         let store_proxy = Proxy::start(address).await?;
         let mut harness = Harness {
             store,
@@ -280,6 +292,7 @@
                 set_fault_for(duration, self.store_proxy.clone(), fault);
             }
             Step::Compact => self.store.compact(),
+            Step::Restore(away) => self.restore(away).await,
             Step::LoseAnswers(duration) => {
                 let store = self.store.clone();
                 store.set_loses_responses(true);
@@ -304,6 +317,22 @@
         Ok(())
     }
 
+    /// Takes the store away and restores it from a copy of the moment before. Changes that the
+    /// operator and the servers make meanwhile are written again after it is back.
+    async fn restore(&mut self, away: Duration) {
+        self.record_disturbance(away + REWRITE_TIME);
+        let copy = self.store.copy();
+        self.move_routes();
+        timer::sleep(away / 2).await;
+        self.store_proxy.set_fault(Fault::Silence);
+        timer::sleep(away / 2).await;
+        let before = self.store.copy();
+        self.store.restore(&copy);
+        self.store_proxy.set_fault(Fault::None);
+        timer::sleep(REWRITE_TIME).await;
+        self.store.rewrite(&before, OWN_KINDS);
+    }
+
     async fn replace(&mut self, index: usize, is_announced: bool) -> Result<()> {
         let (service, role) = {
             let worker = &self.servers[index].worker;
--- a/crates/ffw-soak/src/store.rs
+++ b/crates/ffw-soak/src/store.rs
@@ -130,6 +130,18 @@
         state.era += 1;
     }
 
+    /// Writes those objects of a copy that are missing or have another content now, except the
+    /// daemons' own kinds, whose names begin with `own_prefix`.
+    pub fn rewrite(&self, copy: &Copy, own_prefix: &str) {
+        let of_others = copy.objects.iter().filter(|object| !object.kind.starts_with(own_prefix));
+        for object in of_others {
+            let current = self.get(&object.kind, &object.name).1;
+            if current["spec"] != object.spec {
+                self.put(&object.kind, &object.name, object.spec.clone());
+            }
+        }
+    }
+
     /// Name and content of each object of a kind.
     pub fn objects(&self, kind: &str) -> Vec<(String, Value)> {
         let state = self.lock();
--- a/crates/fireflyworks/tests/soak.rs
+++ b/crates/fireflyworks/tests/soak.rs
@@ -14,13 +14,15 @@
 /// Each seed draws a fixed plan of faults; see `ffw_soak::run`. Guards against a sequence of
 /// faults after which a guarantee to the callers is broken.
 #[rstest]
-#[case::first(1, 10)]
-#[case::second(2, 10)]
-fn guarantees_hold_under_faults(#[case] seed: u64, #[case] steps: usize) {
+#[case::first(1, 10, false)]
+#[case::second(2, 10, false)]
+#[case::with_restores_of_the_store(3, 10, true)]
+fn guarantees_hold_under_faults(#[case] seed: u64, #[case] steps: usize, #[case] restores: bool) {
     let base = Path::new(env!("CARGO_TARGET_TMPDIR"));
     let options = Options {
         seed,
         steps,
+        restores,
         daemons: 3,
         program: PathBuf::from(env!("CARGO_BIN_EXE_fireflyworks")),
         folder: run::folder(base, seed),
