--- a/crates/ffw-decide/src/shard/roles.rs
+++ b/crates/ffw-decide/src/shard/roles.rs
@@ -234,8 +234,7 @@
             now >= server.changing_until && !server.backoff.is_backing_off(now)
         });
         let token_times = decodes.iter().map(|(_, decode)| decode.token_time_s);
-        let token_time_s =
-            mean(token_times).unwrap_or_else(|| self.settings.token_time.as_secs_f64());
+        let token_time_s = mean(token_times).unwrap_or(self.settings.token_time.as_secs_f64());
         let slowness = mean(prefills.iter().map(|(_, prefill)| prefill.timing.slowness()));
         let prefill_rate = f64::from(self.settings.prefill_rate.max(1)) / slowness.unwrap_or(1.0);
         let memory = f64::from(self.settings.pieces) * f64::from(self.settings.piece_tokens);
