--- a/crates/ffw-decide/src/shard/reservation.rs
+++ b/crates/ffw-decide/src/shard/reservation.rs
@@ -159,21 +159,7 @@
     let pieces = settings.pieces_of(ask);
     let mut best: Option<Choice> = None;
     let mut blocked = Blocked::NoServer;
-    let live = || {
-        let open = prefills.iter().filter(|(_, prefill)| prefill.is_open(now));
-        open.filter(|(_, prefill)| ask.allows(&prefill.server.name))
-    };
-    let all_back_off = live().all(|(_, server)| server.backoff.is_backing_off(now));
-    let live = live().filter(|(_, server)| all_back_off || !server.backoff.is_backing_off(now));
-    let works = live.map(|(key, server)| {
-        (Some(key), Work::at_prefill(ask, settings, server), server.backoff.handicap())
-    });
-    let (prefill, work) = match works.min_by_key(|(_, work, handicap)| work.rank(now, *handicap)) {
-        Some((prefill, work, _)) if !ask.is_read => (prefill, work),
-        _ if ask.is_read => (None, Work::none(now)),
-        None if settings.decode_reads => (None, Work::at_decode(now, ask, settings)),
-        _ => return Err(Blocked::NoServer),
-    };
+    let (prefill, work) = choose_prefill(now, ask, settings, prefills).ok_or(Blocked::NoServer)?;
     let live = || {
         let open = decodes.iter().filter(|(_, decode)| decode.is_open(now));
         open.filter(|(_, decode)| ask.allows(&decode.server.name))
@@ -230,6 +216,33 @@
     best.map(|choice| choice.plan).ok_or(blocked)
 }
 
+/// The prefill server that would finish the prompt first, and the prefill there. No server for a
+/// prompt that is prefilled already, or that its decode server prefills because no prefill server is
+/// usable; `None` if it can't do so.
+fn choose_prefill(
+    now: Moment,
+    ask: &Ask,
+    settings: &Settings,
+    prefills: &Arena<Prefill>,
+) -> Option<(Option<Key<Prefill>>, Work)> {
+    if ask.is_read {
+        return Some((None, Work::none(now)));
+    }
+    let live = || {
+        let open = prefills.iter().filter(|(_, prefill)| prefill.is_open(now));
+        open.filter(|(_, prefill)| ask.allows(&prefill.server.name))
+    };
+    let all_back_off = live().all(|(_, server)| server.backoff.is_backing_off(now));
+    let usable = live().filter(|(_, server)| all_back_off || !server.backoff.is_backing_off(now));
+    let works =
+        usable.map(|(key, server)| (key, Work::at_prefill(ask, settings, server), server.backoff));
+    match works.min_by_key(|(_, work, backoff)| work.rank(now, backoff.handicap())) {
+        Some((prefill, work, _)) => Some((Some(prefill), work)),
+        None if settings.decode_reads => Some((None, Work::at_decode(now, ask, settings))),
+        None => None,
+    }
+}
+
 #[derive(Clone, Copy)]
 struct Choice {
     plan: Plan,
