--- a/crates/ffw-control/src/owner.rs
+++ b/crates/ffw-control/src/owner.rs
@@ -4,20 +4,21 @@
 //! stopped, or when it shuts down. After a pause of the process, which the gap between two steps
 //! shows, the shard starts its recovery again, since another daemon may have decided meanwhile.
 
+mod refresh;
+
 use {
     crate::{
         daemon::{Daemon, Mode},
         identity,
         owned::{OwnedShard, QueueGuard, State},
-        snapshot::Snapshot,
     },
     ffw_backend::engine,
     ffw_decide::{baseline::Policy, shard},
-    ffw_peer::service::{RenewalReply, Roster},
+    ffw_peer::service::RenewalReply,
     ffw_protocol::{
         admission::{Ask, Attempt, Basis, Cause, Refusal, Release, Renewal, Server, Verdict},
         declaration::PoolKind,
-        instance::{Instance, Role},
+        instance::Instance,
         ledger::Event,
         time::Moment,
     },
@@ -36,10 +37,6 @@
 /// Shortest pause between two steps of a shard.
 const STEP_PERIOD_MIN: Duration = Duration::from_millis(1);
 
-/// Period at which a shard is brought up to date with an unchanged view, because entries are
-/// dropped some time after they have left it.
-const VIEW_PERIOD: Duration = Duration::from_millis(500);
-
 /// Period at which the invariants of a shard are checked. A broken one stays broken.
 const CHECK_PERIOD: Duration = Duration::from_millis(100);
 
@@ -175,7 +172,7 @@
     if let Some(owned) = daemon.owned_shards.find(pool) {
         return Some(owned);
     }
-    let settings = shard_settings(daemon, pool)?;
+    let settings = refresh::shard_settings(daemon, pool)?;
     let mut all = daemon.owned_shards.lock();
     let index = match all.binary_search_by(|owned| owned.pool.cmp(pool)) {
         Ok(index) => return Some(all[index].clone()),
@@ -184,7 +181,7 @@
     let now = identity::now();
     let epoch = identity::unix_ms() * 1_000;
     let mut shard = shard::Shard::new(now, daemon.identity.instance.clone(), epoch, settings);
-    shard.set_members(&members(daemon, pool));
+    shard.set_members(&refresh::members(daemon, pool));
     let (wake, woken) = channel::bounded(1);
     let state = Mutex::new(State {
         shard,
@@ -200,45 +197,12 @@
     Some(owned)
 }
 
-fn shard_settings(daemon: &Daemon, pool: &str) -> Option<shard::Settings> {
-    let snapshot = daemon.view.config()?;
-    let declared = snapshot.deployment.pool(pool)?;
-    let mut settings = snapshot.shard_settings(declared);
-    if daemon.policy == Policy::FixedSplit {
-        reduce_to_share(daemon, &mut settings);
-    }
-    Some(settings)
-}
-
-/// Reduces the settings to this daemon's share of the pool, for [`Policy::FixedSplit`].
-fn reduce_to_share(daemon: &Daemon, settings: &mut shard::Settings) {
-    let roster = daemon.view.roster();
-    let daemons = roster
-        .instances
-        .iter()
-        .filter(|instance| instance.role == Role::Entry && instance.is_live());
-    let names: Vec<Arc<str>> = daemons.map(|listed| listed.name.clone()).collect();
-    let own = &daemon.identity.instance;
-    settings.slots = ffw_decide::baseline::share(settings.slots, &names, own);
-    let count = names.len().max(1) as u32;
-    settings.prefill_rate /= count;
-    settings.link_rate /= count;
-}
-
-fn members(daemon: &Daemon, pool: &str) -> shard::Members {
-    let leaving = daemon.owned_shards.self_reported_leaving();
-    shard::Members {
-        prefills: daemon.view.members(pool, Role::Prefill, &leaving),
-        decodes: daemon.view.members(pool, Role::Decode, &leaving),
-    }
-}
-
 /// Steps a shard until this daemon is no longer its owner and the shard is no longer in use, then
 /// gives it up. A daemon that shuts down gives it up at once if another daemon is left to own it.
 async fn run_shard(daemon: Arc<Daemon>, owned: Arc<OwnedShard>, woken: Receiver<()>) {
     let mut applied = None;
     while is_owner(&daemon, &owned.pool, &[]) || is_in_use(&owned) {
-        update_from_view(&daemon, &owned, &mut applied);
+        refresh::update_from_view(&daemon, &owned, &mut applied);
         let wake_at = step(&daemon, &owned);
         let pause = wake_at.since(identity::now()).clamp(STEP_PERIOD_MIN, STEP_PERIOD_MAX);
         let _ = timer::timeout(pause, woken.recv()).await;
@@ -256,50 +220,6 @@
     !state.waiters.is_empty() || identity::now().since(state.renewed_at) < LINGER_TIME
 }
 
-/// What a shard was last brought up to date with.
-struct Applied {
-    roster: Arc<Roster>,
-    config: Arc<Snapshot>,
-    leaving: Vec<Arc<str>>,
-    at: Moment,
-}
-
-impl Applied {
-    fn is_current(&self, now: &Applied) -> bool {
-        Arc::ptr_eq(&self.roster, &now.roster)
-            && Arc::ptr_eq(&self.config, &now.config)
-            && self.leaving == now.leaving
-            && now.at.since(self.at) < VIEW_PERIOD
-    }
-}
-
-/// Brings the shard's settings, members and entries up to date with the view, if the view has
-/// changed or [`VIEW_PERIOD`] has passed. Steps come up to a thousand times a second.
-fn update_from_view(daemon: &Daemon, owned: &OwnedShard, applied: &mut Option<Applied>) {
-    let Some(config) = daemon.view.config() else { return };
-    let roster = daemon.view.roster();
-    let mut leaving = daemon.owned_shards.self_reported_leaving();
-    leaving.extend(daemon.view.notices().leaving());
-    let now = Applied { roster: roster.clone(), config, leaving, at: identity::now() };
-    if applied.as_ref().is_some_and(|applied| applied.is_current(&now)) {
-        return;
-    }
-    *applied = Some(now);
-    let Some(settings) = shard_settings(daemon, &owned.pool) else { return };
-    let members = members(daemon, &owned.pool);
-    let daemons = roster.instances.iter().filter(|instance| instance.role == Role::Entry);
-    let mut names: Vec<Arc<str>> = daemons.map(|listed| listed.name.clone()).collect();
-    names.sort_unstable();
-    let mut state = owned.lock();
-    state.shard.configure(settings);
-    state.shard.set_members(&members);
-    // A list without this daemon cancels no entries: it is empty because none has been read yet, or
-    // it is older than this daemon's registration.
-    if names.binary_search(&daemon.identity.instance).is_ok() {
-        state.shard.cancel_unlisted_entries(identity::now(), &names);
-    }
-}
-
 /// Makes the decisions that are due and applies their effects; returns when the next step is due.
 fn step(daemon: &Arc<Daemon>, owned: &Arc<OwnedShard>) -> Moment {
     let now = identity::now();
--- a/crates/ffw-control/src/snapshot.rs
+++ b/crates/ffw-control/src/snapshot.rs
@@ -201,11 +201,9 @@
             return;
         }
         let version = if pending_removals.is_empty() { version } else { current.servers };
-        let is_listed = |name: &Arc<str>| {
-            current.instances.binary_search_by(|listed| listed.name.cmp(name)).is_ok()
+        let is_removed = |name: &Arc<str>| {
+            pending_removals.binary_search(name).is_ok() && current.find(name).is_none()
         };
-        let is_removed =
-            |name: &Arc<str>| pending_removals.binary_search(name).is_ok() && !is_listed(name);
         let mut instances = instances_of(&current, true);
         instances.extend(servers.into_iter().filter(|server| !is_removed(&server.name)));
         self.store_roster(version, current.daemons, instances);
@@ -299,10 +297,7 @@
             return;
         }
         let roster = self.roster.load();
-        let is_listed = |name: &Arc<str>| {
-            roster.instances.binary_search_by(|listed| listed.name.cmp(name)).is_ok()
-        };
-        for server in servers.iter().filter(|server| is_listed(server)) {
+        for server in servers.iter().filter(|server| roster.find(server).is_some()) {
             if self.notices().record_leaving(identity::now(), server) {
                 info!("event=server_leaving server={server} told_by=peer");
             }
@@ -312,10 +307,7 @@
     /// Drops notices that no longer matter.
     pub fn clean_up_notices(&self) {
         let roster = self.roster.load();
-        let is_listed = |name: &str| {
-            roster.instances.binary_search_by(|listed| (*listed.name).cmp(name)).is_ok()
-        };
-        self.notices().clean_up(identity::now(), is_listed);
+        self.notices().clean_up(identity::now(), |name| roster.find(name).is_some());
     }
 
     /// If each server of a pool and role that takes work wants no requests from this daemon for a
@@ -350,8 +342,7 @@
     /// at.
     pub fn takes_work(&self, server: &str) -> bool {
         let roster = self.roster.load();
-        let found = roster.instances.binary_search_by(|listed| (*listed.name).cmp(server));
-        found.is_ok_and(|index| !self.is_leaving(&roster.instances[index], &[]))
+        roster.find(server).is_some_and(|listed| !self.is_leaving(listed, &[]))
     }
 
     /// Listed servers of a pool in one role, live ones and leaving ones.
--- a/crates/ffw-peer/src/service.rs
+++ b/crates/ffw-peer/src/service.rs
@@ -71,6 +71,12 @@
         Roster { servers: version, daemons: version, instances }
     }
 
+    /// The instance of this name; `None` if it is not listed.
+    pub fn find(&self, name: &str) -> Option<&Instance> {
+        let found = self.instances.binary_search_by(|listed| (*listed.name).cmp(name));
+        found.ok().map(|index| &self.instances[index])
+    }
+
     /// Whether at least one part is newer than in `known`.
     pub fn is_newer_than(&self, known: &Versions) -> bool {
         self.servers > known.servers || self.daemons > known.daemons
--- a/crates/ffw-route/src/router.rs
+++ b/crates/ffw-route/src/router.rs
@@ -233,9 +233,7 @@
     loop {
         timer::sleep(CLEANUP_PERIOD).await;
         let roster = router.daemon.view.roster();
-        let is_listed = |name: &str| {
-            roster.instances.binary_search_by(|instance| (*instance.name).cmp(name)).is_ok()
-        };
+        let is_listed = |name: &str| roster.find(name).is_some();
         router.idle_connections.retain(is_listed);
         router.balancer().retain(is_listed);
         router.daemon.view.clean_up_notices();
