Give the soak's daemons ports that the system gives to no other socket

The soak chose free ports, closed them and started the daemons; meanwhile, and at each restart, the system could give such a port to any connection or listener, of the two other cases that run beside it too. Ports now come from below the system's range for sockets without a port of their own.

--- a/crates/ffw-soak/src/daemon.rs
+++ b/crates/ffw-soak/src/daemon.rs
@@ -39,7 +39,8 @@
 }
 
 /// Chooses free loopback addresses for `count` daemons. All listeners stay bound until every port
-/// is chosen, so that no port is chosen twice.
+/// is chosen, so that no port is chosen twice. The daemons bind the ports later, also after each
+/// restart, so the ports are none that the system gives to other sockets meanwhile.
 ///
 /// # Errors
 /// No port is free.
@@ -49,7 +50,7 @@
     for _ in 0..count {
         let mut all = Vec::new();
         for _ in 0..3 {
-            let (listener, address) = wire::bind().await?;
+            let (listener, address) = wire::bind_outside_ephemeral().await?;
             listeners.push(listener);
             all.push(address);
         }
