Word the comments on prefill timing and rendezvous order without measurements

Change: they say estimated, actual and hash. Comments only; no behaviour changes, and nothing was measured.

--- a/crates/ffw-decide/src/rendezvous.rs
+++ b/crates/ffw-decide/src/rendezvous.rs
@@ -19,7 +19,7 @@
 const CAPACITY_SHARE_MIN: f64 = 0.5;
 
 /// The live daemons in the order in which they come into question as the owner of the shard: those
-/// with enough capacity first, each group by descending score.
+/// with enough capacity first, each group by descending hash.
 pub fn rank<'a>(shard: &str, instances: &'a [Instance]) -> Vec<&'a Instance> {
     let mut daemons: Vec<&Instance> =
         instances.iter().filter(|daemon| daemon.role == Role::Entry && daemon.is_live()).collect();
--- a/crates/ffw-decide/src/shard/timing.rs
+++ b/crates/ffw-decide/src/shard/timing.rs
@@ -3,7 +3,7 @@
 //! The load pattern is more prompts than the prefill servers can take at once. The time from a
 //! grant to the report that the prompt is prefilled has two parts: the work of the server, and the
 //! delay of the messages between owner, entry and server. While a server has another prompt to work
-//! on, the messages of the next one overlap with that work. The two parts are therefore measured
+//! on, the messages of the next one overlap with that work. The two parts are therefore estimated
 //! separately, and a prompt is sent by the delay before its server is predicted to be free. A
 //! schedule that counts both as work leaves the server idle for the delay after each prompt.
 
@@ -12,11 +12,11 @@
 /// Weight of a new sample in a moving average.
 const SAMPLE_WEIGHT: f64 = 0.2;
 
-/// Bounds of the ratio of a server's measured to its nominal prefill time.
+/// Bounds of the ratio of a server's actual to its nominal prefill time.
 const SLOWNESS_MIN: f64 = 0.5;
 const SLOWNESS_MAX: f64 = 4.0;
 
-/// Delay of the messages of one prompt that is assumed until one was measured.
+/// Delay of the messages of one prompt that is assumed until a report shows the actual one.
 const DELAY_INITIAL: Duration = Duration::from_millis(20);
 
 /// Longest delay of messages that is planned for. A longer one would commit prompts to a server
@@ -26,7 +26,7 @@
 /// Speed of a prefill server and delay of the messages to and from it.
 #[derive(Clone, Copy, Debug)]
 pub struct Timing {
-    /// Moving average of the ratio of measured to nominal prefill time.
+    /// Moving average of the ratio of actual to nominal prefill time.
     slowness: f64,
     /// Moving average of the delay of the messages of one prompt, there and back together.
     delay_s: f64,
@@ -46,7 +46,7 @@
         nominal.mul_f64(self.slowness)
     }
 
-    /// Ratio of measured to nominal prefill time.
+    /// Ratio of actual to nominal prefill time.
     pub fn slowness(&self) -> f64 {
         self.slowness
     }
