Split the entry's side of admission: renewals and baseline policies have files of their own

Cause: admission.rs had 515 lines and three jobs: admission requests with their reservations, renewals to the owner, and the choice of servers by the baseline policies. Moved code only; the baseline choice takes the name of the pool in place of the pool's client.

--- a/crates/ffw-control/src/admission.rs
+++ b/crates/ffw-control/src/admission.rs
@@ -1,44 +1,36 @@
-//! The entry's side of admission. For each pool it sends admission requests to the shard's owner,
-//! keeps the list of open reservations, and reports them to the owner in periodic renewals,
-//! together with the reservations that were released. An owner that does not answer or is shutting
-//! down is suspected, and the next daemon in rendezvous order is asked.
+//! The entry's side of admission. For each pool it sends admission requests to the shard's owner and
+//! keeps the list of open reservations, which `renewal` reports to the owner. An owner that does
+//! not answer or is shutting down is suspected, and the next daemon in rendezvous order is asked.
 //!
-//! The baseline policies without an owner choose servers here and send no renewals.
+//! The baseline policies without an owner choose servers in `baseline` and send no renewals.
+
+mod baseline;
+mod renewal;
 
 use {
     crate::{daemon::Daemon, identity, owner, suspect},
-    ffw_decide::baseline::{self, Choice, Policy},
-    ffw_peer::service::RenewalReply,
+    ffw_decide::baseline::Policy,
     ffw_protocol::{
         admission::{
-            Ask, Attempt, AttemptKey, Basis, Cause, Failed, Grant, Phase, Progress, Reason,
-            Refusal, Release, Renewal, Update, Verdict,
+            Ask, Attempt, AttemptKey, Cause, Failed, Grant, Phase, Progress, Refusal, Release,
+            Verdict,
         },
         error::{Error, Kind, Result},
-        instance::{Instance, Role},
+        instance::Instance,
     },
     ffw_runtime::{executor, timer},
     log::debug,
-    smol::channel::{self, Receiver, Sender},
+    smol::channel::{self, Sender},
     std::{
-        net::SocketAddr,
-        sync::{Arc, Mutex, MutexGuard, PoisonError, atomic::Ordering},
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::{Duration, Instant},
     },
 };
 
-/// Period of full renewals while the entry has open reservations, releases that the owner has not
-/// accepted, or waiting requests in a pool. A full renewal lists all open reservations; any other
-/// one lists only those whose attempts have changed.
-const RENEW_PERIOD: Duration = Duration::from_millis(200);
-
 /// Timeout of a renewal. An owner that does not answer in time is suspected. It is also the time
 /// beyond the patience of an admission request in which the owner's decision must arrive.
 const RENEW_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Delay after a change before its renewal is sent, so that one renewal carries further changes.
-const BATCH_DELAY: Duration = Duration::from_millis(3);
-
 /// Pause before an admission request is sent again, after an owner failed or refused to decide.
 const ASK_RETRY_PAUSE: Duration = Duration::from_millis(30);
 
@@ -139,7 +131,7 @@
         let (wake, woken) = channel::bounded(1);
         let client = Arc::new(PoolClient { pool: pool.clone(), state: Mutex::default(), wake });
         pools.insert(index, client.clone());
-        executor::detach(renew_pool(daemon.clone(), client.clone(), woken));
+        executor::detach(renewal::renew_pool(daemon.clone(), client.clone(), woken));
         client
     }
 
@@ -309,7 +301,9 @@
 
 async fn request_once(daemon: &Arc<Daemon>, client: &Arc<PoolClient>, ask: Ask) -> Option<Verdict> {
     match daemon.policy {
-        Policy::RoundRobin | Policy::LeastLoad => return Some(choose_pair(daemon, client, &ask)),
+        Policy::RoundRobin | Policy::LeastLoad => {
+            return Some(baseline::choose_pair(daemon, &client.pool, &ask));
+        }
         Policy::FixedSplit => return Some(owner::admit(daemon, &client.pool, &[], ask).await),
         Policy::Owner => {}
     }
@@ -361,155 +355,3 @@
         }
     }
 }
-
-/// Sends the renewals of one pool, one call at a time so that changes arrive in order.
-async fn renew_pool(daemon: Arc<Daemon>, client: Arc<PoolClient>, woken: Receiver<()>) {
-    let mut last_full = Instant::now();
-    loop {
-        let is_woken = if client.is_idle() {
-            woken.recv().await.is_ok()
-        } else {
-            let pause = RENEW_PERIOD.saturating_sub(last_full.elapsed());
-            timer::timeout(pause, woken.recv()).await.is_some()
-        };
-        if is_woken {
-            timer::sleep(BATCH_DELAY).await;
-        }
-        let full = last_full.elapsed() >= RENEW_PERIOD;
-        if full {
-            last_full = Instant::now();
-        }
-        let Some(renewal) = build_renewal(&daemon, &client, full) else { continue };
-        let releases = renewal.releases.len();
-        if send_renewal(&daemon, &client, renewal).await {
-            client.lock().releases.drain(..releases);
-        }
-    }
-}
-
-/// Takes the changes that are due and builds the next renewal. Returns `None` if there is nothing
-/// to report, or if the policy has no owner, in which case the queued releases are dropped.
-fn build_renewal(daemon: &Daemon, client: &PoolClient, full: bool) -> Option<Renewal> {
-    let mut state = client.lock();
-    let changed = std::mem::take(&mut state.changed);
-    let has_notices = std::mem::take(&mut state.has_notices);
-    let has_changes = !changed.is_empty() || !state.releases.is_empty() || has_notices;
-    if state.is_idle() || !full && !has_changes || has_no_owner(daemon.policy) {
-        state.releases.clear();
-        return None;
-    }
-    let suspects = owner::skipped_daemons(daemon);
-    let receiver = owner::find_owner(daemon, &client.pool, &suspects);
-    let receiver = receiver.map_or(daemon.identity.instance.clone(), |owner| owner.name);
-    let is_listed = |open: &&Open| full || changed.contains(open.attempt());
-    let (known, unknown): (Vec<&Open>, Vec<&Open>) =
-        state.open.iter().filter(is_listed).partition(|open| open.known_by == receiver);
-    Some(Renewal {
-        entry: daemon.identity.instance.clone(),
-        incarnation: daemon.identity.incarnation,
-        pool: client.pool.clone(),
-        full,
-        suspects,
-        progress: unknown.into_iter().map(|open| open.progress.clone()).collect(),
-        updates: known.into_iter().map(update).collect(),
-        releases: state.releases.clone(),
-        leaving: daemon.view.notices().leaving(),
-    })
-}
-
-fn update(open: &Open) -> Update {
-    let Progress { phase, emitted, .. } = open.progress;
-    Update { attempt: open.attempt().key(), phase, emitted }
-}
-
-fn has_no_owner(policy: Policy) -> bool {
-    matches!(policy, Policy::RoundRobin | Policy::LeastLoad)
-}
-
-/// Sends a renewal to the owner; returns whether the receiver accepted it as the owner.
-async fn send_renewal(daemon: &Arc<Daemon>, client: &PoolClient, renewal: Renewal) -> bool {
-    let owner = owner::find_owner(daemon, &client.pool, &renewal.suspects);
-    let own = &daemon.identity.instance;
-    let Some(owner) = owner.filter(|owner| owner.name != *own && daemon.policy == Policy::Owner)
-    else {
-        let reply = owner::renew(daemon, &renewal);
-        client.record_moves(&reply.moves);
-        if reply.is_owner {
-            client.record_accepted(own, &renewal.progress, &reply.unknown);
-        }
-        return reply.is_owner;
-    };
-    let reported = renewal.progress.clone();
-    let reply = renew_peer(daemon, owner.address, renewal).await;
-    match reply {
-        Ok(reply) => {
-            if reply.is_owner {
-                client.record_accepted(&owner.name, &reported, &reply.unknown);
-            }
-            if reply.config > daemon.view.config_number() {
-                crate::relay::pull(daemon, owner.address).await;
-            }
-            if reply.is_draining {
-                suspect::suspect(daemon, &owner.name, owner.address);
-            }
-            client.record_moves(&reply.moves);
-            daemon.view.accept_leaving(&reply.leaving);
-            reply.is_owner
-        }
-        Err(err) => {
-            debug!("event=renewal_failed pool={} peer={} error=\"{err}\"", client.pool, owner.name);
-            suspect::suspect(daemon, &owner.name, owner.address);
-            client.wake.try_send(()).ok();
-            false
-        }
-    }
-}
-
-async fn renew_peer(
-    daemon: &Daemon,
-    address: SocketAddr,
-    renewal: Renewal,
-) -> Result<RenewalReply> {
-    daemon
-        .peers
-        .call(address, RENEW_TIMEOUT, async move |peer, context| peer.renew(context, renewal).await)
-        .await
-}
-
-/// Chooses a prefill and a decode server, for the baseline policies without an owner.
-fn choose_pair(daemon: &Daemon, client: &PoolClient, ask: &Ask) -> Verdict {
-    let turn = daemon.turn.fetch_add(1, Ordering::Relaxed);
-    let leaving = daemon.owned_shards.self_reported_leaving();
-    let choose = |role: Role| {
-        let members = daemon.view.members(&client.pool, role, &leaving);
-        let live = members.into_iter().filter(|member| !member.leaving);
-        let choices: Vec<Choice> = live
-            .map(|member| Choice {
-                load: daemon.owned_shards.reported_load(&member.server.name),
-                server: member.server,
-            })
-            .collect();
-        let chosen = match daemon.policy {
-            Policy::RoundRobin => baseline::round_robin(&choices, turn),
-            _ => baseline::least_load(&choices, turn),
-        };
-        chosen.cloned()
-    };
-    let (Some(prefill), Some(decode)) = (choose(Role::Prefill), choose(Role::Decode)) else {
-        let retry_after = Duration::from_secs(1);
-        let basis = Basis::default();
-        return Verdict::Refusal(Refusal { cause: Cause::NoBackend, retry_after, basis });
-    };
-    let patience_ms = ask.patience.as_millis() as u64;
-    Verdict::Grant(Grant {
-        owner: daemon.identity.instance.clone(),
-        epoch: 0,
-        number: turn,
-        prefill,
-        decode,
-        pieces: 0,
-        start_in: Duration::ZERO,
-        reason: Reason::Baseline,
-        basis: Basis { patience_ms, ..Basis::default() },
-    })
-}
