--- a/crates/ffw-control/src/admission.rs
+++ b/crates/ffw-control/src/admission.rs
@@ -1,6 +1,7 @@
-//! The entry's side of admission. For each pool it sends admission requests to the shard's owner and
-//! keeps the list of open reservations, which `renewal` reports to the owner. An owner that does
-//! not answer or is shutting down is suspected, and the next daemon in rendezvous order is asked.
+//! The entry's side of admission. For each pool it sends admission requests to the shard's owner
+//! and keeps the list of open reservations, which `renewal` reports to the owner. An owner that
+//! does not answer or is shutting down is suspected, and the next daemon in rendezvous order is
+//! asked.
 //!
 //! The baseline policies without an owner choose servers in `baseline` and send no renewals.
 
@@ -72,7 +73,8 @@
 #[derive(Debug)]
 struct Open {
     progress: Progress,
-    /// Daemon that has granted or acknowledged it, and is told only what changes; empty if none has.
+    /// Daemon that has granted or acknowledged it, and is told only what changes; empty if none
+    /// has.
     known_by: Arc<str>,
 }
 
--- a/crates/ffw-control/src/admission/renewal.rs
+++ b/crates/ffw-control/src/admission/renewal.rs
@@ -1,5 +1,5 @@
-//! Reports the reservations of one pool to the owner of its shard in renewals: changes soon after they
-//! happen, and all open reservations periodically.
+//! Reports the reservations of one pool to the owner of its shard in renewals: changes soon after
+//! they happen, and all open reservations periodically.
 
 use {
     super::{Open, PoolClient, RENEW_TIMEOUT},
--- a/crates/ffw-control/src/owner/refresh.rs
+++ b/crates/ffw-control/src/owner/refresh.rs
@@ -56,6 +56,8 @@
     }
 }
 
+/// Settings of a pool's shard from the configuration in force; `None` if it does not declare the
+/// pool.
 pub(super) fn shard_settings(daemon: &Daemon, pool: &str) -> Option<shard::Settings> {
     let snapshot = daemon.view.config()?;
     let declared = snapshot.deployment.pool(pool)?;
@@ -81,6 +83,7 @@
     settings.link_rate /= count;
 }
 
+/// Listed servers of a pool, with those marked that are leaving.
 pub(super) fn members(daemon: &Daemon, pool: &str) -> shard::Members {
     let leaving = daemon.owned_shards.self_reported_leaving();
     shard::Members {
--- a/crates/ffw-decide/src/lease.rs
+++ b/crates/ffw-decide/src/lease.rs
@@ -6,11 +6,11 @@
 //! holder may act. Clocks of different instances are never compared. Each change of holder raises
 //! the fencing number, by which engines can reject orders of an earlier holder.
 //!
-//! The store may be restored from an earlier copy of itself, in which the lease is older or missing.
-//! From then on no lease of before is in force: each holder must acquire it again, and fencing
-//! numbers start above a base that is higher than all of before. A lease that is missing after a
-//! restore may still be acted on by a holder that has not noticed, so it is created only after
-//! [`TAKEOVER_TIME`].
+//! The store may be restored from an earlier copy of itself, in which the lease is older or
+//! missing. From then on no lease of before is in force: each holder must acquire it again, and
+//! fencing numbers start above a base that is higher than all of before. A lease that is missing
+//! after a restore may still be acted on by a holder that has not noticed, so it is created only
+//! after [`TAKEOVER_TIME`].
 
 use {
     ffw_protocol::time::Moment,
--- a/crates/ffw-decide/src/notice.rs
+++ b/crates/ffw-decide/src/notice.rs
@@ -1,5 +1,5 @@
-//! Notices that backend servers give in their responses: that they are leaving, or that they want no
-//! requests from this daemon for a time.
+//! Notices that backend servers give in their responses: that they are leaving, or that they want
+//! no requests from this daemon for a time.
 //!
 //! The load patterns are servers that are replaced one after the other, which say so before the
 //! instance list does, and overloaded servers that shed load. A notice counts for every kind of
--- a/crates/ffw-decide/src/shard/renewal.rs
+++ b/crates/ffw-decide/src/shard/renewal.rs
@@ -130,9 +130,9 @@
         self.cancel_where(|other| other == attempt);
     }
 
-    /// Cancels reservations of entries that are not in the instance list `names`, which is sorted.
-    /// The list lags, so a reservation that its entry has reported within `UNLISTED_TIMEOUT` is kept. Requests in the
-    /// queue are not affected, as they end with the connection of their entry.
+    /// Cancels reservations of entries that are not in the sorted instance list `names`. The list
+    /// lags, so a reservation that its entry has reported within `UNLISTED_TIMEOUT` is kept.
+    /// Requests in the queue are not affected, as they end with the connection of their entry.
     pub fn cancel_unlisted_entries(&mut self, now: Moment, names: &[Arc<str>]) {
         let condition = |reservation: &Reservation| {
             let is_listed =
--- a/crates/ffw-decide/src/shard/reservation.rs
+++ b/crates/ffw-decide/src/shard/reservation.rs
@@ -217,8 +217,8 @@
 }
 
 /// The prefill server that would finish the prompt first, and the prefill there. No server for a
-/// prompt that is prefilled already, or that its decode server prefills because no prefill server is
-/// usable; `None` if it can't do so.
+/// prompt that is prefilled already, or that its decode server prefills because no prefill server
+/// is usable; `None` if it can't do so.
 fn choose_prefill(
     now: Moment,
     ask: &Ask,
@@ -269,9 +269,10 @@
     if memory && lacks_memory { Blocked::Memory(earliest) } else { Blocked::Until(earliest) }
 }
 
-/// The prefill of a request at one server.
+/// The prefill of a request at one server. The owner learns of a prefill by its report, so its
+/// times are those at which reports arrive, later than at the server by the delay of the messages.
 struct Work {
-    /// When the server is predicted to have finished its earlier prompts, as its reports show it.
+    /// When the report on the last earlier prompt of the server is predicted to arrive.
     free_at: Moment,
     /// Delay of the messages to and from the server.
     delay: Duration,
@@ -303,7 +304,8 @@
         Work { nominal: span, span, ..Work::none(now) }
     }
 
-    /// When the server starts on the prompt if the call is sent at once, as its reports show it.
+    /// Start of the prefill if its call is sent at once: after the delay of the messages, or when
+    /// the server is free.
     fn earliest_start(&self, now: Moment) -> Moment {
         self.free_at.max(now + self.delay)
     }
--- a/crates/ffw-decide/tests/shard_prefill.rs
+++ b/crates/ffw-decide/tests/shard_prefill.rs
@@ -1,5 +1,5 @@
-//! Grants of a shard whose prefill servers are the scarce side, against exactly simulated engines in
-//! virtual time.
+//! Grants of a shard whose prefill servers are the scarce side, against exactly simulated engines
+//! in virtual time.
 
 use {
     ffw_decide::shard::{Settings, timing::Timing},
@@ -50,8 +50,8 @@
     drive.grants.len() - granted
 }
 
-/// A burst of prompts that fills the queue for the whole time. Messages take a part of the time of a
-/// prompt; guards against servers that are idle for that time after each prompt.
+/// A burst of prompts that fills the queue for the whole time. Messages take a part of the time of
+/// a prompt; guards against servers that are idle for that time after each prompt.
 #[rstest]
 #[case::none(0)]
 #[case::short(5)]
--- a/crates/ffw-route/tests/notices.rs
+++ b/crates/ffw-route/tests/notices.rs
@@ -1,4 +1,5 @@
-//! Backend servers that say in a response that they leave, or that they want no requests for a time.
+//! Backend servers that say in a response that they leave, or that they want no requests for a
+//! time.
 //!
 //! Guards against requests that are still sent to them, over a kept connection or because the
 //! instance list still shows the server as usable.
--- a/crates/ffw-soak/src/run.rs
+++ b/crates/ffw-soak/src/run.rs
@@ -317,17 +317,17 @@
         Ok(())
     }
 
-    /// Takes the store away and restores it from a copy of the moment before. Changes that the
+    /// Takes the store away and restores it from a snapshot of the moment before. Changes that the
     /// operator and the servers make meanwhile are written again after it is back.
     async fn restore(&mut self, away: Duration) {
         self.record_disturbance(away + REWRITE_TIME);
-        let copy = self.store.copy();
+        let snapshot = self.store.snapshot();
         self.move_routes();
         timer::sleep(away / 2).await;
         self.store_proxy.set_fault(Fault::Silence);
         timer::sleep(away / 2).await;
-        let before = self.store.copy();
-        self.store.restore(&copy);
+        let before = self.store.snapshot();
+        self.store.restore(&snapshot);
         self.store_proxy.set_fault(Fault::None);
         timer::sleep(REWRITE_TIME).await;
         self.store.rewrite(&before, OWN_KINDS);
--- a/crates/ffw-soak/src/store.rs
+++ b/crates/ffw-soak/src/store.rs
@@ -1,7 +1,7 @@
 //! Stand-in for the object store of the platform: objects by kind and name with one revision
-//! counter, and watches. It can drop its history, lose the responses to writes, and be restored from
-//! an earlier copy of itself; outages are injected by a [`Proxy`](crate::proxy::Proxy) in front of
-//! it.
+//! counter, and watches. It can drop its history, lose the responses to writes, and be restored
+//! from an earlier copy of itself; outages are injected by a [`Proxy`](crate::proxy::Proxy) in
+//! front of it.
 
 use {
     crate::wire::{self, Exchange},
@@ -45,9 +45,9 @@
     era: u64,
 }
 
-/// A copy of a store's objects.
+/// The objects of a store at one revision.
 #[derive(Clone, Debug)]
-pub struct Copy {
+pub struct Snapshot {
     revision: u64,
     objects: Vec<Object>,
 }
@@ -114,26 +114,27 @@
         self.lock().era = era;
     }
 
-    /// Copies the objects as they are now.
-    pub fn copy(&self) -> Copy {
+    /// Takes a snapshot of the objects.
+    pub fn snapshot(&self) -> Snapshot {
         let state = self.lock();
-        Copy { revision: state.revision, objects: state.objects.clone() }
+        Snapshot { revision: state.revision, objects: state.objects.clone() }
     }
 
-    /// Restores the objects and the revision of a copy, in the next era. What was written since the
-    /// copy is lost.
-    pub fn restore(&self, copy: &Copy) {
+    /// Restores the objects and the revision of a snapshot, in the next era. What was written since
+    /// is lost.
+    pub fn restore(&self, snapshot: &Snapshot) {
         let mut state = self.lock();
-        state.revision = copy.revision;
-        state.objects = copy.objects.clone();
+        state.revision = snapshot.revision;
+        state.objects = snapshot.objects.clone();
         state.history.clear();
         state.era += 1;
     }
 
-    /// Writes those objects of a copy that are missing or have another content now, except the
+    /// Writes those objects of a snapshot that are missing or have another content now, except the
     /// daemons' own kinds, whose names begin with `own_prefix`.
-    pub fn rewrite(&self, copy: &Copy, own_prefix: &str) {
-        let of_others = copy.objects.iter().filter(|object| !object.kind.starts_with(own_prefix));
+    pub fn rewrite(&self, snapshot: &Snapshot, own_prefix: &str) {
+        let of_others =
+            snapshot.objects.iter().filter(|object| !object.kind.starts_with(own_prefix));
         for object in of_others {
             let current = self.get(&object.kind, &object.name).1;
             if current["spec"] != object.spec {
