--- a/crates/ffw-bench/src/experiment/run.rs
+++ b/crates/ffw-bench/src/experiment/run.rs
@@ -195,7 +195,7 @@
     row
 }
 
-/// The plan of the cluster, whose declaration gets the memory pieces of [`engine`].
+/// The plan of the cluster, whose declaration gets the memory pieces of [`engine()`].
 fn cluster_plan(plan: &Plan, policy: &str) -> cluster::Plan {
     let policy: &'static str = policy.to_owned().leak();
     let pieces = format!("pieces = {}", engine().pieces);
--- a/crates/ffw-control/src/admission.rs
+++ b/crates/ffw-control/src/admission.rs
@@ -269,7 +269,7 @@
         ask.waited += began.elapsed();
         ask.target = ask.target.saturating_sub(began.elapsed());
         ask.patience = ask.patience.saturating_sub(began.elapsed());
-        ask.avoid = daemon.view.notices().quiet(identity::now());
+        ask.avoid = daemon.view.notices().pushing_back(identity::now());
         if ask.patience.is_zero() {
             let message = format!("no owner of pool {pool} decided before the deadline");
             return Err(Error::new(Kind::Overloaded, message));
--- a/crates/ffw-control/src/snapshot.rs
+++ b/crates/ffw-control/src/snapshot.rs
@@ -284,8 +284,8 @@
         daemons
     }
 
-    /// Notices of backend servers in their responses to this daemon; what they say of leaving, also
-    /// to other daemons.
+    /// Notices that backend servers gave in their responses: of leaving servers those to any
+    /// daemon, of pushbacks those to this one.
     pub fn notices(&self) -> MutexGuard<'_, Notices> {
         self.notices.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -310,16 +310,16 @@
         self.notices().clean_up(identity::now(), |name| roster.find(name).is_some());
     }
 
-    /// If each server of a pool and role that takes work wants no requests from this daemon for a
-    /// time: the time until the first of them takes requests again.
-    pub fn quiet_time(&self, pool: &str, role: Role) -> Option<Duration> {
+    /// Time until the first server of a pool and role takes requests again; `None` unless all of
+    /// them that take work are pushing back.
+    pub fn pushback(&self, pool: &str, role: Role) -> Option<Duration> {
         let roster = self.roster.load();
         let servers = roster.instances.iter().filter(|instance| {
             instance.role == role && &*instance.pool == pool && !self.is_leaving(instance, &[])
         });
         let mut shortest = None;
         for server in servers {
-            let left = self.notices().quiet_left(identity::now(), &server.name)?;
+            let left = self.notices().pushback_left(identity::now(), &server.name)?;
             shortest = Some(shortest.map_or(left, |shortest: Duration| shortest.min(left)));
         }
         shortest
--- a/crates/ffw-decide/src/balance.rs
+++ b/crates/ffw-decide/src/balance.rs
@@ -105,10 +105,10 @@
 
 impl Balancer {
     /// Chooses the candidate with the lowest score among those that are not in `tried`, and counts
-    /// the request as open there until [`Balancer::end`]. A server in backoff, or one with failures
-    /// that has a request open, is chosen only if all are like that. The search starts
-    /// at the index `turn` modulo the number of untried candidates, so that servers with equal
-    /// scores alternate if `turn` increases with each call. `None` if every candidate was tried.
+    /// the request as open there until [`Balancer::record_end`]. A server in backoff, or one with
+    /// failures that has a request open, is chosen only if all are like that. The search starts at
+    /// the index `turn` modulo the number of untried candidates, so that servers with equal scores
+    /// alternate if `turn` increases with each call. `None` if every candidate was tried.
     pub fn choose(
         &mut self,
         now: Moment,
--- a/crates/ffw-decide/src/lease.rs
+++ b/crates/ffw-decide/src/lease.rs
@@ -7,10 +7,10 @@
 //! the fencing number, by which engines can reject orders of an earlier holder.
 //!
 //! The store may be restored from an earlier copy of itself, in which the lease is older or
-//! missing. From then on no lease of before is in force: each holder must acquire it again, and
-//! fencing numbers start above a base that is higher than all of before. A lease that is missing
-//! after a restore may still be acted on by a holder that has not noticed, so it is created only
-//! after [`TAKEOVER_TIME`].
+//! missing. From then on no earlier lease is in force: each holder must acquire it again, and
+//! fencing numbers start above a base that is higher than all earlier ones. A holder that does not
+//! know of the restore may still act on a lease that is missing now, so a missing lease is created
+//! only after [`TAKEOVER_TIME`].
 
 use {
     ffw_protocol::time::Moment,
@@ -36,7 +36,7 @@
     pub holder: Arc<str>,
     /// Incarnation of the holder: distinguishes the processes that run under one instance name.
     pub incarnation: u64,
-    /// Fencing number; increases by one with each change of holder, from 1.
+    /// Fencing number; increases with each change of holder.
     pub fence: u64,
     /// Number of renewals by this holder; makes each write change the object.
     pub renewals: u64,
@@ -91,9 +91,9 @@
         }
     }
 
-    /// Records that the store may have been restored just before `now`: a lease of before is not
-    /// held any more, and no missing one is created for [`TAKEOVER_TIME`]. Fencing numbers from now
-    /// on are above `fence_base`.
+    /// Records that the store may have been restored just before `now`: the lease is not held any
+    /// more, and a missing one is not created for [`TAKEOVER_TIME`]. Fencing numbers from now on
+    /// are above `fence_base`.
     pub fn record_restore(&mut self, now: Moment, fence_base: u64) {
         self.fence_base = self.fence_base.max(fence_base);
         self.create_from = now + TAKEOVER_TIME;
--- a/crates/ffw-decide/src/notice.rs
+++ b/crates/ffw-decide/src/notice.rs
@@ -1,5 +1,5 @@
-//! Notices that backend servers give in their responses: that they are leaving, or that they want
-//! no requests from this daemon for a time.
+//! Notices that backend servers give in their responses: that they are leaving, or a pushback,
+//! which is a time for which they want no requests from this daemon.
 //!
 //! The load patterns are servers that are replaced one after the other, which say so before the
 //! instance list does, and overloaded servers that shed load. A notice counts for every kind of
@@ -11,16 +11,16 @@
     std::{sync::Arc, time::Duration},
 };
 
-/// Longest time for which a server's wish for no requests is followed without asking again.
-const QUIET_MAX: Duration = Duration::from_secs(30);
+/// Longest time for which a pushback is followed; then the server gets a request again.
+const PUSHBACK_MAX: Duration = Duration::from_secs(30);
 
 /// Time for which a leaving server that is not listed any more is remembered: the list of a daemon
 /// that was cut off may name it again.
 const UNLISTED_MEMORY: Duration = Duration::from_secs(60);
 
-/// A server that wants no requests until a time.
+/// A server that wants no requests from this daemon until a time.
 #[derive(Clone, Debug)]
-struct Quiet {
+struct Pushback {
     server: Arc<str>,
     until: Moment,
 }
@@ -36,7 +36,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Notices {
     leaving: Vec<Leaving>,
-    quiet: Vec<Quiet>,
+    pushbacks: Vec<Pushback>,
 }
 
 impl Notices {
@@ -62,33 +62,34 @@
         self.leaving.iter().map(|leaving| leaving.server.clone()).collect()
     }
 
-    /// Records that a server wants no requests for `span`, of which at most 30 s are followed. An
-    /// earlier wish for a longer time stays.
-    pub fn record_quiet(&mut self, now: Moment, server: &Arc<str>, span: Duration) {
-        let until = now + span.min(QUIET_MAX);
-        match self.quiet.binary_search_by(|quiet| quiet.server.cmp(server)) {
-            Ok(index) => self.quiet[index].until = self.quiet[index].until.max(until),
-            Err(index) => self.quiet.insert(index, Quiet { server: server.clone(), until }),
+    /// Records a pushback of `span`, of which at most 30 s are followed. An earlier one that ends
+    /// later stays.
+    pub fn record_pushback(&mut self, now: Moment, server: &Arc<str>, span: Duration) {
+        let until = now + span.min(PUSHBACK_MAX);
+        match self.pushbacks.binary_search_by(|pushback| pushback.server.cmp(server)) {
+            Ok(index) => self.pushbacks[index].until = self.pushbacks[index].until.max(until),
+            Err(index) => self.pushbacks.insert(index, Pushback { server: server.clone(), until }),
         }
     }
 
-    /// Time for which the server wants no further requests; `None` if it takes them.
-    pub fn quiet_left(&self, now: Moment, server: &str) -> Option<Duration> {
-        let index = self.quiet.binary_search_by(|quiet| (*quiet.server).cmp(server)).ok()?;
-        let left = self.quiet[index].until.since(now);
+    /// Time that is left of the server's pushback; `None` if it takes requests.
+    pub fn pushback_left(&self, now: Moment, server: &str) -> Option<Duration> {
+        let index =
+            self.pushbacks.binary_search_by(|pushback| (*pushback.server).cmp(server)).ok()?;
+        let left = self.pushbacks[index].until.since(now);
         (!left.is_zero()).then_some(left)
     }
 
-    /// The servers that want no requests now, in order.
-    pub fn quiet(&self, now: Moment) -> Vec<Arc<str>> {
-        let quiet = self.quiet.iter().filter(|quiet| quiet.until > now);
-        quiet.map(|quiet| quiet.server.clone()).collect()
+    /// The servers whose pushback has not ended, in order.
+    pub fn pushing_back(&self, now: Moment) -> Vec<Arc<str>> {
+        let pushing_back = self.pushbacks.iter().filter(|pushback| pushback.until > now);
+        pushing_back.map(|pushback| pushback.server.clone()).collect()
     }
 
-    /// Drops what no longer matters: ended wishes for no requests, and servers that are not listed
-    /// and gave their notice more than a minute ago.
+    /// Drops pushbacks that have ended, and leaving servers that are not listed and gave their
+    /// notice more than a minute ago.
     pub fn clean_up(&mut self, now: Moment, is_listed: impl Fn(&str) -> bool) {
-        self.quiet.retain(|quiet| quiet.until > now);
+        self.pushbacks.retain(|pushback| pushback.until > now);
         self.leaving.retain(|leaving| {
             now.since(leaving.noticed_at) < UNLISTED_MEMORY || is_listed(&leaving.server)
         });
--- a/crates/ffw-decide/src/rendezvous.rs
+++ b/crates/ffw-decide/src/rendezvous.rs
@@ -1,6 +1,6 @@
 //! Rendezvous hashing, which decides the daemon that owns a shard.
 //!
-//! Each daemon gets a score for a shard, a hash of both names; the daemon with the highest score
+//! Both names, of the shard and of a daemon, are hashed together; the daemon with the highest hash
 //! owns the shard. When a daemon is added or removed, only those shards change their owner that
 //! this daemon owns afterwards or owned before.
 //!
--- a/crates/ffw-decide/tests/notices.rs
+++ b/crates/ffw-decide/tests/notices.rs
@@ -52,21 +52,21 @@
 #[test]
 fn a_wish_for_no_requests_ends_at_its_time() {
     let mut notices = Notices::default();
-    notices.record_quiet(at(1), &name("a"), Duration::from_secs(3));
-    assert_eq!(notices.quiet_left(at(2), "a"), Some(Duration::from_secs(2)));
-    assert_eq!(notices.quiet(at(2)), [name("a")]);
-    assert_eq!(notices.quiet_left(at(4), "a"), None);
-    assert_eq!(notices.quiet(at(4)), []);
-    assert_eq!(notices.quiet_left(at(2), "b"), None);
+    notices.record_pushback(at(1), &name("a"), Duration::from_secs(3));
+    assert_eq!(notices.pushback_left(at(2), "a"), Some(Duration::from_secs(2)));
+    assert_eq!(notices.pushing_back(at(2)), [name("a")]);
+    assert_eq!(notices.pushback_left(at(4), "a"), None);
+    assert_eq!(notices.pushing_back(at(4)), []);
+    assert_eq!(notices.pushback_left(at(2), "b"), None);
 }
 
 /// Requests that were under way are refused too, some with a shorter time.
 #[test]
 fn a_shorter_wish_does_not_end_a_longer_one() {
     let mut notices = Notices::default();
-    notices.record_quiet(at(1), &name("a"), Duration::from_secs(10));
-    notices.record_quiet(at(2), &name("a"), Duration::from_millis(200));
-    assert_eq!(notices.quiet_left(at(5), "a"), Some(Duration::from_secs(6)));
+    notices.record_pushback(at(1), &name("a"), Duration::from_secs(10));
+    notices.record_pushback(at(2), &name("a"), Duration::from_millis(200));
+    assert_eq!(notices.pushback_left(at(5), "a"), Some(Duration::from_secs(6)));
 }
 
 /// Guards against a server that is lost for good because of one absurd value.
@@ -75,7 +75,7 @@
 #[case::the_longest(u64::MAX)]
 fn a_huge_wish_is_bounded(#[case] seconds: u64) {
     let mut notices = Notices::default();
-    notices.record_quiet(at(1), &name("a"), Duration::from_secs(seconds));
-    assert!(notices.quiet_left(at(30), "a").is_some());
-    assert_eq!(notices.quiet_left(at(32), "a"), None);
+    notices.record_pushback(at(1), &name("a"), Duration::from_secs(seconds));
+    assert!(notices.pushback_left(at(30), "a").is_some());
+    assert_eq!(notices.pushback_left(at(32), "a"), None);
 }
--- a/crates/ffw-protocol/src/admission.rs
+++ b/crates/ffw-protocol/src/admission.rs
@@ -52,7 +52,7 @@
     pub patience: Duration,
     /// Hashes of the prompt's prefixes, salted with the workspace, shortest prefix first.
     pub prefix: Vec<u64>,
-    /// Servers that want no requests from this entry now, in order of name.
+    /// Servers that are pushing back requests of this entry now, in order of name.
     pub avoid: Vec<Arc<str>>,
 }
 
--- a/crates/ffw-route/src/dialect.rs
+++ b/crates/ffw-route/src/dialect.rs
@@ -96,9 +96,9 @@
     pub keep_alive: Option<Duration>,
     /// Whether the server states that it is leaving.
     pub is_leaving: bool,
-    /// Time for which the server, which refused the request, wants no further ones from this
-    /// daemon; `None` if it does not state one.
-    pub quiet_time: Option<Duration>,
+    /// Pushback: time for which the server, which refused the request, wants no further ones from
+    /// this daemon; `None` if it does not state one.
+    pub pushback: Option<Duration>,
 }
 
 /// A running request that is to be moved to another server.
--- a/crates/ffw-route/src/plain.rs
+++ b/crates/ffw-route/src/plain.rs
@@ -58,8 +58,8 @@
     let mut tried: Vec<Arc<str>> = Vec::new();
     let mut sends = 0;
     let message = format!("no server of pool {} can take the request", request.pool);
-    let quiet_time = router.daemon.view.quiet_time(&request.pool, Role::Plain);
-    let retry_after = quiet_time.unwrap_or(RETRY_AFTER);
+    let pushback = router.daemon.view.pushback(&request.pool, Role::Plain);
+    let retry_after = pushback.unwrap_or(RETRY_AFTER);
     let mut fallback = Err(Error::new(Kind::NoBackend, message).retry_after(retry_after));
     loop {
         let Some(server) = choose(router, request, &tried) else { return fallback };
--- a/crates/ffw-route/src/router.rs
+++ b/crates/ffw-route/src/router.rs
@@ -128,9 +128,9 @@
             info!("event=server_leaving server={server} told_by=response");
             self.daemon.admission.report_notices();
         }
-        if let Some(span) = response.quiet_time {
-            info!("event=server_quiet server={server} ms={}", span.as_millis());
-            view.notices().record_quiet(identity::now(), server, span);
+        if let Some(span) = response.pushback {
+            info!("event=server_pushback server={server} ms={}", span.as_millis());
+            view.notices().record_pushback(identity::now(), server, span);
         }
     }
 
@@ -140,8 +140,8 @@
         if notices.is_leaving(server) {
             return Some("it is leaving");
         }
-        let is_quiet = notices.quiet_left(identity::now(), server).is_some();
-        is_quiet.then_some("it wants no requests for a time")
+        let is_pushing_back = notices.pushback_left(identity::now(), server).is_some();
+        is_pushing_back.then_some("it wants no requests for a time")
     }
 
     /// Whether a backend server is listed, takes new work, and wants requests from this daemon.
--- a/crates/ffw-route/src/stream.rs
+++ b/crates/ffw-route/src/stream.rs
@@ -199,9 +199,9 @@
     /// prefill and a decode server for this request.
     async fn reserve(&self, number: u32) -> Result<Reservation> {
         let daemon = &self.router.daemon;
-        if let Some(quiet_time) = self.quiet_time() {
+        if let Some(pushback) = self.pushback() {
             let message = format!("the servers of pool {} want no requests", self.request.pool);
-            return Err(Error::new(Kind::NoBackend, message).retry_after(quiet_time));
+            return Err(Error::new(Kind::NoBackend, message).retry_after(pushback));
         }
         let ask =
             ask::build(self.request, &self.relay, daemon.identity.next_request(), number, false)?;
@@ -211,14 +211,14 @@
         }
     }
 
-    /// If the servers that a stream needs want no requests from this daemon for a time: the time
-    /// until the first of them takes requests again.
-    fn quiet_time(&self) -> Option<Duration> {
+    /// Time until the servers that a stream needs take requests again; `None` unless all of one
+    /// role are pushing back.
+    fn pushback(&self) -> Option<Duration> {
         let view = &self.router.daemon.view;
         let pool = self.request.snapshot.deployment.pool(&self.request.pool);
         let decode_reads = pool.is_some_and(|pool| pool.decode_reads);
-        let prefill = view.quiet_time(&self.request.pool, Role::Prefill).filter(|_| !decode_reads);
-        view.quiet_time(&self.request.pool, Role::Decode).max(prefill)
+        let prefill = view.pushback(&self.request.pool, Role::Prefill).filter(|_| !decode_reads);
+        view.pushback(&self.request.pool, Role::Decode).max(prefill)
     }
 
     async fn run_attempt(
--- a/crates/ffw-route/tests/notices.rs
+++ b/crates/ffw-route/tests/notices.rs
@@ -34,9 +34,9 @@
 }
 
 /// Refuses each request without running it, and wants no further ones for a time.
-fn quiet(millis: u64) -> Script {
+fn pushing_back(millis: u64) -> Script {
     script(move |_, head| {
-        let extra = format!("Not-Run: 1\r\nQuiet-Ms: {millis}\r\n");
+        let extra = format!("Not-Run: 1\r\nPushback-Ms: {millis}\r\n");
         Reply::Bytes(response(head, 503, &extra, ""))
     })
 }
@@ -113,19 +113,19 @@
 #[test]
 fn a_server_that_wants_no_requests_gets_none_until_its_time_is_over() {
     smol::block_on(async {
-        let (a, b) = (Backend::start(quiet(400)).await, Backend::start(sound()).await);
-        let quiet = instance("a", Role::Plain, &a, State::Live);
-        let router = router(vec![quiet.clone()]);
+        let (a, b) = (Backend::start(pushing_back(400)).await, Backend::start(sound()).await);
+        let refusing = instance("a", Role::Plain, &a, State::Live);
+        let router = router(vec![refusing.clone()]);
         assert_eq!(request(&router, "/once/x").await.status, 503);
         let named_at = Instant::now();
-        let servers = vec![quiet.clone(), instance("b", Role::Plain, &b, State::Live)];
+        let servers = vec![refusing.clone(), instance("b", Role::Plain, &b, State::Live)];
         set_instances(&router.daemon, 100, servers);
         while named_at.elapsed() < Duration::from_millis(300) {
             assert_eq!(request(&router, "/once/x").await.status, 200);
         }
         assert_eq!(a.calls().len(), 1);
         timer::sleep(Duration::from_millis(150)).await;
-        set_instances(&router.daemon, 101, vec![quiet]);
+        set_instances(&router.daemon, 101, vec![refusing]);
         assert_eq!(request(&router, "/once/x").await.status, 503);
         assert_eq!(a.calls().len(), 2, "the server is not used again");
     });
@@ -135,7 +135,8 @@
 #[test]
 fn a_request_is_rejected_at_once_while_all_servers_want_none() {
     smol::block_on(async {
-        let (a, b) = (Backend::start(quiet(4_000)).await, Backend::start(quiet(9_000)).await);
+        let (a, b) =
+            (Backend::start(pushing_back(4_000)).await, Backend::start(pushing_back(9_000)).await);
         let router = router(vec![
             instance("a", Role::Plain, &a, State::Live),
             instance("b", Role::Plain, &b, State::Live),
--- a/crates/ffw-route/tests/support/harness.rs
+++ b/crates/ffw-route/tests/support/harness.rs
@@ -215,7 +215,7 @@
         load: None,
         keep_alive: None,
         is_leaving: head.fields.has("Leaving"),
-        quiet_time: head.fields.text("Quiet-Ms").and_then(|text| text.parse().ok()).map(millis),
+        pushback: head.fields.text("Pushback-Ms").and_then(|text| text.parse().ok()).map(millis),
     }
 }
 
--- a/crates/ffw-runtime/src/timer.rs
+++ b/crates/ffw-runtime/src/timer.rs
@@ -50,7 +50,7 @@
     smol::future::or(async { Some(task.await) }, expired).await
 }
 
-/// Time of the latest activity of a task, which [`watch`] checks.
+/// Time of the latest activity of a task, which [`with_idle_timeout`] checks.
 #[derive(Debug, Default)]
 pub struct Activity {
     last_ms: AtomicU64,
