--- a/crates/ffw-control/src/owner/refresh.rs
+++ b/crates/ffw-control/src/owner/refresh.rs
@@ -30,7 +30,8 @@
 }
 
 /// Brings the shard's settings, members and entries up to date with the view, if the view has
-/// changed or [`VIEW_PERIOD`] has passed. Steps come up to a thousand times a second.
+/// changed or [`VIEW_PERIOD`] has passed. It is called before each step, most of which find the
+/// view unchanged.
 pub(super) fn update_from_view(daemon: &Daemon, owned: &OwnedShard, applied: &mut Option<Applied>) {
     let Some(config) = daemon.view.config() else { return };
     let roster = daemon.view.roster();
--- a/crates/ffw-control/src/snapshot.rs
+++ b/crates/ffw-control/src/snapshot.rs
@@ -290,8 +290,8 @@
         self.notices.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records servers that are leaving, as other daemons have noticed. A server that is not listed
-    /// is left out, as daemons would otherwise remind each other of it for ever.
+    /// Records servers that are leaving, as other daemons report. A server that is not listed is
+    /// left out; otherwise two daemons would report it to each other for ever.
     pub fn accept_leaving(&self, servers: &[Arc<str>]) {
         if servers.is_empty() {
             return;
--- a/crates/ffw-control/tests/leaving_servers.rs
+++ b/crates/ffw-control/tests/leaving_servers.rs
@@ -120,8 +120,8 @@
     assert!(!view.takes_work("s"), "a newer list puts the server back into use");
 }
 
-/// Daemons forget servers that are gone at different times. Guards against a notice that they
-/// remind each other of for ever.
+/// Daemons drop the notices of servers that are gone at different times. Guards against a notice
+/// that two daemons report to each other for ever.
 #[test]
 fn a_peer_does_not_bring_back_the_notice_of_an_unlisted_server() {
     let view = View::default();
--- a/crates/ffw-http/src/body.rs
+++ b/crates/ffw-http/src/body.rs
@@ -42,7 +42,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Closed;
 
-/// Creates a feed and its writer.
+/// Creates a body and its writer.
 pub fn channel() -> (Writer, Reader) {
     let (sender, receiver) = channel::bounded(MAX_UNREAD_PARTS);
     let parts = Box::pin(receiver);
