Show when the store last confirmed the configuration in force

A request was refused with 404 by an older configuration, and nothing told whether that daemon had not heard of the newer one, or had and could not put it in force: the known and the in-force version are the same in the first case. The line of the refusal now says when the store last confirmed the version, and a metric has the time. No decision changes.

Checked: cargo check of all targets.

--- a/crates/ffw-control/src/daemon.rs
+++ b/crates/ffw-control/src/daemon.rs
@@ -169,6 +169,18 @@
         self.freshness.record_known(number, &self.metrics);
     }
 
+    /// Records that the store, in its response to a call made at `asked_at`, had no configuration
+    /// version that this daemon has not heard of.
+    pub fn record_config_confirmed(&self, asked_at: Instant) {
+        self.freshness.record_confirmed(asked_at, &self.metrics);
+    }
+
+    /// Time since the store last confirmed that there is no unknown configuration version; `None`
+    /// if it has not yet.
+    pub fn config_confirmation_age(&self) -> Option<Duration> {
+        self.freshness.confirmation_age()
+    }
+
     /// Counts a fetch of a peer's configuration while the guard exists; `None` if `max` are under
     /// way already.
     pub(crate) fn begin_config_fetch(&self, max: usize) -> Option<ConfigFetch<'_>> {
--- a/crates/ffw-control/src/freshness.rs
+++ b/crates/ffw-control/src/freshness.rs
@@ -1,7 +1,9 @@
-//! How far the configuration in force is behind the newest version that this daemon has heard of.
+//! How far the configuration in force is behind the newest version that this daemon has heard of,
+//! and when the store last confirmed that there is no newer one.
 //!
 //! A version that a daemon refuses or can't fetch leaves the version in force as it was, on all
-//! daemons alike. Only the number of the newest version shows that.
+//! daemons alike. Only the number of the newest version shows that. A daemon that doesn't hear of a
+//! version shows by the time of the last confirmation.
 
 use {
     crate::{identity, metrics::Metrics},
@@ -9,7 +11,7 @@
         fmt,
         net::SocketAddr,
         sync::{Mutex, MutexGuard, PoisonError},
-        time::Duration,
+        time::{Duration, Instant},
     },
 };
 
@@ -66,9 +68,26 @@
     /// Time of day, in milliseconds since the Unix epoch, from which `known` has been above
     /// `in_force`; 0 if it is not.
     behind_since_ms: u64,
+    /// Time of the last call to the store whose response left no newer version than the one in
+    /// force or known.
+    confirmed_at: Option<Instant>,
 }
 
 impl Freshness {
+    /// Records that the store, in its response to a call made at `asked_at`, had no version that
+    /// this daemon has not heard of.
+    pub fn record_confirmed(&self, asked_at: Instant, metrics: &Metrics) {
+        let mut state = self.lock();
+        state.confirmed_at = state.confirmed_at.max(Some(asked_at));
+        let at_ms = identity::unix_ms().saturating_sub(asked_at.elapsed().as_millis() as u64);
+        metrics.config_confirmed.set((at_ms / 1_000).cast_signed());
+    }
+
+    /// Time since the last confirmation; `None` if there was none.
+    pub fn confirmation_age(&self) -> Option<Duration> {
+        self.lock().confirmed_at.map(|at| at.elapsed())
+    }
+
     /// Records that a version exists, whether or not it is usable here.
     pub fn record_known(&self, number: u64, metrics: &Metrics) {
         let mut state = self.lock();
--- a/crates/ffw-control/src/metrics.rs
+++ b/crates/ffw-control/src/metrics.rs
@@ -37,6 +37,9 @@
     /// Time from which a newer version than the one in force has been known, in seconds since the
     /// Unix epoch; 0 if the newest known one is in force.
     pub config_behind_since: IntGauge,
+    /// Time of the last call to the store that showed no unknown configuration version, in seconds
+    /// since the Unix epoch; 0 if there was none.
+    pub config_confirmed: IntGauge,
     /// Bytes so far on each kind of connection, in both directions.
     pub wire_bytes: IntGaugeVec,
     /// Requests in the queue of each shard that this daemon owns, by pool.
@@ -121,6 +124,10 @@
                 "fireflyworks_config_behind_since_timestamp_seconds",
                 "Since when a newer configuration than the one in force has been known; 0 if none",
             )?,
+            config_confirmed: gauge(
+                "fireflyworks_config_confirmed_timestamp_seconds",
+                "When the store last showed no configuration that this daemon has not heard of",
+            )?,
             wire_bytes: gauges(
                 "fireflyworks_wire_bytes",
                 "Bytes so far by kind of connection, both directions",
--- a/crates/ffw-control/src/relay.rs
+++ b/crates/ffw-control/src/relay.rs
@@ -181,6 +181,7 @@
     for object in list.items {
         take_config(daemon, &object.metadata.name, object.spec, arrival);
     }
+    daemon.record_config_confirmed(asked_at);
     Ok(list.metadata.resource_version)
 }
 
--- a/crates/ffw-route/src/caller.rs
+++ b/crates/ffw-route/src/caller.rs
@@ -332,7 +332,12 @@
     let host = host_of(head).map_err(rejected)?;
     let route = snapshot.route(&host, head.path()).cloned().ok_or_else(|| {
         let version = snapshot.version.number;
-        let message = format!("no route for {host}{} in version {version}", head.path());
+        let confirmed = match router.daemon.config_confirmation_age() {
+            Some(age) => format!("confirmed {} ms ago", age.as_millis()),
+            None => "not confirmed".into(),
+        };
+        let path = head.path();
+        let message = format!("no route for {host}{path} in version {version}, {confirmed}");
         rejected(Error::new(Kind::NotFound, message))
     })?;
     let pool = route.pool(router.next_choice_number()).cloned().ok_or_else(|| {
