--- a/crates/ffw-soak/src/store.rs
+++ b/crates/ffw-soak/src/store.rs
@@ -1,6 +1,6 @@
 //! Stand-in for the object store of the platform: objects by kind and name with one revision
-//! counter, and watches. It can drop its history, lose the responses to writes, and be restored
-//! from an earlier copy of itself; outages are injected by a [`Proxy`](crate::proxy::Proxy) in
+//! counter, and watches. It can drop its history, lose the responses to writes, leave watches
+//! unanswered, and be restored from an earlier copy of itself; outages are injected by a [`Proxy`](crate::proxy::Proxy) in
 //! front of it.
 
 use {
@@ -59,6 +59,10 @@
     loses_responses: Arc<AtomicBool>,
     /// Time by which each response is late, in milliseconds.
     response_delay_ms: Arc<AtomicU64>,
+    /// Number of calls of [`Store::silence_watches`]. A watch that began before the last one is
+    /// never answered.
+    silences: Arc<AtomicU64>,
+    reads: Arc<AtomicU64>,
 }
 
 impl Object {
@@ -163,6 +167,17 @@
         self.response_delay_ms.store(millis, Ordering::SeqCst);
     }
 
+    /// Leaves the watches that are open now unanswered, on connections that stay open. Later calls
+    /// are answered.
+    pub fn silence_watches(&self) {
+        self.silences.fetch_add(1, Ordering::SeqCst);
+    }
+
+    /// Number of reads, watches included, that have arrived.
+    pub fn reads(&self) -> u64 {
+        self.reads.load(Ordering::SeqCst)
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -174,6 +189,7 @@
         let kind = parts.next().unwrap_or_default().to_owned();
         let name = parts.next().map(str::to_owned);
         let is_write = &*exchange.head.method != "GET";
+        self.reads.fetch_add(u64::from(!is_write), Ordering::SeqCst);
         let (status, body) = match (&*exchange.head.method, name) {
             ("GET", None) if query.contains("watch=") => self.watch(&kind, query).await,
             ("GET", None) => (200, self.list(&kind)),
@@ -241,7 +257,11 @@
         };
         let (since, wait) = (parameter("watch="), Duration::from_millis(parameter("waitMs=")));
         let started_at = Instant::now();
+        let silences = self.silences.load(Ordering::SeqCst);
         loop {
+            if self.silences.load(Ordering::SeqCst) != silences {
+                smol::future::pending::<()>().await;
+            }
             if let Some(answer) = self.changes(kind, since) {
                 return answer;
             }
