Answer 404 only by a configuration that the store has just confirmed

What callers saw: 404 for a route that was in an acknowledged configuration, longer after its acknowledgement than a change may take.

Cause: a daemon answered 404 from whatever version it had in force, and none of its states told it whether that was the newest one: an open watch that has gone silent looks like one without a change (given up after 26.5 s, unless TCP shows it); a version that can't be used, or is still being read, leaves the older one in force; a daemon that starts while the store is away has a peer's copy. The class is a final answer by state whose age is not known.

Change: a 404 rests on an answer of the store that is at most 1 s old, or was asked for by the request itself (ffw_decide::confirm). The call is a watch that does not wait; one a second at most, however many such requests come. While the store is known to be away, or a newer version can't be used, the answer is 503, not run, at once.

The test harness of ffw-route states that its declaration is confirmed, as it follows no store.

--- a/crates/ffw-control/src/daemon.rs
+++ b/crates/ffw-control/src/daemon.rs
@@ -19,6 +19,7 @@
         config::Version,
         declaration::Deployment,
         error::{Error, Kind, Result},
+        time::Moment,
     },
     std::{
         net::SocketAddr,
@@ -169,16 +170,15 @@
         self.freshness.record_known(number, &self.metrics);
     }
 
-    /// Records that the store, in its response to a call made at `asked_at`, had no configuration
-    /// version that this daemon has not heard of.
-    pub fn record_config_confirmed(&self, asked_at: Instant) {
+    /// Records that the store, in its response to a call made at `asked_at` on the clock of
+    /// [`clock::boot_time`], had no configuration version that this daemon has not heard of.
+    pub fn record_config_confirmed(&self, asked_at: Moment) {
         self.freshness.record_confirmed(asked_at, &self.metrics);
     }
 
-    /// Time since the store last confirmed that there is no unknown configuration version; `None`
-    /// if it has not yet.
-    pub fn config_confirmation_age(&self) -> Option<Duration> {
-        self.freshness.confirmation_age()
+    /// How far the configuration in force may be behind the store.
+    pub fn freshness(&self) -> &Freshness {
+        &self.freshness
     }
 
     /// Counts a fetch of a peer's configuration while the guard exists; `None` if `max` are under
--- a/crates/ffw-control/src/freshness.rs
+++ b/crates/ffw-control/src/freshness.rs
@@ -7,11 +7,15 @@
 
 use {
     crate::{identity, metrics::Metrics},
+    ffw_decide::confirm::{self, Action, Knowledge},
+    ffw_protocol::time::Moment,
+    ffw_runtime::{clock, timer},
+    smol::channel::{self, Receiver, Sender},
     std::{
         fmt,
         net::SocketAddr,
         sync::{Mutex, MutexGuard, PoisonError},
-        time::{Duration, Instant},
+        time::Duration,
     },
 };
 
@@ -56,9 +60,20 @@
 }
 
 /// The newest version that this daemon has heard of, and since when it has not been in force.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Freshness {
     state: Mutex<State>,
+    /// Holds a message while a confirmation is wanted and not yet being asked for.
+    wanted: (Sender<()>, Receiver<()>),
+    /// Woken by each change of the state.
+    waiting: Mutex<Vec<Sender<()>>>,
+}
+
+impl Default for Freshness {
+    fn default() -> Freshness {
+        let wanted = channel::bounded(1);
+        Freshness { state: Mutex::default(), wanted, waiting: Mutex::default() }
+    }
 }
 
 #[derive(Debug, Default)]
@@ -68,24 +83,83 @@
     /// Time of day, in milliseconds since the Unix epoch, from which `known` has been above
     /// `in_force`; 0 if it is not.
     behind_since_ms: u64,
-    /// Time of the last call to the store whose response left no newer version than the one in
-    /// force or known.
-    confirmed_at: Option<Instant>,
+    /// On the clock that also counts the time for which the machine was suspended.
+    knowledge: Knowledge,
 }
 
 impl Freshness {
     /// Records that the store, in its response to a call made at `asked_at`, had no version that
-    /// this daemon has not heard of.
-    pub fn record_confirmed(&self, asked_at: Instant, metrics: &Metrics) {
+    /// this daemon has not heard of. Times are of [`clock::boot_time`].
+    pub fn record_confirmed(&self, asked_at: Moment, metrics: &Metrics) {
         let mut state = self.lock();
-        state.confirmed_at = state.confirmed_at.max(Some(asked_at));
-        let at_ms = identity::unix_ms().saturating_sub(asked_at.elapsed().as_millis() as u64);
-        metrics.config_confirmed.set((at_ms / 1_000).cast_signed());
+        let knowledge = &mut state.knowledge;
+        knowledge.confirmed_at = knowledge.confirmed_at.max(Some(asked_at));
+        knowledge.is_store_lost = false;
+        drop(state);
+        let age = clock::boot_time().since(asked_at);
+        metrics.config_confirmed.set(clock::unix().saturating_sub(age).as_secs().cast_signed());
+        self.wake();
+    }
+
+    /// Records whether the store answers calls about the configuration.
+    pub fn record_store_lost(&self, is_lost: bool) {
+        self.lock().knowledge.is_store_lost = is_lost;
+        self.wake();
     }
 
     /// Time since the last confirmation; `None` if there was none.
     pub fn confirmation_age(&self) -> Option<Duration> {
-        self.lock().confirmed_at.map(|at| at.elapsed())
+        let confirmed_at = self.lock().knowledge.confirmed_at;
+        confirmed_at.map(|at| clock::boot_time().since(at))
+    }
+
+    /// Whether a name that the configuration in force lacks is known not to exist. Unless the store
+    /// has confirmed the configuration lately, asks for a confirmation and waits, for at most
+    /// `limit`; the caller looks the name up again afterwards.
+    pub async fn is_current(&self, limit: Duration) -> bool {
+        let arrived_at = clock::boot_time();
+        let deciding = async {
+            loop {
+                let changed = self.next_change();
+                match confirm::action(clock::boot_time(), arrived_at, &self.knowledge()) {
+                    Action::Refuse => return true,
+                    Action::Postpone => return false,
+                    Action::Wait if self.is_behind() => {}
+                    Action::Wait => {
+                        self.wanted.0.try_send(()).ok();
+                    }
+                }
+                changed.recv().await.ok();
+            }
+        };
+        timer::timeout(limit, deciding).await.unwrap_or(false)
+    }
+
+    /// Waits until a confirmation is wanted.
+    pub async fn confirmation_wanted(&self) {
+        self.wanted.1.recv().await.ok();
+    }
+
+    fn knowledge(&self) -> Knowledge {
+        self.lock().knowledge
+    }
+
+    fn is_behind(&self) -> bool {
+        self.knowledge().behind_since.is_some()
+    }
+
+    fn next_change(&self) -> Receiver<()> {
+        let (sender, receiver) = channel::bounded(1);
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner).push(sender);
+        receiver
+    }
+
+    fn wake(&self) {
+        let waiting =
+            std::mem::take(&mut *self.waiting.lock().unwrap_or_else(PoisonError::into_inner));
+        for waiting in waiting {
+            waiting.try_send(()).ok();
+        }
     }
 
     /// Records that a version exists, whether or not it is usable here.
@@ -93,6 +167,8 @@
         let mut state = self.lock();
         state.known = state.known.max(number);
         state.update(metrics);
+        drop(state);
+        self.wake();
     }
 
     /// Records the version that is in force.
@@ -101,6 +177,8 @@
         state.in_force = number;
         state.known = state.known.max(number);
         state.update(metrics);
+        drop(state);
+        self.wake();
     }
 
     fn lock(&self) -> MutexGuard<'_, State> {
@@ -115,6 +193,11 @@
             true => self.behind_since_ms,
             false => 0,
         };
+        let knowledge = &mut self.knowledge;
+        knowledge.behind_since = match self.known > self.in_force {
+            true => knowledge.behind_since.or_else(|| Some(clock::boot_time())),
+            false => None,
+        };
         metrics.config_version.set(self.in_force.cast_signed());
         metrics.config_known_version.set(self.known.cast_signed());
         metrics.config_behind_since.set((self.behind_since_ms / 1_000).cast_signed());
--- a/crates/ffw-control/src/relay.rs
+++ b/crates/ffw-control/src/relay.rs
@@ -23,7 +23,7 @@
         digest,
         instance::{Instance, Role},
     },
-    ffw_runtime::{executor, timer},
+    ffw_runtime::{clock, executor, timer},
     log::{debug, info, warn},
     smol::Task,
     std::{
@@ -73,7 +73,20 @@
 /// Keeps configuration and instance list up to date for as long as the daemon runs.
 pub async fn run(daemon: Arc<Daemon>) {
     start(&daemon).await;
-    smol::future::or(gossip(&daemon), watch_or_pull(&daemon)).await;
+    let following = smol::future::or(gossip(&daemon), watch_or_pull(&daemon));
+    smol::future::or(following, confirm(&daemon)).await;
+}
+
+/// Reads the configuration when a request names something that it lacks. Never returns.
+async fn confirm(daemon: &Daemon) {
+    loop {
+        daemon.freshness().confirmation_wanted().await;
+        while let Err(fault) = read_config(daemon, CALL_TIMEOUT).await {
+            debug!("event=config_unconfirmed error=\"{fault}\"");
+            daemon.freshness().record_store_lost(true);
+            timer::sleep(RETRY_PAUSE).await;
+        }
+    }
 }
 
 /// Keeps configuration and instance list up to date from other daemons alone, for as long as the
@@ -174,14 +187,14 @@
 
 /// Reads the configuration from the platform; returns the version of the collection.
 async fn read_config(daemon: &Daemon, limit: Duration) -> Result<Arc<str>> {
-    let asked_at = Instant::now();
+    let (asked_at, asked_at_boot) = (Instant::now(), clock::boot_time());
     let (kind, name) = (Kind::Configurations, &daemon.deployment);
     let list: List<Version> = daemon.store.list_within(limit, kind, name).await?;
     let arrival = arrival_since(Source::Store, asked_at);
     for object in list.items {
         take_config(daemon, &object.metadata.name, object.spec, arrival);
     }
-    daemon.record_config_confirmed(asked_at);
+    daemon.record_config_confirmed(asked_at_boot);
     Ok(list.metadata.resource_version)
 }
 
--- a/crates/ffw-decide/src/lib.rs
+++ b/crates/ffw-decide/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod cache;
 pub mod claim;
 pub mod config;
+pub mod confirm;
 pub mod estimate;
 pub mod lease;
 pub mod listing;
--- a/crates/ffw-route/src/caller.rs
+++ b/crates/ffw-route/src/caller.rs
@@ -48,10 +48,15 @@
 /// Longest time in which the body of a request must arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Retry-After of a request that was refused because no memory was left for its body, and the least
-/// one of a request that was refused because no configuration is known.
+/// Retry-After of a request that was refused because no memory was left for its body or because a
+/// newer configuration may have its route, and the least one of a request that was refused because
+/// no configuration is known.
 const RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Longest time for which a request on an unknown route waits for a confirmation that there is no
+/// newer configuration.
+const CONFIRMATION_WAIT: Duration = Duration::from_millis(500);
+
 /// Largest Retry-After of a request that was refused because no configuration is known.
 const NOT_READY_RETRY_MAX: Duration = Duration::from_secs(4);
 
@@ -330,16 +335,10 @@
         read_body(router, caller, head, framing, body_limit).await.map_err(reject_unread)?;
     let rejected = |error| Rejected { error, is_body_read: true };
     let host = host_of(head).map_err(rejected)?;
-    let route = snapshot.route(&host, head.path()).cloned().ok_or_else(|| {
-        let version = snapshot.version.number;
-        let confirmed = match router.daemon.config_confirmation_age() {
-            Some(age) => format!("confirmed {} ms ago", age.as_millis()),
-            None => "not confirmed".into(),
-        };
-        let path = head.path();
-        let message = format!("no route for {host}{path} in version {version}, {confirmed}");
-        rejected(Error::new(Kind::NotFound, message))
-    })?;
+    let waits_until =
+        started_at + request_info.timeout.unwrap_or(Duration::MAX).min(CONFIRMATION_WAIT);
+    let (snapshot, route) =
+        find_route(router, snapshot, &host, head.path(), waits_until).await.map_err(rejected)?;
     let pool = route.pool(router.next_choice_number()).cloned().ok_or_else(|| {
         rejected(Error::new(Kind::NoBackend, format!("route {} has no pool", route.name)))
     })?;
@@ -360,6 +359,42 @@
     Ok((request, buffer_guard))
 }
 
+/// The route of a host and path, and the configuration that has it. If the given configuration has
+/// none, one that the store has confirmed lately must not have one either; until `waits_until`, a
+/// confirmation is waited for.
+///
+/// # Errors
+/// [`Kind::NotFound`] if no configuration has the route, [`Kind::NotReady`] if a newer one may have
+/// it.
+async fn find_route(
+    router: &Router,
+    snapshot: Arc<Snapshot>,
+    host: &str,
+    path: &str,
+    waits_until: Instant,
+) -> Result<(Arc<Snapshot>, Route), Error> {
+    if let Some(route) = snapshot.route(host, path).cloned() {
+        return Ok((snapshot, route));
+    }
+    let daemon = &router.daemon;
+    let limit = waits_until.saturating_duration_since(Instant::now());
+    let is_current = daemon.freshness().is_current(limit).await;
+    let snapshot = daemon.view.config().unwrap_or(snapshot);
+    if let Some(route) = snapshot.route(host, path).cloned() {
+        return Ok((snapshot, route));
+    }
+    let confirmed = match daemon.freshness().confirmation_age() {
+        Some(age) => format!("confirmed {} ms ago", age.as_millis()),
+        None => "not confirmed".into(),
+    };
+    let version = snapshot.version.number;
+    let message = format!("no route for {host}{path} in version {version}, {confirmed}");
+    if is_current {
+        return Err(Error::new(Kind::NotFound, message));
+    }
+    Err(Error::new(Kind::NotReady, message).retry_after(RETRY_AFTER))
+}
+
 async fn read_body<'a>(
     router: &'a Router,
     caller: &mut Connection,
--- a/crates/ffw-route/tests/support/harness.rs
+++ b/crates/ffw-route/tests/support/harness.rs
@@ -24,7 +24,7 @@
         },
         router::{Limits, Router},
     },
-    ffw_runtime::{executor, meter::Wire, timer},
+    ffw_runtime::{clock, executor, meter::Wire, timer},
     smol::net::{TcpListener, TcpStream},
     std::{
         net::SocketAddr,
@@ -365,6 +365,8 @@
         drained: Vec::new(),
     };
     assert!(daemon.update_config(version, Arrival::offered()), "the declaration is not usable");
+    // No store is followed; a route that the declaration lacks does not exist.
+    daemon.record_config_confirmed(clock::boot_time());
     set_instances(&daemon, 1, servers);
     let limits = Limits {
         retry_ratio: 1.0,
