--- a/crates/fireflyworks/tests/configuration.rs
+++ b/crates/fireflyworks/tests/configuration.rs
@@ -6,8 +6,10 @@
 //! late.
 
 use {
+    ffw_platform::store::{Kind, Object, Store},
+    ffw_protocol::config::Version,
     ffw_runtime::{executor, timer},
-    ffw_standin::platform,
+    ffw_standin::{caller::Plain as PlainCall, platform},
     ffw_support::cluster::{
         Cluster, Plan,
         daemon::{OPERATOR_KEY, OTHER_OPERATOR_KEY},
@@ -195,6 +197,35 @@
     });
 }
 
+/// The store has a version with a further service; not each daemon has heard of it. Guards against a
+/// daemon that refuses the service as unknown.
+#[test]
+fn a_service_is_not_unknown_once_the_store_has_it() {
+    smol::block_on(async {
+        let cluster = Cluster::start(Plan { daemons: 4, ..Plan::new(BINARY) }).await;
+        let (kind, name) = (Kind::Configurations, "matariki");
+        let store = Store { address: cluster.platform.address };
+        let mut stored: Object<Version> = store.get(kind, name).await.expect("a version");
+        let services = "\"captions\", \"booking\"";
+        let with_further = format!("{services}, \"group-booking\"");
+        let declared = stored.spec.declaration.replace(services, &with_further);
+        let service = "[[service]]\nname = \"group-booking\"\npool = \"booking\"\nfirst_token_ms = 500\ndeadline_ms = 3000\n";
+        stored.spec.declaration = format!("{declared}\n{service}").into();
+        stored.spec.number += 1;
+        store.update(kind, &stored).await.expect("written");
+        let calls = (0..4).map(|daemon| PlainCall {
+            path: "/services/group-booking/confirm".into(),
+            ..cluster.booking(daemon, &format!("group-{daemon}"), Some(&format!("key-{daemon}")))
+        });
+        let tasks: Vec<_> =
+            calls.map(|call| executor::spawn(async move { call.send().await })).collect();
+        for task in tasks {
+            let answer = task.await;
+            assert_eq!(answer.status, 200, "{answer:?}");
+        }
+    });
+}
+
 /// Guards against changes of the configuration that end or fail the requests in progress.
 #[test]
 fn requests_complete_while_the_configuration_changes() {
