Log the rate limits that servers state, and show them in the metrics

A server in need names in its responses how many requests a second it takes from all daemons together. Nothing told that a daemon had read it: no line and no metric names a limit, so the logs can't tell a limit that nobody reads from one that each daemon follows for itself. Now a line gives start, change and end of a limit, and a gauge has its value. No decision changes: the limit is not followed yet.

--- a/crates/ffw-control/src/daemon.rs
+++ b/crates/ffw-control/src/daemon.rs
@@ -9,6 +9,7 @@
         metrics::Metrics,
         owned::OwnedShards,
         quarantine::Quarantines,
+        rate::Rates,
         snapshot::View,
         suspect,
     },
@@ -68,6 +69,8 @@
     pub owned_shards: OwnedShards,
     /// Evidence about prompt parts that crash backend servers.
     pub quarantines: Quarantines,
+    /// Rate limits that backend servers have stated.
+    pub rates: Rates,
     /// Records of decisions.
     pub ledger: Ledger,
     /// Metrics.
@@ -128,6 +131,7 @@
             admission: AdmissionClient::default(),
             owned_shards: OwnedShards::default(),
             quarantines: Quarantines::default(),
+            rates: Rates::default(),
             metrics,
             policy: setup.policy,
             turn: AtomicU64::new(0),
--- a/crates/ffw-control/src/lib.rs
+++ b/crates/ffw-control/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod owned;
 pub mod owner;
 pub mod quarantine;
+pub mod rate;
 pub mod relay;
 pub mod report;
 pub mod snapshot;
--- a/crates/ffw-control/src/metrics/routed.rs
+++ b/crates/ffw-control/src/metrics/routed.rs
@@ -1,9 +1,9 @@
-//! Metrics of routed requests. All label values are pools of the configuration, or fixed words of
-//! the code, so the number of time series is bounded.
+//! Metrics of routed requests. Label values are pools of the configuration, fixed words of the code,
+//! and backend servers that have a rate limit, so the number of time series is bounded.
 
 use {
     prometheus::{
-        HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+        GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
     },
     std::time::Duration,
 };
@@ -54,6 +54,9 @@
     pub retries_left: IntGaugeVec,
     /// Sets of prompt parts that are held, by pool.
     pub quarantined: IntGaugeVec,
+    /// Rate limit that a backend server has stated, in requests a second, by server. Only servers
+    /// with a limit have a series.
+    limits: GaugeVec,
     /// Open connections of callers.
     pub callers: IntGauge,
     /// Time of the store's last answer, in seconds since the Unix epoch, by kind of object.
@@ -86,6 +89,13 @@
                 Opts::new("fireflyworks_quarantined_parts", "Sets of prompt parts that are held"),
                 &["pool"],
             )?,
+            limits: GaugeVec::new(
+                Opts::new(
+                    "fireflyworks_server_limit_requests_per_second",
+                    "Requests a second that a server takes from all daemons together",
+                ),
+                &["server"],
+            )?,
             callers: IntGauge::new("fireflyworks_callers", "Open connections of callers")?,
             store_answered: IntGaugeVec::new(
                 Opts::new(
@@ -100,6 +110,7 @@
         registry.register(Box::new(routed.retries.clone()))?;
         registry.register(Box::new(routed.retries_left.clone()))?;
         registry.register(Box::new(routed.quarantined.clone()))?;
+        registry.register(Box::new(routed.limits.clone()))?;
         registry.register(Box::new(routed.callers.clone()))?;
         registry.register(Box::new(routed.store_answered.clone()))?;
         Ok(routed)
@@ -111,6 +122,14 @@
         self.requests.with_label_values(&[pool, outcome]).inc();
     }
 
+    /// Records the rate limit of a server; `None` if it has none.
+    pub fn record_limit(&self, server: &str, per_s: Option<f64>) {
+        match per_s {
+            Some(per_s) => self.limits.with_label_values(&[server]).set(per_s),
+            None => drop(self.limits.remove_label_values(&[server])),
+        }
+    }
+
     /// Records the duration of a step.
     pub fn record_stage(&self, pool: &str, step: Stage, span: Duration) {
         self.steps.with_label_values(&[pool, step.label()]).observe(span.as_secs_f64());
--- a/crates/ffw-protocol/src/lib.rs
+++ b/crates/ffw-protocol/src/lib.rs
@@ -11,5 +11,6 @@
 pub mod ledger;
 pub mod prefix;
 pub mod quarantine;
+pub mod rate;
 pub mod route;
 pub mod time;
--- a/crates/ffw-route/src/dialect.rs
+++ b/crates/ffw-route/src/dialect.rs
@@ -7,7 +7,7 @@
 use {
     ffw_decide::shard::roles::Side,
     ffw_http::message::{Malformed, Request, Response},
-    ffw_protocol::quarantine::Prompt,
+    ffw_protocol::{quarantine::Prompt, rate::Statement},
     std::{net::SocketAddr, sync::Arc, time::Duration},
 };
 
@@ -84,7 +84,7 @@
 }
 
 /// What the head of a backend server's response states.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseInfo {
     /// Id of the request that the response belongs to.
     pub id: Option<Arc<str>>,
@@ -102,6 +102,8 @@
     /// Pushback: time for which the server, which refused the request, wants no further ones from
     /// this daemon; `None` if it does not state one.
     pub pushback: Option<Duration>,
+    /// What the server says about its rate limit.
+    pub rate_limit: Statement,
 }
 
 /// A running request that is to be moved to another server.
--- a/crates/ffw-route/src/router.rs
+++ b/crates/ffw-route/src/router.rs
@@ -7,7 +7,7 @@
 
 use {
     crate::dialect::{Dialect, ResponseInfo},
-    ffw_control::{daemon::Daemon, identity},
+    ffw_control::{daemon::Daemon, identity, rate},
     ffw_decide::{balance::Balancer, budget::Budget},
     ffw_http::pool::Pool,
     ffw_protocol::instance::Role,
@@ -132,6 +132,7 @@
             info!("event=server_pushback server={server} ms={}", span.as_millis());
             view.notices().record_pushback(identity::now(), server, span);
         }
+        rate::record(&self.daemon, server, response.rate_limit);
     }
 
     /// Why a backend server must not be sent a request now, by its own notices; `None` if it may.
@@ -237,5 +238,6 @@
         router.idle_connections.retain(is_listed);
         router.balancer().retain(is_listed);
         router.daemon.view.clean_up_notices();
+        rate::clean_up(&router.daemon, is_listed);
     }
 }
--- a/crates/ffw-route/tests/support/harness.rs
+++ b/crates/ffw-route/tests/support/harness.rs
@@ -16,6 +16,7 @@
         config::Version,
         instance::{Instance, Role, State},
         quarantine::Prompt,
+        rate::Statement,
     },
     ffw_route::{
         caller,
@@ -250,6 +251,11 @@
         keep_alive: None,
         is_leaving: head.fields.has("Leaving"),
         pushback: head.fields.text("Pushback-Ms").and_then(|text| text.parse().ok()).map(millis),
+        rate_limit: match head.fields.text("Limit").map(str::parse) {
+            Some(Ok(per_s)) => Statement::PerSecond(per_s),
+            Some(Err(_)) => Statement::Unknown,
+            None => Statement::Unlimited,
+        },
     }
 }
 
