--- a/crates/ffw-soak/src/worker.rs
+++ b/crates/ffw-soak/src/worker.rs
@@ -148,6 +148,10 @@
     /// Whether it closes the connection before the end of a response: without any response to a
     /// plain request, and as soon as more than half of the events of a stream are sent.
     pub aborts_responses: Arc<AtomicBool>,
+    /// Requests a second that it states to take from all daemons together, as text; `None` if it
+    /// states no limit.
+    rate_limit: Arc<Mutex<Option<String>>>,
+    arrivals: Arc<Mutex<Vec<Instant>>>,
     /// Its listener, which a crash closes together with all connections.
     listener: Listener,
     /// Ids of the streams that are running on this server.
@@ -175,6 +179,8 @@
             address,
             is_full: Arc::default(),
             aborts_responses: Arc::default(),
+            rate_limit: Arc::default(),
+            arrivals: Arc::default(),
             listener: listener.clone(),
             running_ids: Arc::default(),
             stopping_ids: Arc::default(),
@@ -187,6 +193,26 @@
         Ok(worker)
     }
 
+    /// States a rate limit in each response from now on, or none.
+    pub fn set_rate_limit(&self, per_s: Option<f64>) {
+        let text = per_s.map(|per_s| per_s.to_string());
+        *self.rate_limit.lock().unwrap_or_else(PoisonError::into_inner) = text;
+    }
+
+    /// When requests of any kind arrived, whether or not they ran.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.arrivals.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn new_head(&self, status: u16) -> Response {
+        let mut head = Response::new(status);
+        let rate_limit = self.rate_limit.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(per_s) = &*rate_limit {
+            head.fields.set("Server-Limit", per_s);
+        }
+        head
+    }
+
     /// Whether it has crashed.
     pub fn has_crashed(&self) -> bool {
         self.listener.is_closed()
@@ -200,25 +226,26 @@
     }
 
     async fn answer(self, mut exchange: Exchange) -> Option<Exchange> {
+        self.arrivals.lock().unwrap_or_else(PoisonError::into_inner).push(Instant::now());
         let header = |name: &str| exchange.head.fields.text(name).unwrap_or_default().to_owned();
         let (id, expected_instance, stage) =
             (header("Request-Id"), header("Expect-Instance"), header("Serving-Stage"));
         if &*exchange.head.target == "/api/report" {
             let body = br#"{"busy":false,"sequence":0}"#;
-            exchange.answer(Response::new(200), body).await.ok()?;
+            exchange.answer(self.new_head(200), body).await.ok()?;
             return Some(exchange);
         }
         if &*exchange.head.target == "/api/order" {
-            exchange.answer(Response::new(202), b"").await.ok()?;
+            exchange.answer(self.new_head(202), b"").await.ok()?;
             return Some(exchange);
         }
         if &*exchange.head.target == "/api/kv-move" {
             return self.stop_run(exchange).await;
         }
-        let mut head = Response::new(200);
+        let mut head = self.new_head(200);
         head.fields.set("Request-Id", &id);
         if expected_instance != self.name || self.is_full.load(Ordering::SeqCst) {
-            head = Response::new(if expected_instance == self.name { 503 } else { 421 });
+            head = self.new_head(if expected_instance == self.name { 503 } else { 421 });
             head.fields.set("Request-Id", &id);
             head.fields.set("Not-Executed", "1");
             exchange.answer(head, b"").await.ok()?;
@@ -269,7 +296,7 @@
         if is_running {
             lock(&self.stopping_ids).push(id);
         }
-        exchange.answer(Response::new(status), answer.as_bytes()).await.ok()?;
+        exchange.answer(self.new_head(status), answer.as_bytes()).await.ok()?;
         Some(exchange)
     }
 
--- /dev/null
+++ b/crates/fireflyworks/tests/rate_limit.rs
@@ -0,0 +1,267 @@
+//! Servers that state how many requests a second they take from all daemons together. The daemons
+//! are processes of their own; the servers count what arrives.
+//!
+//! Guards against daemons that don't follow a limit, follow it each for itself, or leave much of it
+//! unused, and against callers that wait for a server in need although another one is free.
+
+use {
+    ffw_http::{
+        connection::Connection,
+        framing::{Decoder, Framing},
+    },
+    ffw_runtime::{executor, meter::Wire, timer},
+    ffw_soak::{
+        daemon::{self, Daemon},
+        store::Store,
+        worker::{Log, Role, Worker},
+    },
+    ffw_support::permit,
+    rstest::rstest,
+    rustix::process::Signal,
+    serde_json::{Value, json},
+    std::{
+        fs,
+        net::SocketAddr,
+        num::NonZero,
+        path::Path,
+        time::{Duration, Instant},
+    },
+};
+
+/// Processor cores for each run.
+const CORES: NonZero<usize> = NonZero::new(2).expect("not zero");
+
+/// Time from the first statement of a limit after which it must be followed, by the users' rule.
+const SETTLING_TIME: Duration = Duration::from_secs(3);
+
+/// Span over which arrivals are counted, by the users' rule.
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// Limit on connecting, on each write, and on the time for which bytes stay unacknowledged.
+const TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Largest number of arrivals in a [`WINDOW`], by the users' rule.
+fn allowed(per_s: f64) -> usize {
+    (1.5 * per_s * WINDOW.as_secs_f64() + 5.0) as usize
+}
+
+/// Largest number of arrivals in any window after `since`.
+fn most_in_a_window(arrivals: &[Instant], since: Instant) -> usize {
+    let later: Vec<Instant> = arrivals.iter().filter(|at| **at >= since).copied().collect();
+    let in_window =
+        |from: &Instant| later.iter().filter(|at| **at >= *from && **at < *from + WINDOW).count();
+    later.iter().map(in_window).max().unwrap_or(0)
+}
+
+/// How a request ended.
+struct Answer {
+    status: u16,
+    retry_after: Option<f64>,
+    took: Duration,
+}
+
+struct Fleet {
+    daemons: Vec<Daemon>,
+    servers: Vec<Worker>,
+    store: Store,
+    log: Log,
+}
+
+fn configuration() -> Value {
+    json!({
+        "version": 1,
+        "routes": [{"name": "r", "host": "h", "pathPrefix": "/r/", "type": "non_idempotent",
+            "timeoutMs": 2000, "targetLatencyMs": 100, "priority": 1, "maxAttempts": 1,
+            "service": "app"}],
+        "services": [{"name": "app"}],
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1_048_576,
+            "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+    })
+}
+
+impl Fleet {
+    async fn start(name: &str, daemons: usize, servers: usize) -> Fleet {
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("rate-limit-{name}"));
+        fs::create_dir_all(&folder).expect("a folder");
+        let (store, store_address) = Store::start().await.expect("a store");
+        store.put("config", "main", configuration());
+        let log = Log::default();
+        let mut fleet = Fleet { daemons: Vec::new(), servers: Vec::new(), store, log };
+        for number in 0..servers {
+            let name = format!("server-{number}");
+            let started = Worker::start(&name, "app", Role::Plain, &fleet.log).await;
+            let server = started.expect("a server");
+            let entry = json!({"service": "app", "address": server.address, "zone": "a",
+                "state": "ready", "slots": 16});
+            fleet.store.put("servers", &name, entry);
+            fleet.servers.push(server);
+        }
+        let addresses = daemon::addresses(daemons).await.expect("addresses");
+        let seeds: Vec<SocketAddr> = addresses.iter().take(3).map(|one| one.all[2]).collect();
+        for (number, addresses) in addresses.into_iter().enumerate() {
+            let daemon = Daemon::new(&folder, number, addresses, &seeds, store_address);
+            let mut daemon = daemon.expect("settings");
+            daemon.start(Path::new(env!("CARGO_BIN_EXE_fireflyworks"))).expect("a daemon");
+            fleet.daemons.push(daemon);
+        }
+        fleet.wait_until_known().await;
+        fleet
+    }
+
+    /// Waits until each daemon serves, and has had time to find the others.
+    async fn wait_until_known(&self) {
+        for daemon in &self.daemons {
+            let started_at = Instant::now();
+            while send(daemon.caller_address, "wait").await.is_none_or(|end| end.status != 200) {
+                assert!(started_at.elapsed() < Duration::from_secs(15), "{} serves", daemon.name);
+                timer::sleep(Duration::from_millis(100)).await;
+            }
+        }
+        timer::sleep(Duration::from_secs(2)).await;
+    }
+
+    /// Sends `per_s` requests a second for a time, in turn to the daemons of `targets`, whether or
+    /// not earlier ones have ended; returns how they ended.
+    async fn load(&self, per_s: f64, span: Duration, targets: &[usize]) -> Vec<Answer> {
+        let started_at = Instant::now();
+        let mut tasks = Vec::new();
+        for number in 0..(per_s * span.as_secs_f64()) as usize {
+            let due = started_at + Duration::from_secs_f64(number as f64 / per_s);
+            timer::sleep(due.saturating_duration_since(Instant::now())).await;
+            let address = self.daemons[targets[number % targets.len()]].caller_address;
+            let id = format!("{number:x}-{:x}", started_at.elapsed().as_micros());
+            tasks.push(executor::spawn(async move { send(address, &id).await }));
+        }
+        let mut answers = Vec::new();
+        for task in tasks {
+            answers.extend(task.await);
+        }
+        answers
+    }
+}
+
+/// Sends one request on a connection of its own; `None` if there is no whole response.
+async fn send(address: SocketAddr, id: &str) -> Option<Answer> {
+    let started_at = Instant::now();
+    let mut connection = Connection::open(address, Wire::Request, TIMEOUT, TIMEOUT).await.ok()?;
+    let head = format!(
+        "POST /r/x HTTP/1.1\r\nHost: h\r\nRequest-Id: {id}\r\nDeadline-Ms: 1000\r\n\
+         Connection: close\r\nContent-Length: 2\r\n\r\nhi"
+    );
+    connection.write(head.as_bytes(), TIMEOUT).await.ok()?;
+    let reading = connection.read_response(64 << 10);
+    let response = timer::timeout(TIMEOUT, reading).await?.ok()?;
+    let mut decoder = Decoder::new(Framing::of_response(&response, "POST").ok()?);
+    connection.read_body(&mut decoder, 64 << 10).await.ok()?;
+    let retry_after = response.fields.text("Retry-After").and_then(|text| text.parse().ok());
+    Some(Answer { status: response.status, retry_after, took: started_at.elapsed() })
+}
+
+/// One of two servers states a limit. The server in need gets no more than the users' rule allows,
+/// and each request is served without waiting for it.
+#[test]
+fn requests_go_to_the_free_server() {
+    smol::block_on(async {
+        let _permit = permit::acquire(CORES).await;
+        let fleet = Fleet::start("free", 4, 2).await;
+        let limit = 8.0;
+        fleet.servers[0].set_rate_limit(Some(limit));
+        let stated_at = Instant::now();
+        let answers = fleet.load(100.0, Duration::from_secs(9), &[0, 1, 2, 3]).await;
+        let most = most_in_a_window(&fleet.servers[0].arrivals(), stated_at + SETTLING_TIME);
+        assert!(most <= allowed(limit), "{most} arrivals in 4 s, {} allowed", allowed(limit));
+        let unserved = answers.iter().filter(|answer| answer.status != 200).count();
+        assert_eq!(unserved, 0, "of {} requests", answers.len());
+        let late = answers.iter().filter(|answer| answer.took > Duration::from_millis(300));
+        assert!(late.count() * 50 <= answers.len(), "requests wait although a server is free");
+    });
+}
+
+/// All servers state limits, together a third of what comes. They get nearly what they state, also
+/// if one daemon has all requests or nearly all; the rest is refused soon, with a time to come back.
+#[rstest]
+#[case::even("even", &[0, 1, 2, 3])]
+#[case::one_daemon_has_all("one", &[2])]
+#[case::one_daemon_has_nearly_all("skewed", &[2, 2, 2, 2, 2, 2, 2, 2, 0, 1, 3])]
+fn limits_are_followed_by_all_daemons_together(#[case] name: &str, #[case] targets: &[usize]) {
+    smol::block_on(async {
+        let _permit = permit::acquire(CORES).await;
+        let fleet = Fleet::start(name, 4, 2).await;
+        let limits = [8.0, 5.0];
+        for (server, limit) in fleet.servers.iter().zip(limits) {
+            server.set_rate_limit(Some(limit));
+        }
+        let stated_at = Instant::now();
+        let span = Duration::from_secs(11);
+        let answers = fleet.load(40.0, span, targets).await;
+        let since = stated_at + SETTLING_TIME;
+        for (server, limit) in fleet.servers.iter().zip(limits) {
+            let arrivals = server.arrivals();
+            let most = most_in_a_window(&arrivals, since);
+            assert!(most <= allowed(limit), "{most} arrivals in 4 s, {} allowed", allowed(limit));
+            let later = arrivals.iter().filter(|at| **at >= since).count() as f64;
+            let stated = limit * (span - SETTLING_TIME).as_secs_f64();
+            assert!(later >= 0.9 * stated, "{later} arrivals of {stated} that the server takes");
+        }
+        let refused: Vec<&Answer> = answers.iter().filter(|answer| answer.status == 503).collect();
+        let served = answers.iter().filter(|answer| answer.status == 200).count();
+        assert_eq!(refused.len() + served, answers.len(), "other answers");
+        assert!(!refused.is_empty(), "none of {} requests was refused", answers.len());
+        let without_time = refused.iter().filter(|answer| answer.retry_after.is_none()).count();
+        assert_eq!(without_time, 0, "refusals without a time to come back");
+        let slow = refused.iter().filter(|answer| answer.took > Duration::from_millis(200));
+        assert!(slow.count() * 50 <= refused.len(), "callers wait for their refusal");
+        // What was refused did not run.
+        let runs = fleet.log.runs().iter().filter(|run| run.id != "wait").count();
+        assert_eq!(runs, served, "runs, and answers of servers");
+    });
+}
+
+/// Daemons are killed, paused and started again, one after the other, while a server states a limit
+/// that changes.
+#[test]
+fn a_limit_holds_while_daemons_come_and_go() {
+    smol::block_on(async {
+        let _permit = permit::acquire(CORES).await;
+        let mut fleet = Fleet::start("churn", 4, 2).await;
+        let limit = 8.0;
+        fleet.servers[0].set_rate_limit(Some(limit));
+        let stated_at = Instant::now();
+        let addresses: Vec<SocketAddr> =
+            fleet.daemons.iter().map(|daemon| daemon.caller_address).collect();
+        let loading = executor::spawn(async move {
+            let started_at = Instant::now();
+            for number in 0.. {
+                if started_at.elapsed() > Duration::from_secs(16) {
+                    return;
+                }
+                let address = addresses[number % addresses.len()];
+                executor::detach(async move { drop(send(address, &format!("{number:x}")).await) });
+                timer::sleep(Duration::from_millis(25)).await;
+            }
+        });
+        for number in 0..4 {
+            timer::sleep(Duration::from_secs(2)).await;
+            fleet.daemons[number].signal(Signal::KILL);
+            timer::sleep(Duration::from_millis(500)).await;
+            fleet.daemons[number].take_exit_code();
+            let program = Path::new(env!("CARGO_BIN_EXE_fireflyworks"));
+            fleet.daemons[number].start(program).expect("a daemon");
+            timer::sleep(Duration::from_millis(500)).await;
+            let paused = &fleet.daemons[(number + 1) % 4];
+            paused.signal(Signal::STOP);
+            timer::sleep(Duration::from_millis(400)).await;
+            paused.signal(Signal::CONT);
+        }
+        loading.await;
+        let most = most_in_a_window(&fleet.servers[0].arrivals(), stated_at + SETTLING_TIME);
+        assert!(most <= allowed(limit), "{most} arrivals in 4 s, {} allowed", allowed(limit));
+        // The limit ends, and the server gets its part again.
+        fleet.servers[0].set_rate_limit(None);
+        timer::sleep(Duration::from_secs(1)).await;
+        let before = fleet.servers[0].arrivals().len();
+        fleet.load(40.0, Duration::from_secs(4), &[0, 1, 2, 3]).await;
+        let after = fleet.servers[0].arrivals().len() - before;
+        assert!(after >= 40, "{after} of 160 requests after the end of the limit");
+    });
+}
