Follow a server's rate limit by all daemons together

Cause: no daemon read the field. Class: a limit over all daemons that no daemon accounts for; the retry budget is the other one of that kind, which is split in fixed parts.

Change: the owner of the pool's shard keeps an account for each limited server (ffw_decide::rate_limit, a generic cell rate algorithm) and grants permits; daemons hold a few ahead for 0.2 s (ffw_decide::permits). Every call to a server takes one: first attempts, retries, prefills and decodes, moves, orders, probes. Requests go to servers without a limit or with a permit at hand; if all are limited they wait for a permit for half of the time they have, less for less urgent ranks, or are refused at once (not run) with the time at which a permit is due. Statements travel with each exchange, the later one counts.

A new call between daemons stands at the end of the list (wire_layout).

--- a/crates/ffw-control/src/admission.rs
+++ b/crates/ffw-control/src/admission.rs
@@ -269,7 +269,7 @@
         ask.waited += began.elapsed();
         ask.target = ask.target.saturating_sub(began.elapsed());
         ask.patience = ask.patience.saturating_sub(began.elapsed());
-        ask.avoid = daemon.view.notices().pushing_back(identity::now());
+        ask.avoid = servers_to_avoid(daemon);
         if ask.patience.is_zero() {
             let message = format!("no owner of pool {pool} decided before the deadline");
             return Err(Error::new(Kind::Overloaded, message));
@@ -284,6 +284,15 @@
     }
 }
 
+/// Servers that want no requests from this daemon now, in order.
+fn servers_to_avoid(daemon: &Daemon) -> Vec<Arc<str>> {
+    let mut servers = daemon.view.notices().pushing_back(identity::now());
+    servers.extend(daemon.rates.exhausted());
+    servers.sort();
+    servers.dedup();
+    servers
+}
+
 fn is_final(refusal: &Refusal) -> bool {
     !matches!(refusal.cause, Cause::NotOwner | Cause::Draining)
 }
--- a/crates/ffw-control/src/calls.rs
+++ b/crates/ffw-control/src/calls.rs
@@ -1,7 +1,7 @@
 //! Answers to the calls of other daemons.
 
 use {
-    crate::{burn, daemon::Daemon, freshness::Arrival, owner, quarantine},
+    crate::{burn, daemon::Daemon, freshness::Arrival, owner, quarantine, rate},
     ffw_peer::{
         handler::{Handlers, Reply},
         service::{Roster, Status, Updates, Versions},
@@ -18,6 +18,7 @@
     let (for_hold, for_records, for_grants) = (shared(), shared(), shared());
     let (for_burn, for_status) = (shared(), shared());
     let (for_evidence, for_holds, for_lift) = (shared(), shared(), shared());
+    let for_permits = shared();
     Handlers {
         admit: Box::new(move |call| {
             let daemon = for_admit.clone();
@@ -42,6 +43,7 @@
         }),
         quarantined: Box::new(move |()| ready(for_holds.quarantines.holds())),
         lift_quarantine: Box::new(move |part| ready(quarantine::lift(&for_lift, part))),
+        take_permits: Box::new(move |ask| ready(rate::grant(&for_permits, &ask))),
     }
 }
 
--- a/crates/ffw-control/src/metrics/routed.rs
+++ b/crates/ffw-control/src/metrics/routed.rs
@@ -57,6 +57,8 @@
     /// Rate limit that a backend server has stated, in requests a second, by server. Only servers
     /// with a limit have a series.
     limits: GaugeVec,
+    /// Requests to servers with a rate limit, by server and by whether they had a permit.
+    limited: IntCounterVec,
     /// Open connections of callers.
     pub callers: IntGauge,
     /// Time of the store's last answer, in seconds since the Unix epoch, by kind of object.
@@ -96,6 +98,13 @@
                 ),
                 &["server"],
             )?,
+            limited: IntCounterVec::new(
+                Opts::new(
+                    "fireflyworks_limited_requests_total",
+                    "Requests to servers with a rate limit",
+                ),
+                &["server", "permit"],
+            )?,
             callers: IntGauge::new("fireflyworks_callers", "Open connections of callers")?,
             store_answered: IntGaugeVec::new(
                 Opts::new(
@@ -111,6 +120,7 @@
         registry.register(Box::new(routed.retries_left.clone()))?;
         registry.register(Box::new(routed.quarantined.clone()))?;
         registry.register(Box::new(routed.limits.clone()))?;
+        registry.register(Box::new(routed.limited.clone()))?;
         registry.register(Box::new(routed.callers.clone()))?;
         registry.register(Box::new(routed.store_answered.clone()))?;
         Ok(routed)
@@ -130,6 +140,19 @@
         }
     }
 
+    /// Counts a request to a server with a rate limit, by whether it had a permit.
+    pub fn record_limited(&self, server: &str, has_permit: bool) {
+        self.limited.with_label_values(&[server, yes_or_no(has_permit)]).inc();
+    }
+
+    /// Drops the series of a server that is no longer listed.
+    pub fn forget_server(&self, server: &str) {
+        self.record_limit(server, None);
+        for has_permit in [true, false] {
+            drop(self.limited.remove_label_values(&[server, yes_or_no(has_permit)]));
+        }
+    }
+
     /// Records the duration of a step.
     pub fn record_stage(&self, pool: &str, step: Stage, span: Duration) {
         self.steps.with_label_values(&[pool, step.label()]).observe(span.as_secs_f64());
@@ -137,7 +160,10 @@
 
     /// Counts retries that were asked for, by whether the retry budget allowed them.
     pub fn record_retries(&self, pool: &str, count: u32, is_allowed: bool) {
-        let allowed = if is_allowed { "yes" } else { "no" };
-        self.retries.with_label_values(&[pool, allowed]).inc_by(u64::from(count));
+        self.retries.with_label_values(&[pool, yes_or_no(is_allowed)]).inc_by(u64::from(count));
     }
 }
+
+fn yes_or_no(value: bool) -> &'static str {
+    if value { "yes" } else { "no" }
+}
--- a/crates/ffw-control/src/snapshot.rs
+++ b/crates/ffw-control/src/snapshot.rs
@@ -349,15 +349,21 @@
     }
 
     /// Time until the first server of a pool and role takes requests again; `None` unless all of
-    /// them that take work are pushing back.
-    pub fn pushback(&self, pool: &str, role: Role) -> Option<Duration> {
+    /// them that take work are pushing back, or have to be waited for by `other_wait`.
+    pub fn pushback(
+        &self,
+        pool: &str,
+        role: Role,
+        other_wait: impl Fn(&str) -> Option<Duration>,
+    ) -> Option<Duration> {
         let roster = self.roster.load();
         let servers = roster.instances.iter().filter(|instance| {
             instance.role == role && &*instance.pool == pool && !self.is_leaving(instance, &[])
         });
         let mut shortest = None;
         for server in servers {
-            let left = self.notices().pushback_left(identity::now(), &server.name)?;
+            let left = self.notices().pushback_left(identity::now(), &server.name);
+            let left = left.max(other_wait(&server.name))?;
             shortest = Some(shortest.map_or(left, |shortest: Duration| shortest.min(left)));
         }
         shortest
--- a/crates/ffw-decide/src/balance.rs
+++ b/crates/ffw-decide/src/balance.rs
@@ -135,6 +135,11 @@
         Some(name)
     }
 
+    /// Counts a request as open at a server that was not chosen by [`Balancer::choose`].
+    pub fn record_begin(&mut self, name: &Arc<str>) {
+        self.server(name).open_requests += 1;
+    }
+
     /// Records the end of a request that [`Balancer::choose`] counted as open.
     pub fn record_end(&mut self, now: Moment, name: &Arc<str>, outcome: Outcome) {
         let server = self.server(name);
--- a/crates/ffw-peer/src/handler.rs
+++ b/crates/ffw-peer/src/handler.rs
@@ -7,6 +7,7 @@
         config::Version,
         ledger::{Record, Segment},
         quarantine::{Evidence, Exchange, Hold},
+        rate,
     },
     std::{future::Future, pin::Pin, sync::Arc},
     tarpc::context::Context,
@@ -67,6 +68,8 @@
     pub quarantined: Handler<(), Vec<Hold>>,
     /// Handles [`Peer::lift_quarantine`].
     pub lift_quarantine: Handler<u64, bool>,
+    /// Handles [`Peer::take_permits`].
+    pub take_permits: Handler<rate::Ask, rate::Grant>,
 }
 
 #[derive(Clone)]
@@ -132,4 +135,8 @@
     async fn lift_quarantine(self, _: Context, part: u64) -> bool {
         (self.handlers.lift_quarantine)(part).await
     }
+
+    async fn take_permits(self, _: Context, ask: rate::Ask) -> rate::Grant {
+        (self.handlers.take_permits)(ask).await
+    }
 }
--- a/crates/ffw-peer/src/service.rs
+++ b/crates/ffw-peer/src/service.rs
@@ -7,6 +7,7 @@
         instance::Instance,
         ledger::{Record, Segment},
         quarantine::{Evidence, Exchange, Hold},
+        rate,
     },
     serde::{Deserialize, Serialize},
     std::sync::Arc,
@@ -171,4 +172,7 @@
     async fn quarantined() -> Vec<Hold>;
     /// Lifts the quarantine of a prompt part in all pools; returns whether it was held or on trial.
     async fn lift_quarantine(part: u64) -> bool;
+    /// Asks for permits for requests to a backend server with a rate limit. Daemons of earlier
+    /// builds do not know this call.
+    async fn take_permits(ask: rate::Ask) -> rate::Grant;
 }
--- a/crates/ffw-peer/tests/wire_layout.rs
+++ b/crates/ffw-peer/tests/wire_layout.rs
@@ -15,6 +15,7 @@
         digest, id,
         instance::{Instance, Role, State},
         quarantine::{Cause, Clearing, Crash, Evidence, Exchange, Prompt},
+        rate::{self, Stated},
     },
     serde::Serialize,
     std::{net::SocketAddr, time::Duration},
@@ -34,10 +35,12 @@
 exchange_evidence 10 118 c052feb4b5d8
 quarantined 11 4 cb30e9181723
 lift_quarantine 12 12 3fab3e934c0c
+take_permits 13 82 7c940697a335
 admitted 0 148 bdeb152e10e9
 renewed 1 92 6647698c50de
 updates 3 200 ce92ef26b9ac
 evidence 10 99 c5df4ec88559
+permits 13 54 c40b47965728
 ";
 
 fn attempt() -> Attempt {
@@ -157,6 +160,32 @@
     }
 }
 
+fn stated() -> Stated {
+    Stated { per_s: Some(7.5), age: Duration::from_millis(6) }
+}
+
+fn permits() -> rate::Ask {
+    rate::Ask {
+        pool: "app".into(),
+        server: "s".into(),
+        stated: stated(),
+        count: 2,
+        unused: 1,
+        patience: Duration::from_millis(7),
+        suspects: vec!["x".into()],
+    }
+}
+
+fn granted() -> rate::Grant {
+    rate::Grant {
+        is_owner: true,
+        count: 1,
+        start_in: Duration::from_millis(8),
+        retry_after: Duration::from_millis(9),
+        stated: stated(),
+    }
+}
+
 fn line(name: &str, message: &impl Serialize) -> String {
     let bytes = bincode::serialize(message).expect("serializable");
     let number = u32::from_le_bytes([bytes[0], bytes[1], bytes[2], bytes[3]]);
@@ -179,6 +208,7 @@
         line("exchange_evidence", &PeerRequest::ExchangeEvidence { exchange }),
         line("quarantined", &PeerRequest::Quarantined {}),
         line("lift_quarantine", &PeerRequest::LiftQuarantine { part: 5 }),
+        line("take_permits", &PeerRequest::TakePermits { ask: permits() }),
     ]
     .concat()
 }
@@ -203,6 +233,7 @@
         line("renewed", &PeerResponse::Renew(reply)),
         line("updates", &PeerResponse::News(updates)),
         line("evidence", &PeerResponse::ExchangeEvidence(Some(evidence()))),
+        line("permits", &PeerResponse::TakePermits(granted())),
     ]
     .concat()
 }
--- a/crates/ffw-route/src/engine.rs
+++ b/crates/ffw-route/src/engine.rs
@@ -4,7 +4,10 @@
 //! a shard probes the engines of that shard and records the outcome there.
 
 use {
-    crate::{router::Router, transport},
+    crate::{
+        router::Router,
+        transport::{self, Failure},
+    },
     ffw_control::{identity, owned::OwnedShard},
     ffw_decide::shard::server::Probe,
     ffw_protocol::admission::Server,
@@ -49,6 +52,7 @@
             }
         }
         Ok(response) => (Probe::Failed, response.head.status.to_string()),
+        Err(failure @ Failure::Withheld(_)) => (Probe::Busy, failure.to_string()),
         Err(failure) => (Probe::Failed, failure.to_string()),
     };
     info!("event=engine_probed server={} probe={outcome:?} outcome=\"{detail}\"", server.name);
--- a/crates/ffw-route/src/plain.rs
+++ b/crates/ffw-route/src/plain.rs
@@ -2,6 +2,9 @@
 //! known not to have run it, or if the route declares that requests may run twice and the deadline
 //! has not passed.
 //!
+//! A server with a rate limit gets a request if a permit is at hand. If all servers have one, the
+//! request waits for a permit, for a part of its time, or is refused with the time to come back.
+//!
 //! A request whose outcome is unknown is not sent again on a route without that declaration, as it
 //! could then run twice. Every call after the first one that reached a server is charged to the
 //! retry budget, so that failing servers do not multiply the load.
@@ -11,11 +14,15 @@
         caller::RoutedRequest,
         dialect::Step,
         router::Router,
-        transport::{self, Failure, FullResponse, OutgoingRequest},
+        transport::{self, Failure, FullResponse, OutgoingRequest, Permit},
+    },
+    ffw_control::{identity, rate},
+    ffw_decide::{
+        balance::{Candidate, Outcome},
+        permits,
     },
-    ffw_control::identity,
-    ffw_decide::balance::{Candidate, Outcome},
     ffw_http::message::Response,
+    ffw_peer::service::Roster,
     ffw_protocol::{
         admission::Server,
         declaration::Repeat,
@@ -41,6 +48,9 @@
 /// Retry-After of a request that no server has run.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
+/// Least Retry-After of a request that got no permit.
+const PERMIT_RETRY_MIN: Duration = Duration::from_millis(50);
+
 /// A whole response for the caller.
 pub(crate) struct PlainResponse {
     pub(crate) head: Response,
@@ -58,14 +68,21 @@
     let mut tried: Vec<Arc<str>> = Vec::new();
     let mut sends = 0;
     let message = format!("no server of pool {} can take the request", request.pool);
-    let pushback = router.daemon.view.pushback(&request.pool, Role::Plain);
+    let pushback = rate::pushback(&router.daemon, &request.pool, Role::Plain);
     let retry_after = pushback.unwrap_or(RETRY_AFTER);
     let mut fallback = Err(Error::new(Kind::NoBackend, message).retry_after(retry_after));
     loop {
-        let Some(server) = choose(router, request, &tried) else { return fallback };
+        let (server, permit) = match choose(router, request, &tried) {
+            Some(chosen) => chosen,
+            None => match wait_for_permit(router, request, &tried).await {
+                Ok(Some(server)) => (server, Permit::Taken),
+                Ok(None) => return fallback,
+                Err(error) => return combine_results(fallback, Err(error)),
+            },
+        };
         tried.push(server.name.clone());
         let started_at = Instant::now();
-        let result = send(router, request, &server).await;
+        let result = send(router, request, &server, permit).await;
         record_outcome(router, &server, started_at, &result);
         sends += u32::from(!matches!(result, Err(Failure::Unreached(_) | Failure::Withheld(_))));
         let is_last = sends >= request.route.attempts || request.is_expired();
@@ -180,6 +197,7 @@
     router: &Router,
     request: &RoutedRequest,
     server: &Server,
+    permit: Permit,
 ) -> Result<FullResponse, Failure> {
     let is_idempotent = request.route.repeat == Repeat::Idempotent;
     let outgoing = OutgoingRequest {
@@ -196,6 +214,7 @@
         } else {
             REUSE_IDLE_MAX_AT_MOST_ONCE
         },
+        permit,
     };
     let response = transport::call(router, &outgoing).await?;
     if let Some(load) = response.response_info.load {
@@ -224,16 +243,34 @@
     router.balancer().record_end(identity::now(), &server.name, outcome);
 }
 
-fn choose(router: &Router, request: &RoutedRequest, tried: &[Arc<str>]) -> Option<Server> {
-    let roster = router.daemon.view.roster();
+/// Servers of the request's pool that take work and want requests.
+fn candidates<'a>(
+    router: &Router,
+    request: &RoutedRequest,
+    roster: &'a Roster,
+) -> Vec<&'a Instance> {
     let is_candidate = |instance: &&Instance| {
         instance.role == Role::Plain
             && instance.pool == request.pool
             && !router.daemon.view.is_leaving(instance, &[])
             && router.withholding_cause(&instance.name).is_none()
     };
-    let instances: Vec<&Instance> = roster.instances.iter().filter(is_candidate).collect();
-    let local_data_centre = &router.daemon.identity.data_centre;
+    roster.instances.iter().filter(is_candidate).collect()
+}
+
+/// Chooses among the servers without a rate limit and those for which a permit is at hand, which is
+/// taken.
+fn choose(
+    router: &Router,
+    request: &RoutedRequest,
+    tried: &[Arc<str>],
+) -> Option<(Server, Permit)> {
+    let daemon = &router.daemon;
+    let roster = daemon.view.roster();
+    let mut instances = candidates(router, request, &roster);
+    instances.iter().for_each(|instance| rate::record_demand(daemon, &instance.name));
+    instances.retain(|instance| daemon.rates.has_room(&instance.name));
+    let local_data_centre = &daemon.identity.data_centre;
     let to_candidate = |instance: &&Instance| Candidate {
         name: instance.name.clone(),
         is_local: instance.data_centre == *local_data_centre,
@@ -242,5 +279,59 @@
     let choice_number = router.next_choice_number();
     let name = router.balancer().choose(identity::now(), &candidates, tried, choice_number)?;
     let chosen = instances.iter().find(|instance| instance.name == name)?;
-    Some(Server { name, address: chosen.address })
+    let permit = match rate::take(daemon, &name) {
+        true => Permit::Taken,
+        false => Permit::Wanted(Duration::ZERO),
+    };
+    Some((Server { name, address: chosen.address }, permit))
+}
+
+/// Waits for a permit of one of the servers with a rate limit, the one with the highest limit first;
+/// `None` if there is no such server.
+///
+/// # Errors
+/// [`Kind::Overloaded`] if the request would have to wait too long at each of them.
+async fn wait_for_permit(
+    router: &Router,
+    request: &RoutedRequest,
+    tried: &[Arc<str>],
+) -> Result<Option<Server>, Error> {
+    let daemon = &router.daemon;
+    let roster = daemon.view.roster();
+    let untried = candidates(router, request, &roster).into_iter();
+    let untried = untried.filter(|instance| !tried.contains(&instance.name));
+    let limited = untried
+        .filter_map(|instance| daemon.rates.limit(&instance.name).map(|per_s| (per_s, instance)));
+    let mut limited: Vec<(f64, &Instance)> = limited.collect();
+    limited.sort_by(|a, b| b.0.total_cmp(&a.0));
+    let mut retry_after: Option<Duration> = None;
+    for (_, instance) in limited {
+        let patience = permits::patience(request.time_left(), more_urgent_ranks(request));
+        match rate::acquire(daemon, &instance.name, patience).await {
+            Ok(()) => {
+                // Counted as open like a chosen one.
+                router.balancer().record_begin(&instance.name);
+                return Ok(Some(Server { name: instance.name.clone(), address: instance.address }));
+            }
+            Err(wait) => {
+                retry_after = Some(retry_after.map_or(wait, |least| least.min(wait)));
+            }
+        }
+    }
+    let Some(wait) = retry_after else { return Ok(None) };
+    let message = format!("the servers of pool {} take no more requests now", request.pool);
+    Err(Error::new(Kind::Overloaded, message).retry_after(wait.max(PERMIT_RETRY_MIN)))
+}
+
+/// Number of ranks of the pool's routes that go before that of the request.
+fn more_urgent_ranks(request: &RoutedRequest) -> u32 {
+    let routes = request.snapshot.deployment.routes.iter();
+    let of_pool = routes.filter(|route| {
+        route.rank < request.route.rank
+            && route.pools.iter().any(|share| share.pool == request.pool)
+    });
+    let mut ranks: Vec<u8> = of_pool.map(|route| route.rank).collect();
+    ranks.sort_unstable();
+    ranks.dedup();
+    ranks.len() as u32
 }
--- a/crates/ffw-route/src/router.rs
+++ b/crates/ffw-route/src/router.rs
@@ -145,9 +145,12 @@
         is_pushing_back.then_some("it wants no requests for a time")
     }
 
-    /// Whether a backend server is listed, takes new work, and wants requests from this daemon.
+    /// Whether a backend server is listed, takes new work, and wants requests from this daemon, as
+    /// far as its rate limit is known not to be used up.
     pub fn may_send(&self, server: &str) -> bool {
-        self.daemon.view.takes_work(server) && self.withholding_cause(server).is_none()
+        self.daemon.view.takes_work(server)
+            && self.withholding_cause(server).is_none()
+            && self.daemon.rates.wait(server).is_none()
     }
 
     /// Records a request to a pool in the retry budget.
--- a/crates/ffw-route/src/stream.rs
+++ b/crates/ffw-route/src/stream.rs
@@ -24,6 +24,7 @@
     ffw_control::{
         admission::{self, Decision, Reservation},
         metrics::routed::Stage,
+        rate,
     },
     ffw_http::connection::Connection,
     ffw_protocol::{
@@ -229,11 +230,12 @@
     /// Time until the servers that a stream needs take requests again; `None` unless all of one
     /// role are pushing back.
     fn pushback(&self) -> Option<Duration> {
-        let view = &self.router.daemon.view;
+        let daemon = &self.router.daemon;
         let pool = self.request.snapshot.deployment.pool(&self.request.pool);
         let decode_reads = pool.is_some_and(|pool| pool.decode_reads);
-        let prefill = view.pushback(&self.request.pool, Role::Prefill).filter(|_| !decode_reads);
-        view.pushback(&self.request.pool, Role::Decode).max(prefill)
+        let prefill = rate::pushback(daemon, &self.request.pool, Role::Prefill);
+        let prefill = prefill.filter(|_| !decode_reads);
+        rate::pushback(daemon, &self.request.pool, Role::Decode).max(prefill)
     }
 
     async fn run_attempt(
--- a/crates/ffw-route/src/stream/calls.rs
+++ b/crates/ffw-route/src/stream/calls.rs
@@ -8,7 +8,7 @@
     },
     crate::{
         dialect::{Source, Step},
-        transport::{self, Failure, IncomingResponse, OutgoingRequest},
+        transport::{self, Failure, IncomingResponse, OutgoingRequest, Permit},
     },
     ffw_control::admission::Reservation,
     ffw_protocol::{
@@ -31,6 +31,10 @@
 /// Time in which the head of a stream must arrive once the prompt is prefilled.
 const STREAM_HEAD_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Longest time for which a call waits for a permit of an engine with a rate limit. It is short, as
+/// the reservation holds room at both engines meanwhile.
+const PERMIT_PATIENCE: Duration = Duration::from_millis(100);
+
 /// Longest idle time of a kept connection that carries a call to an engine.
 const REUSE_IDLE_MAX: Duration = Duration::from_secs(1);
 
@@ -156,6 +160,7 @@
             deadline: self.request.deadline,
             head_deadline: head_deadline.min(self.request.deadline),
             reuse_idle_max: REUSE_IDLE_MAX,
+            permit: Permit::Wanted(PERMIT_PATIENCE),
         }
     }
 }
--- a/crates/ffw-route/src/transport.rs
+++ b/crates/ffw-route/src/transport.rs
@@ -9,6 +9,7 @@
         dialect::{Call, ResponseInfo, Step},
         router::Router,
     },
+    ffw_control::rate,
     ffw_http::{
         connection::{Connection, Fault},
         framing::{Decoder, Framing},
@@ -43,6 +44,9 @@
 /// opens a connection of its own.
 const CONTROL_REUSE_IDLE_MAX: Duration = Duration::ZERO;
 
+/// Why a request is withheld from a server with a rate limit.
+const LIMIT_USED_UP: &str = "its rate limit is used up";
+
 /// Share of a server's stated keep-alive time for which an idle connection is kept.
 const KEEP_ALIVE_SHARE: f64 = 0.5;
 
@@ -70,6 +74,17 @@
     pub(crate) head_deadline: Instant,
     /// Longest idle time of a kept connection that may be used.
     pub(crate) reuse_idle_max: Duration,
+    /// What allows the call if the server has a rate limit.
+    pub(crate) permit: Permit,
+}
+
+/// What allows a call to a server that has a rate limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Permit {
+    /// A permit that was taken for this call.
+    Taken,
+    /// A permit that is taken before the request is sent, and waited for at most for this time.
+    Wanted(Duration),
 }
 
 /// Why a call has no response.
@@ -77,7 +92,7 @@
 pub(crate) enum Failure {
     /// No byte of the request was sent.
     Unreached(String),
-    /// The request was not sent, because the server has said that it wants none.
+    /// The request was not sent, because the server has said that it wants none, or no more.
     Withheld(&'static str),
     /// The connection failed or the response is invalid; the server may have run the request.
     Broken(String),
@@ -118,11 +133,7 @@
     router: &Router,
     outgoing: &OutgoingRequest<'_>,
 ) -> Result<IncomingResponse, Failure> {
-    let (server, head_deadline) = (outgoing.server, outgoing.head_deadline);
-    check_notices(router, server)?;
-    let mut connection = connect(router, server, head_deadline, outgoing.reuse_idle_max).await?;
-    // The server may have answered another request while the connection was opened.
-    check_notices(router, server)?;
+    let mut connection = prepare(router, outgoing).await?;
     let time_left = outgoing.deadline.saturating_duration_since(Instant::now());
     let call = Call {
         server: &outgoing.server.name,
@@ -149,6 +160,35 @@
     Ok(IncomingResponse { head, response_info, decoder, connection, is_request_sent_whole, server })
 }
 
+/// Takes a permit, unless one was taken, and connects to the server. A permit that is waited for
+/// comes first: a kept connection may be closed meanwhile.
+async fn prepare(router: &Router, outgoing: &OutgoingRequest<'_>) -> Result<Connection, Failure> {
+    let (server, head_deadline) = (outgoing.server, outgoing.head_deadline);
+    check_notices(router, server)?;
+    if let Permit::Wanted(patience) = outgoing.permit {
+        acquire_permit(router, server, patience).await?;
+    }
+    let connected = connect(router, server, head_deadline, outgoing.reuse_idle_max).await;
+    // The server may have answered another request meanwhile.
+    let checked = connected.and_then(|connection| {
+        check_notices(router, server)?;
+        Ok(connection)
+    });
+    if checked.is_err() {
+        router.daemon.rates.give_up(&server.name);
+    }
+    checked
+}
+
+async fn acquire_permit(
+    router: &Router,
+    server: &Server,
+    patience: Duration,
+) -> Result<(), Failure> {
+    let acquired = rate::acquire(&router.daemon, &server.name, patience).await;
+    acquired.map_err(|_| Failure::Withheld(LIMIT_USED_UP))
+}
+
 /// Makes a control call, which is a call that carries no caller's request, such as a probe, and
 /// reads its whole response. `limit` covers the whole call.
 pub(crate) async fn control_call(
@@ -159,6 +199,7 @@
     limit: Duration,
 ) -> Result<FullResponse, Failure> {
     let deadline = Instant::now() + limit;
+    acquire_permit(router, server, Duration::ZERO).await?;
     let mut connection = connect(router, server, deadline, CONTROL_REUSE_IDLE_MAX).await?;
     let mut head = head.clone();
     head.fields.set("Host", server.address.to_string());
