--- a/crates/ffw-soak/src/main.rs
+++ b/crates/ffw-soak/src/main.rs
@@ -31,6 +31,12 @@
                 .action(ArgAction::SetTrue)
                 .help("Also send streams with a prompt part under which decode servers crash"),
         )
+        .arg(
+            Arg::new("rate-limits")
+                .long("rate-limits")
+                .action(ArgAction::SetTrue)
+                .help("Also let plain servers state rate limits"),
+        )
         .arg(option("store-delay-ms", "0", "Time by which each response of the store is late"))
         .arg(option("program", "target/release/fireflyworks", "Path of the daemons' program"))
         .arg(option("folder", "target/soak", "Folder for settings, plans and logs"))
@@ -47,6 +53,7 @@
             steps: number(&matches, "steps")? as usize,
             restores: matches.get_flag("restores"),
             crashing_part: matches.get_flag("crashing-part"),
+            rate_limits: matches.get_flag("rate-limits"),
             store_delay: Duration::from_millis(number(&matches, "store-delay-ms")?),
             daemons: number(&matches, "processes")? as usize,
             program: text(&matches, "program").into(),
--- a/crates/ffw-soak/src/run.rs
+++ b/crates/ffw-soak/src/run.rs
@@ -3,6 +3,7 @@
 //! not checked while a daemon is down or paused or its connections to the store have a fault, nor
 //! shortly afterwards, because a daemon may see a change too late then.
 
+mod limits;
 mod objects;
 mod steps;
 
@@ -54,6 +55,8 @@
     pub restores: bool,
     /// Whether some streams have a part in their prompts under which decode servers crash.
     pub crashing_part: bool,
+    /// Whether plain servers state rate limits for a time.
+    pub rate_limits: bool,
     /// Time by which each response of the store is late. If there is one, the configuration is
     /// nearly as large as an object of the store may be.
     pub store_delay: Duration,
@@ -91,6 +94,7 @@
     /// Time until which the daemons count as disturbed by a fault.
     disturbed_until: Instant,
     disturbances: Vec<Disturbance>,
+    limits: Vec<limits::Limit>,
 }
 
 struct Server {
@@ -108,6 +112,9 @@
     let stop = Arc::new(AtomicBool::new(false));
     let outcomes = Outcomes::default();
     let addresses: Vec<_> = harness.daemons.iter().map(|daemon| daemon.caller_address).collect();
+    if harness.options.rate_limits {
+        harness.state_limits();
+    }
     let mut callers = Vec::new();
     for number in 0..harness.daemons.len() * 3 {
         let random = ChaCha8Rng::seed_from_u64(harness.options.seed ^ number as u64);
@@ -132,6 +139,7 @@
     }
     harness.clear_faults().await?;
     harness.replace_crashed().await?;
+    harness.end_limits();
     harness.rest(STABILIZATION_TIME).await?;
     harness.restart_exited()?;
     let stable_since = Instant::now();
@@ -162,6 +170,7 @@
             last_server_number: 0,
             disturbed_until: Instant::now(),
             disturbances: Vec::new(),
+            limits: Vec::new(),
             options,
         };
         for (service, role) in [
@@ -292,6 +301,7 @@
         let (outcomes, runs) = (outcomes.all(), self.log.runs());
         let mut violations =
             check::find_violations(&outcomes, &runs, &self.removals, &self.reroutes, stable_since);
+        self.check_limits(&mut violations);
         check::check_crashing(&self.log.crashing(), &self.disturbances, &mut violations);
         if self.log.running_count() > 0 {
             violations.push(format!(
--- a/crates/fireflyworks/tests/soak.rs
+++ b/crates/fireflyworks/tests/soak.rs
@@ -24,10 +24,12 @@
 struct Extra {
     restores: bool,
     crashing_part: bool,
+    rate_limits: bool,
     store_delay_ms: u64,
 }
 
-const PLAIN: Extra = Extra { restores: false, crashing_part: false, store_delay_ms: 0 };
+const PLAIN: Extra =
+    Extra { restores: false, crashing_part: false, rate_limits: false, store_delay_ms: 0 };
 
 /// Each seed draws a fixed plan of faults; see `ffw_soak::run`. Guards against a sequence of
 /// faults after which a guarantee to the callers is broken.
@@ -57,6 +59,12 @@
     check_run_of(daemons, seed, steps, extra);
 }
 
+/// Servers state rate limits. Guards against daemons that together send them more.
+#[test]
+fn rate_limits_hold_under_faults() {
+    check_run(6, 10, Extra { rate_limits: true, ..PLAIN });
+}
+
 /// The store takes long for each response, and the configuration has the largest size. Guards
 /// against a version that comes into force too late.
 #[test]
@@ -75,6 +83,7 @@
         steps,
         restores: extra.restores,
         crashing_part: extra.crashing_part,
+        rate_limits: extra.rate_limits,
         store_delay: Duration::from_millis(extra.store_delay_ms),
         daemons,
         program: PathBuf::from(env!("CARGO_BIN_EXE_fireflyworks")),
