Test limits of engines across processes

One of two prefill and one of two decode servers state a limit of 1.5 a second, 12 streams a second come: nearly all are served by the others, and each limited server gets at most 14 calls in 4 s.

--- a/crates/fireflyworks/tests/rate_limit.rs
+++ b/crates/fireflyworks/tests/rate_limit.rs
@@ -65,34 +65,54 @@
     servers: Vec<Worker>,
     store: Store,
     log: Log,
+    /// Path of the requests.
+    path: &'static str,
 }
 
 fn configuration() -> Value {
+    let engine = json!({"slots": 16, "kvCapacity": 70_000, "kvTokenBytes": 35_136,
+        "linkMbps": 5_900_000.0, "stride": 50, "kvHoldS": 0.5, "models": [{"name": "m"}]});
     json!({
         "version": 1,
         "routes": [{"name": "r", "host": "h", "pathPrefix": "/r/", "type": "non_idempotent",
             "timeoutMs": 2000, "targetLatencyMs": 100, "priority": 1, "maxAttempts": 1,
-            "service": "app"}],
-        "services": [{"name": "app"}],
+            "service": "app"},
+            {"name": "s", "host": "h", "pathPrefix": "/s/", "type": "streaming",
+            "timeoutMs": 4000, "targetLatencyMs": 900, "targetGapMs": 300, "priority": 1,
+            "maxAttempts": 2, "service": "llm"}],
+        "services": [{"name": "app"}, {"name": "llm", "engine": engine}],
         "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1_048_576,
             "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
     })
 }
 
 impl Fleet {
+    /// Starts daemons and plain servers.
     async fn start(name: &str, daemons: usize, servers: usize) -> Fleet {
+        Fleet::start_with(name, daemons, &vec![Role::Plain; servers]).await
+    }
+
+    /// Starts daemons and servers of these roles, all plain ones or all engines.
+    async fn start_with(name: &str, daemons: usize, roles: &[Role]) -> Fleet {
         let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("rate-limit-{name}"));
         fs::create_dir_all(&folder).expect("a folder");
         let (store, store_address) = Store::start().await.expect("a store");
         store.put("config", "main", configuration());
         let log = Log::default();
-        let mut fleet = Fleet { daemons: Vec::new(), servers: Vec::new(), store, log };
-        for number in 0..servers {
+        let path = if roles.contains(&Role::Plain) { "/r/x" } else { "/s/x" };
+        let mut fleet = Fleet { daemons: Vec::new(), servers: Vec::new(), store, log, path };
+        for (number, role) in roles.iter().enumerate() {
             let name = format!("server-{number}");
-            let started = Worker::start(&name, "app", Role::Plain, &fleet.log).await;
+            let service = if *role == Role::Plain { "app" } else { "llm" };
+            let started = Worker::start(&name, service, *role, &fleet.log).await;
             let server = started.expect("a server");
-            let entry = json!({"service": "app", "address": server.address, "zone": "a",
+            let mut entry = json!({"service": service, "address": server.address, "zone": "a",
                 "state": "ready", "slots": 16});
+            match role {
+                Role::Plain => {}
+                Role::Prefill => entry["stage"] = json!("prefill"),
+                Role::Decode => entry["stage"] = json!("decode"),
+            }
             fleet.store.put("servers", &name, entry);
             fleet.servers.push(server);
         }
@@ -112,7 +132,10 @@
     async fn wait_until_known(&self) {
         for daemon in &self.daemons {
             let started_at = Instant::now();
-            while send(daemon.caller_address, "wait").await.is_none_or(|end| end.status != 200) {
+            while send(daemon.caller_address, self.path, "wait")
+                .await
+                .is_none_or(|end| end.status != 200)
+            {
                 assert!(started_at.elapsed() < Duration::from_secs(15), "{} serves", daemon.name);
                 timer::sleep(Duration::from_millis(100)).await;
             }
@@ -130,7 +153,8 @@
             timer::sleep(due.saturating_duration_since(Instant::now())).await;
             let address = self.daemons[targets[number % targets.len()]].caller_address;
             let id = format!("{number:x}-{:x}", started_at.elapsed().as_micros());
-            tasks.push(executor::spawn(async move { send(address, &id).await }));
+            let path = self.path;
+            tasks.push(executor::spawn(async move { send(address, path, &id).await }));
         }
         let mut answers = Vec::new();
         for task in tasks {
@@ -141,18 +165,19 @@
 }
 
 /// Sends one request on a connection of its own; `None` if there is no whole response.
-async fn send(address: SocketAddr, id: &str) -> Option<Answer> {
+async fn send(address: SocketAddr, path: &str, id: &str) -> Option<Answer> {
     let started_at = Instant::now();
     let mut connection = Connection::open(address, Wire::Request, TIMEOUT, TIMEOUT).await.ok()?;
+    let deadline = if path == "/s/x" { 3_000 } else { 1_000 };
     let head = format!(
-        "POST /r/x HTTP/1.1\r\nHost: h\r\nRequest-Id: {id}\r\nDeadline-Ms: 1000\r\n\
-         Connection: close\r\nContent-Length: 2\r\n\r\nhi"
+        "POST {path} HTTP/1.1\r\nHost: h\r\nRequest-Id: {id}\r\nDeadline-Ms: {deadline}\r\n\
+         Model: m\r\nToken-Count: 100,1000\r\nPrefix-Hash: {id}:100\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi"
     );
     connection.write(head.as_bytes(), TIMEOUT).await.ok()?;
     let reading = connection.read_response(64 << 10);
     let response = timer::timeout(TIMEOUT, reading).await?.ok()?;
     let mut decoder = Decoder::new(Framing::of_response(&response, "POST").ok()?);
-    connection.read_body(&mut decoder, 64 << 10).await.ok()?;
+    while connection.read_part(&mut decoder).await.ok()?.is_some() {}
     let retry_after = response.fields.text("Retry-After").and_then(|text| text.parse().ok());
     Some(Answer { status: response.status, retry_after, took: started_at.elapsed() })
 }
@@ -236,7 +261,7 @@
                     return;
                 }
                 let address = addresses[number % addresses.len()];
-                executor::spawn(async move { send(address, &format!("{number:x}")).await })
+                executor::spawn(async move { send(address, "/r/x", &format!("{number:x}")).await })
                     .detach();
                 timer::sleep(Duration::from_millis(25)).await;
             }
@@ -266,3 +291,26 @@
         assert!(served * 10 >= answers.len() * 9, "{served} of {} served", answers.len());
     });
 }
+
+/// One of two prefill servers and one of two decode servers state limits. Streams are served by the
+/// others, and each limited server gets no more calls than the users' rule allows.
+#[test]
+fn engines_with_limits_get_few_calls() {
+    smol::block_on(async {
+        let _permit = permit::acquire(CORES).await;
+        let roles = [Role::Prefill, Role::Prefill, Role::Decode, Role::Decode];
+        let fleet = Fleet::start_with("engines", 3, &roles).await;
+        let limit = 1.5;
+        let limited = [&fleet.servers[0], &fleet.servers[2]];
+        limited.iter().for_each(|server| server.set_rate_limit(Some(limit)));
+        let stated_at = Instant::now();
+        let answers = fleet.load(12.0, Duration::from_secs(10), &[0, 1, 2]).await;
+        for server in limited {
+            let most = most_in_a_window(&server.arrivals(), stated_at + SETTLING_TIME);
+            let allowed = allowed(limit);
+            assert!(most <= allowed, "{most} calls to {} in 4 s, {allowed} allowed", server.name);
+        }
+        let served = answers.iter().filter(|answer| answer.status == 200).count();
+        assert!(served * 10 >= answers.len() * 9, "{served} of {} served", answers.len());
+    });
+}
