Leave a version to the store for a while before it is fetched from a peer

Cause: each renewal's answer has the owner's version number, and a daemon that is behind began to fetch that version from the owner at once, up to two transfers at a time, while its own watch was bringing it. All 71 daemons asked the same owner. The class is work done twice because one part does not know of the other's.

Change: a daemon that follows the store fetches from a peer only once the store is lost, has never answered, or has had 0.5 s and 1 s for each 800 kB.

--- a/crates/ffw-control/src/freshness.rs
+++ b/crates/ffw-control/src/freshness.rs
@@ -135,6 +135,12 @@
         timer::timeout(limit, deciding).await.unwrap_or(false)
     }
 
+    /// Whether a newer version is to be fetched from a peer, though this daemon follows the store.
+    /// `bytes` is the size of the version in force.
+    pub fn fetches_from_peer(&self, bytes: usize) -> bool {
+        confirm::fetches_from_peer(clock::boot_time(), &self.knowledge(), bytes)
+    }
+
     /// Waits until a confirmation is wanted.
     pub async fn confirmation_wanted(&self) {
         self.wanted.1.recv().await.ok();
--- a/crates/ffw-control/src/relay.rs
+++ b/crates/ffw-control/src/relay.rs
@@ -8,8 +8,9 @@
 
 use {
     crate::{
-        daemon::Daemon,
+        daemon::{Daemon, Mode},
         freshness::{Arrival, Source},
+        snapshot::Snapshot,
         suspect,
     },
     ffw_peer::service::{Roster, Updates, Versions},
@@ -345,12 +346,20 @@
         daemon.view.offer_roster(roster);
     }
     daemon.view.accept_leaving(&updates.leaving);
-    if updates.known.config > daemon.view.config_number() {
+    if updates.known.config > daemon.view.config_number() && fetches_from_peers(daemon) {
         fetch_config(daemon, address).await;
     }
     Some(updates.known)
 }
 
+/// Whether a newer configuration of a peer is fetched from it now. Without routes, the relays are
+/// what most daemons get it from; with them, each daemon follows the store.
+fn fetches_from_peers(daemon: &Daemon) -> bool {
+    let size = |snapshot: Arc<Snapshot>| snapshot.version.declaration.len();
+    let bytes = daemon.view.config().map_or(0, size);
+    daemon.mode == Mode::Declared || daemon.freshness().fetches_from_peer(bytes)
+}
+
 /// Versions to which no peer has a newer configuration, so that its answer comes without one.
 fn without_config(known: Versions) -> Versions {
     Versions { config: u64::MAX, ..known }
--- a/crates/ffw-decide/tests/confirm.rs
+++ b/crates/ffw-decide/tests/confirm.rs
@@ -4,7 +4,9 @@
 //! call to the store for each such request.
 
 use {
-    ffw_decide::confirm::{Action, BEHIND_MAX, CONFIRMATION_LIFETIME, Knowledge, action},
+    ffw_decide::confirm::{
+        Action, BEHIND_MAX, CONFIRMATION_LIFETIME, Knowledge, action, fetches_from_peer,
+    },
     ffw_protocol::time::Moment,
     rstest::rstest,
     std::time::Duration,
@@ -72,6 +74,27 @@
     assert!((59..=61).contains(&calls), "{calls} calls");
 }
 
+/// Guards against a second copy of a large version on a link that is still bringing the first one,
+/// and against a daemon that waits for a store that brings nothing.
+#[rstest]
+#[case::small_and_new(0, 4_000, false)]
+#[case::small_and_late(600, 4_000, true)]
+#[case::large_and_on_its_way(1_000, 800_000, false)]
+#[case::large_and_late(1_600, 800_000, true)]
+fn a_version_is_fetched_from_a_peer_when_the_store_is_late(
+    #[case] behind_ms: u64,
+    #[case] bytes: usize,
+    #[case] expected: bool,
+) {
+    let now = at(10_000 + behind_ms);
+    let behind = Knowledge { behind_since: Some(at(10_000)), ..confirmed(9_000) };
+    assert_eq!(fetches_from_peer(now, &behind, bytes), expected);
+    let lost = Knowledge { is_store_lost: true, ..behind };
+    assert!(fetches_from_peer(now, &lost, bytes), "the store is lost");
+    let starting = Knowledge { confirmed_at: None, ..behind };
+    assert!(fetches_from_peer(now, &starting, bytes), "the store has not answered yet");
+}
+
 /// Whatever the order of events, a refusal rests on an answer that is younger than the lifetime, or
 /// was asked for by the request itself, and on the newest known version.
 #[test]
