Tell a caller at most 5 s when a limited server can take its request

Found by reading: a daemon that reaches no other one has a permit in minutes only, and told its callers so; another daemon may serve them at once. A peer that was replaced by an earlier build is asked on a connection of its own again.

--- a/crates/ffw-control/src/rate.rs
+++ b/crates/ffw-control/src/rate.rs
@@ -11,6 +11,7 @@
         permits::Stock,
         rate_limit::{self, Account, Granted},
     },
+    ffw_peer::service::PeerClient,
     ffw_protocol::{
         instance::{Instance, Role},
         rate::{Ask, Grant, Stated, Statement},
@@ -161,7 +162,7 @@
     if record_stated(daemon, server, stated, "response") {
         let (daemon, server) = (daemon.clone(), server.clone());
         executor::detach(async move {
-            ask(&daemon, &server, 0, Duration::ZERO).await;
+            request_permits(&daemon, &server, 0, Duration::ZERO).await;
         });
     }
 }
@@ -190,7 +191,7 @@
     let Some(Some(count)) = next_ask else { return };
     let (daemon, server) = (daemon.clone(), server.clone());
     executor::detach(async move {
-        let granted = ask(&daemon, &server, count, Duration::ZERO).await;
+        let granted = request_permits(&daemon, &server, count, Duration::ZERO).await;
         let now = identity::now();
         daemon.rates.with_limited(&server, |listed| listed.stock.record_answer(now, granted));
     });
@@ -232,7 +233,7 @@
     if let Some(Some(wait)) = wait {
         return Err(wait);
     }
-    let granted = ask(daemon, server, 1, patience).await;
+    let granted = request_permits(daemon, server, 1, patience).await;
     let refused = Granted { retry_after: ASK_TIMEOUT, ..Granted::default() };
     let granted = granted.unwrap_or(refused);
     if granted.count > 0 {
@@ -255,7 +256,7 @@
 /// Asks for permits, first the daemon that keeps the account, then those that stand in for it. A
 /// daemon that reaches none of them uses a small share of the limit alone. `None` if the server is
 /// not listed.
-async fn ask(
+async fn request_permits(
     daemon: &Arc<Daemon>,
     server: &Arc<str>,
     count: u32,
@@ -291,26 +292,25 @@
 
 async fn call(daemon: &Arc<Daemon>, owner: &Instance, ask: Ask) -> Grant {
     let (address, stated) = (owner.address, ask.stated);
-    let known = lock(&daemon.rates.answering).contains(&address);
-    let calling = async move |peer: ffw_peer::service::PeerClient, context| {
-        peer.take_permits(context, ask).await
-    };
+    let is_known = lock(&daemon.rates.answering).contains(&address);
+    let calling = async move |peer: PeerClient, context| peer.take_permits(context, ask).await;
     // A peer of an earlier build closes the connection on a call that it does not know.
-    let answer = if known {
+    let answer = if is_known {
         daemon.peers.call(address, ASK_TIMEOUT, calling).await
     } else {
         daemon.peers.call_apart(address, ASK_TIMEOUT, calling).await
     };
     match answer {
         Ok(grant) => {
-            if !known {
+            if !is_known {
                 lock(&daemon.rates.answering).push(address);
             }
             grant
         }
         Err(error) => {
             debug!("event=permits_not_granted peer={} error=\"{error}\"", owner.name);
-            if known {
+            if is_known {
+                lock(&daemon.rates.answering).retain(|answering| *answering != address);
                 suspect::suspect(daemon, &owner.name, address);
             }
             not_granted(stated)
--- a/crates/ffw-route/src/plain.rs
+++ b/crates/ffw-route/src/plain.rs
@@ -48,8 +48,10 @@
 /// Retry-After of a request that no server has run.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
-/// Least Retry-After of a request that got no permit.
+/// Least and largest Retry-After of a request that got no permit. A daemon that reaches no other one
+/// has permits so rarely that a caller does better to try another daemon.
 const PERMIT_RETRY_MIN: Duration = Duration::from_millis(50);
+const PERMIT_RETRY_MAX: Duration = Duration::from_secs(5);
 
 /// A whole response for the caller.
 pub(crate) struct PlainResponse {
@@ -320,7 +322,8 @@
     }
     let Some(wait) = retry_after else { return Ok(None) };
     let message = format!("the servers of pool {} take no more requests now", request.pool);
-    Err(Error::new(Kind::Overloaded, message).retry_after(wait.max(PERMIT_RETRY_MIN)))
+    Err(Error::new(Kind::Overloaded, message)
+        .retry_after(wait.clamp(PERMIT_RETRY_MIN, PERMIT_RETRY_MAX)))
 }
 
 /// Number of ranks of the pool's routes that go before that of the request.
