Let daemons ask for permits in turns

Found by reading: each refused daemon asked again when a permit was due, so that the owner's calls grew with the limit times the daemons: 80,000 calls in 40 s in a replay with 400 daemons and 2,000 requests a second, for a server that takes seven a second. Now the owner counts the daemons that asked lately and tells each to come back so much later that all together ask four times for each permit, 2 s later at most. A question for permits ahead and one of a waiting request no longer hold each other up.

--- a/crates/ffw-control/src/rate.rs
+++ b/crates/ffw-control/src/rate.rs
@@ -267,7 +267,17 @@
     let unused = daemon.rates.with_limited(server, |listed| listed.stock.take_unused());
     let unused = unused.unwrap_or(0);
     let suspects = owner::skipped_daemons(daemon);
-    let mut ask = Ask { pool, server: server.clone(), stated, count, unused, patience, suspects };
+    let (asking, server_name) = (daemon.identity.instance.clone(), server.clone());
+    let mut ask = Ask {
+        daemon: asking,
+        pool,
+        server: server_name,
+        stated,
+        count,
+        unused,
+        patience,
+        suspects,
+    };
     for _ in 0..OWNERS_ASKED {
         let Some(owner) = owner::find_owner(daemon, &ask.pool, &ask.suspects) else { break };
         let grant = if owner.name == daemon.identity.instance {
@@ -338,7 +348,7 @@
             );
         }
         account.give_back(now, ask.unused);
-        let granted = account.grant(now, ask.count, ask.patience);
+        let granted = account.grant(now, &ask.daemon, ask.count, ask.patience);
         (granted, account.stated(now).unwrap_or(ask.stated))
     });
     let (Granted { count, start_in, retry_after }, stated) = granted;
@@ -351,7 +361,7 @@
     with_account(&daemon.rates.isolated, &ask.server, |account, now| {
         account.record(now, ask.stated);
         account.set_share(now, rate_limit::isolated_share(daemons));
-        account.grant(now, ask.count, ask.patience)
+        account.grant(now, &ask.daemon, ask.count, ask.patience)
     })
 }
 
--- a/crates/ffw-decide/src/permits.rs
+++ b/crates/ffw-decide/src/permits.rs
@@ -19,7 +19,10 @@
 const COUNT_MAX: u32 = 64;
 
 /// Longest time for which no permits are asked for after a refusal.
-const REFUSAL_MAX: Duration = Duration::from_secs(1);
+const REFUSAL_MAX: Duration = Duration::from_secs(5);
+
+/// Time for which none are asked for after a request for them was not answered.
+const SILENCE_PAUSE: Duration = Duration::from_secs(1);
 
 /// Largest part of the time that a request has left for which it waits for a permit.
 const WAIT_SHARE: f64 = 0.5;
@@ -47,7 +50,9 @@
     unused: u32,
     /// Whether an answer to a request for more permits is outstanding.
     is_asking: bool,
-    /// Time before which no permit is due, as the last refusal said.
+    /// Time before which no permits are asked for ahead.
+    ask_at: Moment,
+    /// Time before which no request gets a permit by waiting, as the last refusal said.
     due_at: Moment,
     /// Requests that could have gone to the server, in the present and in the last span.
     demand: [u32; 2],
@@ -90,7 +95,7 @@
     /// Number of permits to ask for now; `None` if there are some, or none can be had yet. The
     /// answer must be recorded by [`Stock::record_answer`].
     pub fn next_ask(&mut self, now: Moment) -> Option<u32> {
-        if self.is_asking || self.has_permit(now) || self.wait(now, Duration::ZERO).is_some() {
+        if self.is_asking || self.has_permit(now) || now < self.ask_at {
             return None;
         }
         self.is_asking = true;
@@ -107,11 +112,12 @@
     /// Records the answer to the request of [`Stock::next_ask`]; `None` if there was none.
     pub fn record_answer(&mut self, now: Moment, granted: Option<Granted>) {
         self.is_asking = false;
-        let granted = granted.unwrap_or(Granted { retry_after: REFUSAL_MAX, ..Granted::default() });
+        let granted =
+            granted.unwrap_or(Granted { retry_after: SILENCE_PAUSE, ..Granted::default() });
         let until = now + PERMIT_LIFETIME;
         self.permits.extend((0..granted.count).map(|_| until));
         if granted.count == 0 {
-            self.record_refusal(now, Duration::ZERO, granted.retry_after);
+            self.ask_at = now + granted.retry_after.min(REFUSAL_MAX);
         }
     }
 
--- a/crates/ffw-decide/src/rate_limit.rs
+++ b/crates/ffw-decide/src/rate_limit.rs
@@ -13,7 +13,7 @@
 
 use {
     ffw_protocol::{rate::Stated, time::Moment},
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
 };
 
 /// Permits that are granted at once after a pause by the daemon that keeps the account.
@@ -37,6 +37,17 @@
 /// ownership. The sum stays below one and a half.
 const SHARES: [f64; 4] = [1.0, 0.3, 0.1, 0.0];
 
+/// Number of times that all daemons together ask for each permit, so that one of them takes it soon
+/// after it is due.
+const ASKS_PER_PERMIT: u32 = 4;
+
+/// Longest time for which a daemon does not ask because many others do. Meanwhile it does not hear
+/// from the owner that the limit has ended.
+const TURN_MAX: Duration = Duration::from_secs(2);
+
+/// Time for which a daemon counts as asking after it has asked.
+const ASKING_MEMORY: Duration = Duration::from_secs(3);
+
 /// Time for which a permit may be used. What was granted before a span of time may be used in it.
 pub const PERMIT_LIFETIME: Duration = Duration::from_millis(200);
 
@@ -62,7 +73,8 @@
     pub count: u32,
     /// Time after which the last of them may be used.
     pub start_in: Duration,
-    /// If there is none, time after which one can be expected by a request with the same patience.
+    /// If there is none, time after which the daemon can expect one for a request with the same
+    /// patience.
     pub retry_after: Duration,
 }
 
@@ -82,12 +94,14 @@
     /// Time at which the next permit is due if they come evenly; earlier than now if some were left
     /// unclaimed.
     next_at: Moment,
+    /// Daemons that have asked lately, and when, in order of name.
+    asking: Vec<(Arc<str>, Moment)>,
 }
 
 impl Account {
     /// An account without permits.
     pub fn new(now: Moment) -> Account {
-        Account { statement: None, share: 1.0, next_at: now }
+        Account { statement: None, share: 1.0, next_at: now, asking: Vec::new() }
     }
 
     /// The latest statement that is known; `None` if there was none.
@@ -120,8 +134,14 @@
         }
     }
 
-    /// Grants up to `count` permits that may be used within `patience`. Without a limit, all.
-    pub fn grant(&mut self, now: Moment, count: u32, patience: Duration) -> Granted {
+    /// Grants a daemon up to `count` permits that may be used within `patience`. Without a limit, all.
+    pub fn grant(
+        &mut self,
+        now: Moment,
+        daemon: &Arc<str>,
+        count: u32,
+        patience: Duration,
+    ) -> Granted {
         let Some(rate) = self.rate() else { return Granted { count, ..Granted::default() } };
         if rate <= 0.0 {
             return Granted { retry_after: Duration::from_secs(1), ..Granted::default() };
@@ -135,12 +155,29 @@
             granted.start_in = self.next_at.since(now);
             self.next_at = self.next_at + interval;
         }
-        if granted.count == 0 {
-            granted.retry_after = self.next_at.since(now).saturating_sub(patience);
+        if granted.count == 0 && count > 0 {
+            self.record_asking(now, daemon);
+            let due_in = self.next_at.since(now).saturating_sub(patience);
+            granted.retry_after = due_in.max(self.turn(interval));
         }
         granted
     }
 
+    fn record_asking(&mut self, now: Moment, daemon: &Arc<str>) {
+        self.asking.retain(|(_, at)| now.since(*at) < ASKING_MEMORY);
+        match self.asking.binary_search_by(|(name, _)| name.cmp(daemon)) {
+            Ok(index) => self.asking[index].1 = now,
+            Err(index) => self.asking.insert(index, (daemon.clone(), now)),
+        }
+    }
+
+    /// Time between two questions of a daemon, so that the questions of all daemons grow with the
+    /// limit and not with their number.
+    fn turn(&self, interval: Duration) -> Duration {
+        let others = self.asking.len().saturating_sub(1) as u32;
+        (interval * others / ASKS_PER_PERMIT).min(TURN_MAX)
+    }
+
     /// Takes back permits that were not used.
     pub fn give_back(&mut self, now: Moment, count: u32) {
         if let Some(rate) = self.rate().filter(|rate| *rate > 0.0) {
--- a/crates/ffw-decide/tests/rate_limit.rs
+++ b/crates/ffw-decide/tests/rate_limit.rs
@@ -12,7 +12,7 @@
     ffw_protocol::{rate::Stated, time::Moment},
     proptest::prelude::*,
     rstest::rstest,
-    std::time::Duration,
+    std::{sync::Arc, time::Duration},
 };
 
 /// Span over which arrivals are counted, by the users' rule.
@@ -25,6 +25,10 @@
     Moment::from_millis(1_000_000 + millis)
 }
 
+fn name(daemon: usize) -> Arc<str> {
+    format!("daemon-{daemon}").into()
+}
+
 fn stated(per_s: f64) -> Stated {
     Stated { per_s: Some(per_s), age: Duration::ZERO }
 }
@@ -77,12 +81,19 @@
 }
 
 /// Plays requests that may use permits that are at hand only, as beside a free server; permits
-/// arrive 5 ms after they were asked for. Returns when requests were sent to the server.
-fn play(daemons: usize, per_s: f64, load: f64, traffic: Traffic, seconds: u64) -> Vec<Moment> {
+/// arrive 5 ms after they were asked for. Returns when requests were sent to the server, and how
+/// often permits were asked for.
+fn play(
+    daemons: usize,
+    per_s: f64,
+    load: f64,
+    traffic: Traffic,
+    seconds: u64,
+) -> (Vec<Moment>, usize) {
     let mut account = account(at(0), per_s, share(0));
     let mut stocks = vec![Stock::default(); daemons];
     let mut answers: Vec<(usize, Granted)> = Vec::new();
-    let (mut sends, mut due, mut number) = (Vec::new(), 0.0, 0);
+    let (mut sends, mut due, mut number, mut asks) = (Vec::new(), 0.0, 0, 0);
     for millis in (0..seconds * 1_000).step_by(STEP_MS as usize) {
         let now = at(millis);
         for (daemon, granted) in answers.drain(..) {
@@ -100,11 +111,12 @@
             }
             if let Some(count) = stock.next_ask(now) {
                 account.give_back(now, stock.take_unused());
-                answers.push((daemon, account.grant(now, count, Duration::ZERO)));
+                asks += 1;
+                answers.push((daemon, account.grant(now, &name(daemon), count, Duration::ZERO)));
             }
         }
     }
-    sends
+    (sends, asks)
 }
 
 #[rstest]
@@ -115,6 +127,8 @@
 #[case::large_fleet(400, 60.0, 2_000.0, Traffic::Even)]
 #[case::large_fleet_one(400, 60.0, 2_000.0, Traffic::OneHasAll)]
 #[case::large_fleet_moving(400, 60.0, 2_000.0, Traffic::Moving)]
+#[case::large_fleet_low_limit(400, 7.0, 2_000.0, Traffic::Even)]
+#[case::large_fleet_low_limit_moving(400, 7.0, 2_000.0, Traffic::Moving)]
 #[case::high_limit(8, 500.0, 2_000.0, Traffic::NearlyAllAtOne)]
 #[case::low_limit(8, 0.5, 60.0, Traffic::Even)]
 fn servers_get_nearly_what_they_state_and_no_more(
@@ -124,18 +138,21 @@
     #[case] traffic: Traffic,
 ) {
     let seconds = 40;
-    let sends = play(daemons, per_s, load, traffic, seconds);
+    let (sends, asks) = play(daemons, per_s, load, traffic, seconds);
     let most = most_in_a_window(&sends);
     assert!(most <= allowed(per_s), "{most} in 4 s, {} allowed", allowed(per_s));
     let stated = per_s * seconds as f64;
     assert!(sends.len() as f64 >= 0.9 * stated, "{} of {stated}", sends.len());
+    // A few calls for each permit, and one a second for each daemon.
+    let most_asks = (8.0 * per_s + daemons as f64) * seconds as f64;
+    assert!(asks as f64 <= most_asks, "{asks} calls, {most_asks} at most");
 }
 
 /// A server that takes nothing still gets a request now and then, whose response can tell that the
 /// limit has ended.
 #[test]
 fn a_limit_of_zero_is_tried_rarely() {
-    let sends = play(8, 0.0, 60.0, Traffic::Even, 60);
+    let (sends, _) = play(8, 0.0, 60.0, Traffic::Even, 60);
     assert!(most_in_a_window(&sends) <= allowed(0.0));
     assert!(sends.len() >= 6, "{} tries in a minute", sends.len());
 }
@@ -147,7 +164,7 @@
     assert!(!account.record(at(50), older));
     assert_eq!(account.stated(at(60)).and_then(|stated| stated.per_s), Some(10.0));
     assert!(account.record(at(200), Stated { per_s: None, age: Duration::from_millis(10) }));
-    assert_eq!(account.grant(at(200), 50, Duration::ZERO).count, 50);
+    assert_eq!(account.grant(at(200), &name(0), 50, Duration::ZERO).count, 50);
 }
 
 /// All servers are limited: each request is told at once when its permit is due, or when to come
@@ -158,7 +175,7 @@
     let patience = Duration::from_millis(500);
     let mut due = Vec::new();
     let refused = loop {
-        let granted = account.grant(at(1_000), 1, patience);
+        let granted = account.grant(at(1_000), &name(0), 1, patience);
         if granted.count == 0 {
             break granted;
         }
@@ -167,7 +184,7 @@
     assert!(due.is_sorted() && due.last().is_some_and(|last| *last <= patience), "{due:?}");
     assert!(refused.retry_after > Duration::ZERO && refused.retry_after <= patience);
     let later = at(1_000) + refused.retry_after;
-    assert_eq!(account.grant(later, 1, patience).count, 1);
+    assert_eq!(account.grant(later, &name(0), 1, patience).count, 1);
 }
 
 /// More urgent requests find permits although less urgent ones come first and in greater number.
@@ -177,9 +194,9 @@
     let left = Duration::from_secs(1);
     let (mut urgent, mut other) = (0, 0);
     for millis in (0..20_000).step_by(20) {
-        other += account.grant(at(millis), 1, patience(left, 1)).count;
+        other += account.grant(at(millis), &name(0), 1, patience(left, 1)).count;
         if millis % 100 == 0 {
-            urgent += account.grant(at(millis), 1, patience(left, 0)).count;
+            urgent += account.grant(at(millis), &name(0), 1, patience(left, 0)).count;
         }
     }
     assert!(urgent >= 190, "{urgent} of 200 urgent requests, beside {other} others");
@@ -189,11 +206,11 @@
 #[test]
 fn a_limit_that_changes_is_followed_at_once() {
     let mut account = account(at(0), 0.0, 1.0);
-    assert_eq!(account.grant(at(100), 1, Duration::ZERO).count, 0);
+    assert_eq!(account.grant(at(100), &name(0), 1, Duration::ZERO).count, 0);
     account.record(at(200), stated(100.0));
-    assert_eq!(account.grant(at(300), 1, Duration::ZERO).count, 1);
+    assert_eq!(account.grant(at(300), &name(0), 1, Duration::ZERO).count, 1);
     account.record(at(400), stated(1.0));
-    assert!(account.grant(at(400), 100, Duration::ZERO).count <= 2);
+    assert!(account.grant(at(400), &name(0), 100, Duration::ZERO).count <= 2);
 }
 
 /// A daemon that uses an account for a span, from a start in milliseconds.
@@ -238,7 +255,7 @@
         for millis in (0..12_000).step_by(STEP_MS as usize) {
             for (from, until, account) in &mut accounts {
                 if (*from..*until).contains(&millis) {
-                    let granted = account.grant(at(millis), count, Duration::ZERO).count;
+                    let granted = account.grant(at(millis), &name(0), count, Duration::ZERO).count;
                     // Up to a moment, permits are held back for their whole lifetime.
                     let is_late = millis < held_back_ms;
                     let delay = if is_late { PERMIT_LIFETIME } else { Duration::ZERO };
--- a/crates/ffw-peer/tests/wire_layout.rs
+++ b/crates/ffw-peer/tests/wire_layout.rs
@@ -35,7 +35,7 @@
 exchange_evidence 10 118 c052feb4b5d8
 quarantined 11 4 cb30e9181723
 lift_quarantine 12 12 3fab3e934c0c
-take_permits 13 82 7c940697a335
+take_permits 13 91 5b7606807518
 admitted 0 148 bdeb152e10e9
 renewed 1 92 6647698c50de
 updates 3 200 ce92ef26b9ac
@@ -166,6 +166,7 @@
 
 fn permits() -> rate::Ask {
     rate::Ask {
+        daemon: "d".into(),
         pool: "app".into(),
         server: "s".into(),
         stated: stated(),
--- a/crates/ffw-protocol/src/rate.rs
+++ b/crates/ffw-protocol/src/rate.rs
@@ -31,6 +31,8 @@
 /// to that server.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Ask {
+    /// Name of the asking daemon.
+    pub daemon: Arc<str>,
     /// Pool of the server; the account is kept by the owner of the pool's shard.
     pub pool: Arc<str>,
     /// Name of the server.
@@ -57,7 +59,7 @@
     pub count: u32,
     /// Time after which the permits may be used; zero unless a permit was waited for.
     pub start_in: Duration,
-    /// If no permit was granted, time after which one can be expected.
+    /// If no permit was granted, time after which to ask again.
     pub retry_after: Duration,
     /// The latest limit that the owner knows.
     pub stated: Stated,
