--- a/crates/ffw-control/src/metrics/routed.rs
+++ b/crates/ffw-control/src/metrics/routed.rs
@@ -1,5 +1,5 @@
-//! Metrics of routed requests. Label values are pools of the configuration, fixed words of the code,
-//! and backend servers that have a rate limit, so the number of time series is bounded.
+//! Metrics of routed requests. Label values are pools of the configuration, fixed words of the
+//! code, and backend servers that have a rate limit, so the number of time series is bounded.
 
 use {
     prometheus::{
--- a/crates/ffw-control/src/rate.rs
+++ b/crates/ffw-control/src/rate.rs
@@ -197,7 +197,8 @@
     });
 }
 
-/// Uses a permit that is at hand for a request to a server; returns whether the request may be sent.
+/// Uses a permit that is at hand for a request to a server; returns whether the request may be
+/// sent.
 pub fn take(daemon: &Daemon, server: &str) -> bool {
     let taken = daemon.rates.take(server);
     if taken == Some(true) {
--- a/crates/ffw-decide/src/confirm.rs
+++ b/crates/ffw-decide/src/confirm.rs
@@ -46,9 +46,9 @@
 const STORE_BYTES_PER_S: f64 = 800_000.0;
 
 /// Whether a daemon that follows the store fetches a version from a peer that has it. While the
-/// store answers, it brings the version itself, and a second copy would take the link from requests,
-/// the more so as all daemons would ask the same peer. `bytes` is the size of the version in force,
-/// as that of the new one is not known.
+/// store answers, it brings the version itself, and a second copy would take the link from
+/// requests, the more so as all daemons would ask the same peer. `bytes` is the size of the version
+/// in force, as that of the new one is not known.
 pub fn fetches_from_peer(now: Moment, knowledge: &Knowledge, bytes: usize) -> bool {
     let store_time = STORE_TIME_MIN + Duration::from_secs_f64(bytes as f64 / STORE_BYTES_PER_S);
     let is_store_late = knowledge.behind_since.is_some_and(|since| now.since(since) >= store_time);
--- a/crates/ffw-decide/src/permits.rs
+++ b/crates/ffw-decide/src/permits.rs
@@ -35,7 +35,8 @@
 
 /// Longest time for which a request waits for a permit that has `time_left` until its deadline.
 /// Permits are reserved ahead in the order of the requests; each rank that goes before that of the
-/// request halves the time, so that requests of that rank still find permits when there are too few.
+/// request halves the time, so that requests of that rank still find permits when there are too
+/// few.
 pub fn patience(time_left: Duration, more_urgent_ranks: u32) -> Duration {
     let patience = time_left.mul_f64(WAIT_SHARE).min(WAIT_MAX);
     patience / 2_u32.saturating_pow(more_urgent_ranks)
--- a/crates/ffw-decide/src/rate_limit.rs
+++ b/crates/ffw-decide/src/rate_limit.rs
@@ -1,11 +1,11 @@
 //! The account of a backend server that takes only so many requests a second from all daemons
 //! together: a generic cell rate algorithm from which daemons get permits, one for each request.
 //!
-//! The load pattern is a server in need beside free ones, or a pool in which all servers are in need,
-//! with traffic that is uneven between the daemons and moves. One daemon keeps the account, so that
-//! whoever has requests gets permits, and what idle daemons leave is not lost. Permits can be
-//! reserved a little ahead, within the patience of the request; beyond it the wait is told, so that
-//! the request can be refused at once.
+//! The load pattern is a server in need beside free ones, or a pool in which all servers are in
+//! need, with traffic that is uneven between the daemons and moves. One daemon keeps the account,
+//! so that whoever has requests gets permits, and what idle daemons leave is not lost. Permits can
+//! be reserved a little ahead, within the patience of the request; beyond it the wait is told, so
+//! that the request can be refused at once.
 //!
 //! The bound is kept while accounts move. An account starts empty. A daemon that stands in for
 //! others, because some daemon can't reach them, grants a smaller share, as the others may still be
@@ -22,8 +22,8 @@
 /// The same, as time for which unclaimed permits are kept, for servers with high limits.
 const BURST_TIME: Duration = Duration::from_millis(100);
 
-/// Longest time for which permits that were reserved ahead delay others after the limit has changed,
-/// unless a single permit takes longer.
+/// Longest time for which permits that were reserved ahead delay others after the limit has
+/// changed, unless a single permit takes longer.
 const AHEAD_MAX: Duration = Duration::from_secs(5);
 
 /// Least rate with bursts, in permits a second.
@@ -33,8 +33,8 @@
 /// request now and then, as only its response can tell that the limit has ended.
 const RATE_MIN: f64 = 0.2;
 
-/// Share of the limit that a daemon grants, by the number of daemons that precede it in the order of
-/// ownership. The sum stays below one and a half.
+/// Share of the limit that a daemon grants, by the number of daemons that precede it in the order
+/// of ownership. The sum stays below one and a half.
 const SHARES: [f64; 4] = [1.0, 0.3, 0.1, 0.0];
 
 /// Number of times that all daemons together ask for each permit, so that one of them takes it soon
@@ -134,7 +134,8 @@
         }
     }
 
-    /// Grants a daemon up to `count` permits that may be used within `patience`. Without a limit, all.
+    /// Grants a daemon up to `count` permits that may be used within `patience`. Without a limit,
+    /// all.
     pub fn grant(
         &mut self,
         now: Moment,
@@ -192,8 +193,8 @@
         Some(per_s.max(RATE_MIN) * self.share)
     }
 
-    /// Keeps the number of permits that are reserved ahead, but not for long. An account whose limit has just become
-    /// known has none to grant at once.
+    /// Keeps the number of permits that are reserved ahead, but not for long. An account whose
+    /// limit has just become known has none to grant at once.
     fn rescale(&mut self, now: Moment, rate_before: Option<f64>, is_new: bool) {
         let Some(rate) = self.rate().filter(|rate| *rate > 0.0) else { return };
         let ahead = match rate_before {
--- a/crates/ffw-decide/tests/rate_limit.rs
+++ b/crates/ffw-decide/tests/rate_limit.rs
@@ -202,7 +202,8 @@
     assert!(urgent >= 190, "{urgent} of 200 urgent requests, beside {other} others");
 }
 
-/// What a limit leaves is not lost when it changes, and what was reserved ahead isn't kept for long.
+/// What a limit leaves is not lost when it changes, and what was reserved ahead isn't kept for
+/// long.
 #[test]
 fn a_limit_that_changes_is_followed_at_once() {
     let mut account = account(at(0), 0.0, 1.0);
@@ -231,8 +232,8 @@
 
 proptest! {
     /// The account moves: at each position of the order of ownership at most one daemon grants, for
-    /// as long as it likes, and three of sixteen daemons reach none. Permits are used as late as may
-    /// be, so that as many as possible fall into one window.
+    /// as long as it likes, and three of sixteen daemons reach none. Permits are used as late as
+    /// may be, so that as many as possible fall into one window.
     #[test]
     fn the_bound_holds_while_the_account_moves(
         per_s in prop_oneof![Just(0.0), 0.01_f64..3.0, 3.0_f64..200.0],
--- a/crates/ffw-route/src/plain.rs
+++ b/crates/ffw-route/src/plain.rs
@@ -48,8 +48,8 @@
 /// Retry-After of a request that no server has run.
 const RETRY_AFTER: Duration = Duration::from_millis(250);
 
-/// Least and largest Retry-After of a request that got no permit. A daemon that reaches no other one
-/// has permits so rarely that a caller does better to try another daemon.
+/// Least and largest Retry-After of a request that got no permit. A daemon that reaches no other
+/// one has permits so rarely that a caller does better to try another daemon.
 const PERMIT_RETRY_MIN: Duration = Duration::from_millis(50);
 const PERMIT_RETRY_MAX: Duration = Duration::from_secs(5);
 
@@ -288,8 +288,8 @@
     Some((Server { name, address: chosen.address }, permit))
 }
 
-/// Waits for a permit of one of the servers with a rate limit, the one with the highest limit first;
-/// `None` if there is no such server.
+/// Waits for a permit of one of the servers with a rate limit, the one with the highest limit
+/// first; `None` if there is no such server.
 ///
 /// # Errors
 /// [`Kind::Overloaded`] if the request would have to wait too long at each of them.
--- a/crates/ffw-soak/src/store.rs
+++ b/crates/ffw-soak/src/store.rs
@@ -1,7 +1,7 @@
 //! Stand-in for the object store of the platform: objects by kind and name with one revision
 //! counter, and watches. It can drop its history, lose the responses to writes, leave watches
-//! unanswered, and be restored from an earlier copy of itself; outages are injected by a [`Proxy`](crate::proxy::Proxy) in
-//! front of it.
+//! unanswered, and be restored from an earlier copy of itself; outages are injected by a
+//! [`Proxy`](crate::proxy::Proxy) in front of it.
 
 use {
     crate::wire::{self, Exchange},
--- a/crates/fireflyworks/tests/configuration.rs
+++ b/crates/fireflyworks/tests/configuration.rs
@@ -197,8 +197,8 @@
     });
 }
 
-/// The store has a version with a further service; not each daemon has heard of it. Guards against a
-/// daemon that refuses the service as unknown.
+/// The store has a version with a further service; not each daemon has heard of it. Guards against
+/// a daemon that refuses the service as unknown.
 #[test]
 fn a_service_is_not_unknown_once_the_store_has_it() {
     smol::block_on(async {
--- a/crates/fireflyworks/tests/rate_limit.rs
+++ b/crates/fireflyworks/tests/rate_limit.rs
@@ -203,7 +203,8 @@
 }
 
 /// All servers state limits, together a third of what comes. They get nearly what they state, also
-/// if one daemon has all requests or nearly all; the rest is refused soon, with a time to come back.
+/// if one daemon has all requests or nearly all; the rest is refused soon, with a time to come
+/// back.
 #[rstest]
 #[case::even("even", &[0, 1, 2, 3])]
 #[case::one_daemon_has_all("one", &[2])]
