--- a/crates/ffw-control/src/daemon.rs
+++ b/crates/ffw-control/src/daemon.rs
@@ -182,7 +182,8 @@
     }
 
     /// Records that the store, in its response to a call made at `asked_at` on the clock of
-    /// [`clock::boot_time`], had no configuration version that this daemon has not heard of.
+    /// [`ffw_runtime::clock::boot_time`], had no configuration version that this daemon has not
+    /// heard of.
     pub fn record_config_confirmed(&self, asked_at: Moment) {
         self.freshness.record_confirmed(asked_at, &self.metrics);
     }
