--- a/crates/ffw-control/src/calls.rs
+++ b/crates/ffw-control/src/calls.rs
@@ -43,7 +43,7 @@
         }),
         quarantined: Box::new(move |()| ready(for_holds.quarantines.holds())),
         lift_quarantine: Box::new(move |part| ready(quarantine::lift(&for_lift, part))),
-        take_permits: Box::new(move |ask| ready(rate::grant(&for_permits, &ask))),
+        take_permits: Box::new(move |ask| ready(rate::account::grant(&for_permits, &ask))),
     }
 }
 
--- a/crates/ffw-control/src/freshness.rs
+++ b/crates/ffw-control/src/freshness.rs
@@ -66,13 +66,13 @@
     /// Holds a message while a confirmation is wanted and not yet being asked for.
     wanted: (Sender<()>, Receiver<()>),
     /// Woken by each change of the state.
-    waiting: Mutex<Vec<Sender<()>>>,
+    waiters: Mutex<Vec<Sender<()>>>,
 }
 
 impl Default for Freshness {
     fn default() -> Freshness {
         let wanted = channel::bounded(1);
-        Freshness { state: Mutex::default(), wanted, waiting: Mutex::default() }
+        Freshness { state: Mutex::default(), wanted, waiters: Mutex::default() }
     }
 }
 
@@ -156,15 +156,14 @@
 
     fn next_change(&self) -> Receiver<()> {
         let (sender, receiver) = channel::bounded(1);
-        self.waiting.lock().unwrap_or_else(PoisonError::into_inner).push(sender);
+        self.waiters.lock().unwrap_or_else(PoisonError::into_inner).push(sender);
         receiver
     }
 
     fn wake(&self) {
-        let waiting =
-            std::mem::take(&mut *self.waiting.lock().unwrap_or_else(PoisonError::into_inner));
-        for waiting in waiting {
-            waiting.try_send(()).ok();
+        let mut waiters = self.waiters.lock().unwrap_or_else(PoisonError::into_inner);
+        for waiter in waiters.drain(..) {
+            waiter.try_send(()).ok();
         }
     }
 
--- a/crates/ffw-route/src/plain.rs
+++ b/crates/ffw-route/src/plain.rs
@@ -270,7 +270,7 @@
     let daemon = &router.daemon;
     let roster = daemon.view.roster();
     let mut instances = candidates(router, request, &roster);
-    instances.iter().for_each(|instance| rate::record_demand(daemon, &instance.name));
+    instances.iter().for_each(|instance| rate::request::record_demand(daemon, &instance.name));
     instances.retain(|instance| daemon.rates.has_room(&instance.name));
     let local_data_centre = &daemon.identity.data_centre;
     let to_candidate = |instance: &&Instance| Candidate {
@@ -309,7 +309,7 @@
     let mut retry_after: Option<Duration> = None;
     for (_, instance) in limited {
         let patience = permits::patience(request.time_left(), more_urgent_ranks(request));
-        match rate::acquire(daemon, &instance.name, patience).await {
+        match rate::request::acquire(daemon, &instance.name, patience).await {
             Ok(()) => {
                 // Counted as open like a chosen one.
                 router.balancer().record_begin(&instance.name);
--- a/crates/ffw-route/src/transport.rs
+++ b/crates/ffw-route/src/transport.rs
@@ -185,7 +185,7 @@
     server: &Server,
     patience: Duration,
 ) -> Result<(), Failure> {
-    let acquired = rate::acquire(&router.daemon, &server.name, patience).await;
+    let acquired = rate::request::acquire(&router.daemon, &server.name, patience).await;
     acquired.map_err(|_| Failure::Withheld(LIMIT_USED_UP))
 }
 
