--- a/review/lib/store.rs
+++ b/review/lib/store.rs
@@ -8,7 +8,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     thread,
     time::{Duration, Instant},
@@ -53,8 +53,8 @@
     state: Arc<Mutex<State>>,
     /// Time that an answer to a read of objects takes, in milliseconds.
     pub read_ms: Arc<AtomicU64>,
-    /// Called with the path of each list that was read, before its answer is sent.
-    listed: Arc<Mutex<Vec<(Instant, String)>>>,
+    /// Whether calls that arrive get no answer, now or later; their connections stay open.
+    pub is_silent: Arc<AtomicBool>,
 }
 
 impl Store {
@@ -64,7 +64,7 @@
             address,
             state: Arc::default(),
             read_ms: Arc::new(AtomicU64::new(4)),
-            listed: Arc::default(),
+            is_silent: Arc::default(),
         };
         store.state.lock().unwrap().revision = 100;
         let serving = store.clone();
@@ -114,17 +114,18 @@
         state.history.clear();
     }
 
-    /// Paths of the lists that were read, and when.
-    pub fn lists(&self) -> Vec<(Instant, String)> {
-        self.listed.lock().unwrap().clone()
-    }
-
     pub fn names(&self, kind: &str) -> Vec<String> {
         let state = self.state.lock().unwrap();
         state.objects.iter().filter(|o| o.kind == kind).map(|o| o.name.clone()).collect()
     }
 
     fn serve(&self, request: &Request, connection: &mut Connection) -> bool {
+        if self.is_silent.load(Ordering::SeqCst) {
+            while !connection.is_closed() {
+                thread::sleep(Duration::from_millis(50));
+            }
+            return false;
+        }
         let (path, query) = match request.head.target().split_once('?') {
             Some((path, query)) => (path, query),
             None => (request.head.target(), ""),
@@ -144,8 +145,6 @@
             }
             ("GET", None) => {
                 let listed = self.list(&kind, parameter("after").unwrap_or(""));
-                let path = request.head.target().to_owned();
-                self.listed.lock().unwrap().push((Instant::now(), path));
                 thread::sleep(delay);
                 (200, listed)
             }
@@ -212,7 +211,8 @@
                         format!("{{\"deleted\":{deleted},\"object\":{}}}", object.json())
                     })
                     .collect();
-                if !events.is_empty() || begun.elapsed() >= wait {
+                let is_silent = self.is_silent.load(Ordering::SeqCst);
+                if !is_silent && (!events.is_empty() || begun.elapsed() >= wait) {
                     let (events, at) = (events.join(","), state.revision);
                     return (200, format!("{{\"events\":[{events}],\"at\":{at}}}"));
                 }
