--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -27,6 +27,10 @@
 const TROUBLE_FROM: Duration = Duration::from_secs(4);
 const TROUBLE_FOR: Duration = Duration::from_millis(5_500);
 
+/// Workers that make tokens, and how many of them are in trouble: 0.6.
+const WORKERS: u32 = 5;
+const IN_TROUBLE: u32 = 3;
+
 /// One in so many answers of the workers in trouble has no end: 0.05 of them.
 const ONE_IN: u32 = 20;
 
@@ -67,14 +71,13 @@
         let id = format!("i-read{number}");
         workers.push(Engine::start(&id, "reader", "prefill", &store, |_| Habit::Sound));
     }
-    for number in 0..4 {
+    for number in 0..WORKERS {
         let (in_trouble, answers, endless) = (in_trouble.clone(), answers.clone(), endless.clone());
         let record = record.clone();
         let id = format!("i-made{number}");
         let name = id.clone();
         workers.push(Engine::start(&id, "reader", "decode", &store, move |request| {
-            // Two of the four are in trouble.
-            if number >= 2 || !in_trouble.load(Ordering::SeqCst) {
+            if number >= IN_TROUBLE || !in_trouble.load(Ordering::SeqCst) {
                 return Habit::Sound;
             }
             if answers.fetch_add(1, Ordering::SeqCst) % ONE_IN != 0 {
@@ -160,14 +163,16 @@
 }
 
 /// CONFIG: of the requests that are still unanswered at their route's `timeoutMs`, more than half
-/// have no answer half a second later.
+/// have no answer half a second later. Only bookings are counted, whose workers are all sound; a
+/// single one breaks nothing here.
 fn judge(record: &Record, sent: &[Sent], endless: u32) -> ! {
     let is_unanswered = |sent: &&Sent, ms: u64| {
         sent.seen.status == 0 || sent.seen.took >= Duration::from_millis(ms)
     };
-    let late: Vec<&Sent> = sent.iter().filter(|sent| is_unanswered(sent, sent.timeout_ms)).collect();
+    let bookings = sent.iter().filter(|sent| sent.timeout_ms == BOOKING_MS);
+    let late: Vec<&Sent> = bookings.filter(|sent| is_unanswered(sent, BOOKING_MS)).collect();
     let later: Vec<&&Sent> =
-        late.iter().filter(|sent| is_unanswered(sent, sent.timeout_ms + SLACK_MS)).collect();
+        late.iter().filter(|sent| is_unanswered(sent, BOOKING_MS + SLACK_MS)).collect();
     record.say(&format!("{} requests sent, {endless} answers without end", sent.len()));
     for daemon in 0..2 {
         let of_daemon = later.iter().filter(|sent| sent.daemon == daemon);
@@ -175,7 +180,7 @@
         times.sort_by(f64::total_cmp);
         if let (Some(first), Some(last)) = (times.first(), times.last()) {
             record.say(&format!(
-                "frontend-{}: {} requests, sent from {first:.1} s to {last:.1} s, have no answer",
+                "frontend-{}: {} bookings, sent from {first:.1} s to {last:.1} s, have no answer",
                 daemon + 1,
                 times.len()
             ));
@@ -183,10 +188,10 @@
     }
     later.iter().take(5).for_each(|sent| record.line(&format!("no answer in time: {}", sent.id)));
     record.say(&format!(
-        "{} unanswered at their route's timeoutMs, {} of them half a second later",
+        "{} bookings unanswered at their route's timeoutMs, {} of them half a second later",
         late.len(),
         later.len()
     ));
-    let is_broken = later.len() * 2 > late.len();
+    let is_broken = later.len() > 1 && later.len() * 2 > late.len();
     record::end(record, "CONFIG", is_broken)
 }
--- a/review/lib/daemon.rs
+++ b/review/lib/daemon.rs
@@ -175,12 +175,7 @@
     }
 
     pub fn is_ready(&self) -> bool {
-        let limit = Duration::from_millis(500);
-        let Ok(mut connection) = Connection::open(self.readiness, limit) else { return false };
-        connection.stream.set_read_timeout(Some(limit)).ok();
-        let asked = connection.write(b"GET /api/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
-        asked.is_ok()
-            && connection.read_head().ok().flatten().is_some_and(|head| head.status() == 200)
+        is_ready(self.readiness)
     }
 
     /// A value of `/proc/ID/status`, in kB.
@@ -193,6 +188,15 @@
     }
 }
 
+/// Whether a readiness address answers 200.
+pub fn is_ready(address: SocketAddr) -> bool {
+    let limit = Duration::from_millis(500);
+    let Ok(mut connection) = Connection::open(address, limit) else { return false };
+    connection.stream.set_read_timeout(Some(limit)).ok();
+    let asked = connection.write(b"GET /api/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    asked.is_ok() && connection.read_head().ok().flatten().is_some_and(|head| head.status() == 200)
+}
+
 impl Drop for Daemon {
     fn drop(&mut self) {
         if let Some(child) = &mut self.child {
--- a/review/lib/store.rs
+++ b/review/lib/store.rs
@@ -51,7 +51,7 @@
 pub struct Store {
     pub address: SocketAddr,
     state: Arc<Mutex<State>>,
-    /// Time that an answer to a read of objects takes, in milliseconds.
+    /// Time that an answer takes, in milliseconds; watches and other writes are answered at once.
     pub read_ms: Arc<AtomicU64>,
     /// Whether calls that arrive get no answer, now or later; their connections stay open.
     pub is_silent: Arc<AtomicBool>,
@@ -106,6 +106,12 @@
         true
     }
 
+    fn remove_after(&self, delay: Duration, kind: &str, name: &str) -> bool {
+        let was_there = self.remove(kind, name);
+        thread::sleep(delay);
+        was_there
+    }
+
     /// Drops the history: a watch from an earlier revision gets 410, waiting ones too.
     pub fn forget_history(&self) {
         let mut state = self.state.lock().unwrap();
@@ -153,7 +159,7 @@
                 thread::sleep(delay);
                 read
             }
-            ("DELETE", Some(name)) => match self.remove(&kind, &name) {
+            ("DELETE", Some(name)) => match self.remove_after(delay, &kind, &name) {
                 true => (200, "{}".to_owned()),
                 false => (404, "{}".to_owned()),
             },
