--- a/review/5/case.rs
+++ b/review/5/case.rs
@@ -1,6 +1,5 @@
-//! Case 5: one of three machines is removed for good, and a new one comes. As the old one has left, the
-//! platform's store falls silent for 5 s. Workers in need name the requests that they take from all
-//! machines together.
+//! Case 5: the platform's store is silent for 6 s. In its first seconds the two daemons are killed,
+//! one after the other, and start again. Once the store is back, the operator moves a route.
 
 #[path = "../lib/lib.rs"]
 mod lib;
@@ -8,137 +7,158 @@
 use lib::{
     client,
     config::{configuration, plain_route},
-    daemon::{self, Common, Daemon, SIGTERM},
-    http::answer,
+    daemon::{self, Common, Daemon, SIGKILL},
     plain::Plain,
     record::{self, Record},
     store::Store,
 };
 use std::{
-    sync::{Arc, atomic::Ordering},
+    sync::{Arc, Mutex, atomic::Ordering},
     thread,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
-/// Services, each with one worker that takes `LIMIT` requests a second.
-const SERVICES: [&str; 4] = ["prices", "trucks", "scales", "orders"];
-const LIMIT: f64 = 10.0;
+/// Length of the store's silence.
+const SILENCE_S: f64 = 6.0;
 
-/// Requests a second to each service, spread over the daemons.
-const PER_S: f64 = 45.0;
+/// When the daemons are killed, from its beginning, and how much later they start again.
+const KILLS_S: [f64; 2] = [0.2, 1.2];
+const START_AGAIN_S: f64 = 0.5;
 
-/// Time from the silence to the start of the new machine.
-const NEW_AFTER: Duration = Duration::from_secs(1);
+/// When the configuration changes, and the end of the traffic.
+const CHANGE_S: f64 = 6.2;
+const END_S: f64 = 15.0;
 
-/// Length of the silence, and of the traffic after its beginning.
-const SILENCE: Duration = Duration::from_secs(5);
-const LENGTH: Duration = Duration::from_secs(32);
-
-/// The rule: in some 4 s more than one and a half times what the limit allows, + 5.
-const WINDOW: Duration = Duration::from_secs(4);
-const ALLOWED: usize = (LIMIT * 4.0 * 1.5) as usize + 5;
-
-/// Time after the end of the silence from which windows are judged (`stableWindowMs`).
-const STABLE: Duration = Duration::from_secs(3);
+/// Bounds: `configApplyMs` and `stableWindowMs`, in seconds.
+const APPLY_S: f64 = 2.0;
+const STABLE_S: f64 = 3.0;
 
+const BOOKINGS_PER_S: f64 = 20.0;
 const DEADLINE_MS: u64 = 2_500;
 
-/// Kind of the objects in which the daemons list themselves.
-const DAEMONS: &str = "fireflyworks-daemons";
+struct Sent {
+    id: String,
+    daemon: usize,
+    at: f64,
+    status: u16,
+}
+
+fn kill_and_start(record: &Record, daemon: &mut Daemon) {
+    record.line(&format!("{} is killed", daemon.name));
+    daemon.signal(SIGKILL);
+    while daemon.ended().is_none() {
+        thread::sleep(Duration::from_millis(5));
+    }
+}
 
 fn main() {
     let folder = std::env::args().nth(1).unwrap_or_else(|| ".".into());
     let record = Arc::new(Record::new(&folder));
     let store = Store::start();
-    let routes = SERVICES.map(|service| plain_route(service, "idempotent", service, 1_200));
-    store.put("config", "main", &configuration(7, &routes, &SERVICES));
-    let workers: Vec<Plain> = SERVICES
-        .iter()
-        .map(|service| {
-            let id = format!("i-{service}");
-            Plain::start(&id, service, &store, |worker, request, connection| {
-                worker.begin(request);
-                thread::sleep(Duration::from_millis(10));
-                let id = request.head.get("Request-Id");
-                let (signature, limit) = (format!("sig.{}", worker.id), LIMIT.to_string());
-                let fields =
-                    [("Request-Id", id), ("Server-Signature", &*signature), ("Server-Limit", &limit)];
-                connection.write(&answer(200, &fields, id.as_bytes())).is_ok()
-            })
-        })
-        .collect();
+    let services = ["desk", "plant"];
+    let routes = |service: &str| [plain_route("book", "non_idempotent", service, 1_200)];
+    store.put("config", "main", &configuration(7, &routes("desk"), &services));
+    let mut workers = Vec::new();
+    for service in services {
+        for number in 0..2 {
+            let id = format!("i-{service}{number}");
+            let work = Duration::from_millis(30);
+            workers.push(Plain::start(&id, service, &store, move |worker, request, connection| {
+                worker.run(request, connection, work)
+            }));
+        }
+    }
     let common = Common {
         folder: daemon::temporary_folder("5"),
         store: store.address,
         bounds: daemon::BOUNDS.into(),
         memory_mb: 110,
     };
-    let mut daemons = daemon::prepare(4, &common);
-    daemons[..3].iter_mut().for_each(Daemon::start);
-    daemons[..3].iter().for_each(|daemon| daemon.wait_ready(Duration::from_secs(15)));
-    thread::sleep(Duration::from_secs(3));
-    // The fourth machine takes the place of the first one.
-    let addresses: Vec<_> = daemons[1..].iter().map(|daemon| daemon.callers).collect();
-    record.line(&format!("{} gets SIGTERM", daemons[0].name));
-    daemons[0].signal(SIGTERM);
-    let name = daemons[0].name.clone();
-    while store.names(DAEMONS).contains(&name) {
-        thread::sleep(Duration::from_millis(5));
-    }
-    record.line(&format!("{name} has taken itself off the list"));
-    thread::sleep(Duration::from_millis(100));
-    if record::has_trouble() {
+    let mut daemons = daemon::prepare(2, &common);
+    daemons.iter_mut().for_each(Daemon::start);
+    daemons.iter().for_each(|daemon| daemon.wait_ready(Duration::from_secs(15)));
+    // Both have announced themselves, and have been calm for long.
+    thread::sleep(Duration::from_secs(4));
+    let addresses: Vec<_> = daemons.iter().map(|daemon| daemon.callers).collect();
+    let sent: Arc<Mutex<Vec<Sent>>> = Arc::default();
+    let mut threads = Vec::new();
+    let begun = record.now();
+    let now = || record.now() - begun;
+    let has_trouble = record::has_trouble();
+    if has_trouble {
         record.line("the store falls silent");
         store.is_silent.store(true, Ordering::SeqCst);
     }
-    let begun = Instant::now();
-    let mut is_started = false;
-    let mut threads = Vec::new();
+    let mut killed = [false; 2];
+    let mut started = [false; 2];
+    let mut acknowledged = None;
     let mut count = 0_u32;
-    while begun.elapsed() < LENGTH {
-        if !is_started && begun.elapsed() >= NEW_AFTER {
-            is_started = true;
-            record.line(&format!("{} starts", daemons[3].name));
-            daemons[3].start();
+    while now() < END_S {
+        for index in 0..2 {
+            if has_trouble && !killed[index] && now() >= KILLS_S[index] {
+                killed[index] = true;
+                kill_and_start(&record, &mut daemons[index]);
+            }
+            if killed[index] && !started[index] && now() >= KILLS_S[index] + START_AGAIN_S {
+                started[index] = true;
+                record.line(&format!("{} starts again", daemons[index].name));
+                daemons[index].start();
+            }
         }
-        if begun.elapsed() >= SILENCE && store.is_silent.swap(false, Ordering::SeqCst) {
+        if now() >= SILENCE_S && store.is_silent.swap(false, Ordering::SeqCst) {
             record.line("the store answers again");
         }
-        let all_per_s = PER_S * SERVICES.len() as f64;
-        if f64::from(count) < begun.elapsed().as_secs_f64() * all_per_s {
-            let service = SERVICES[count as usize % SERVICES.len()];
-            let address = addresses[count as usize / SERVICES.len() % addresses.len()];
-            let id = format!("a{count:06x}");
+        if acknowledged.is_none() && now() >= CHANGE_S {
+            store.put("config", "main", &configuration(8, &routes("plant"), &services));
+            acknowledged = Some(now());
+            record.line("version 8 is acknowledged: /book/ leads to plant");
+        }
+        if f64::from(count) < now() * BOOKINGS_PER_S {
+            let daemon = (count % 2) as usize;
+            let (id, address) = (format!("b{count:06x}"), addresses[daemon]);
             count += 1;
-            let record = record.clone();
+            let at = now();
+            let (sent, record) = (sent.clone(), record.clone());
             threads.push(thread::spawn(move || {
-                let path = format!("/{service}/1");
-                let bytes = client::plain_request("GET", &path, &id, DEADLINE_MS, b"");
+                let bytes = client::plain_request("POST", "/book/1", &id, DEADLINE_MS, b"{}");
+                record.line(&format!("{id} sent to frontend-{}", daemon + 1));
                 let seen = client::send(address, &bytes, Duration::from_millis(DEADLINE_MS));
-                record.line(&format!("{id} {path} to {address}: {}", seen.status));
+                let (status, text) = (seen.status, String::from_utf8_lossy(&seen.body).into_owned());
+                record.line(&format!("{id} answered {status} {}", text.trim()));
+                sent.lock().unwrap().push(Sent { id, daemon, at, status });
             }));
         }
-        thread::sleep(Duration::from_millis(1));
+        thread::sleep(Duration::from_millis(2));
     }
     threads.into_iter().for_each(|thread| thread.join().expect("a client"));
     drop(daemons);
-    judge(&record, &workers, begun);
+    let stable_from = if has_trouble { SILENCE_S + STABLE_S } else { 0.0 };
+    let bound = (acknowledged.unwrap_or(END_S) + APPLY_S).max(stable_from);
+    judge(&record, &sent.lock().unwrap(), &workers, bound);
 }
 
-/// LIMIT: a worker gets in some 4 s more than one and a half times what its limit allows, + 5
-/// requests.
-fn judge(record: &Record, workers: &[Plain], begun: Instant) -> ! {
-    let from = begun + SILENCE + STABLE;
-    let mut is_broken = false;
-    for worker in workers {
-        let runs = worker.runs.lock().unwrap().clone();
-        let times: Vec<Instant> = runs.iter().map(|run| run.at).filter(|at| *at >= from).collect();
-        let in_window = |begin: &Instant| {
-            times.iter().filter(|at| **at >= *begin && **at - *begin < WINDOW).count()
-        };
-        let most = times.iter().map(in_window).max().unwrap_or(0);
-        record.say(&format!("{}: at most {most} requests in 4 s, {ALLOWED} allowed", worker.id));
-        is_broken |= most > ALLOWED;
+/// CONFIG: a request sent later than `configApplyMs` after the acknowledgement of a version is run
+/// by the old service, by machines in touch.
+fn judge(record: &Record, sent: &[Sent], workers: &[Plain], bound: f64) -> ! {
+    let ran_at = |sent: &Sent| -> Vec<String> {
+        let runs = workers.iter().flat_map(|worker| worker.runs.lock().unwrap().clone());
+        runs.filter(|run| run.id == sent.id).map(|run| run.worker).collect()
+    };
+    let judged: Vec<&Sent> = sent.iter().filter(|sent| sent.at > bound).collect();
+    let is_old = |sent: &&&Sent| ran_at(sent).iter().any(|worker| worker.starts_with("i-desk"));
+    let old: Vec<&&Sent> = judged.iter().filter(is_old).collect();
+    for sent in &old {
+        let Sent { id, daemon, at, .. } = sent;
+        record.line(&format!("{id}, sent to frontend-{} at {at:.2} s, ran at desk", daemon + 1));
     }
-    record::end(record, "LIMIT", is_broken)
+    let last = old.iter().map(|sent| sent.at).fold(0.0, f64::max);
+    let served = judged.iter().filter(|sent| sent.status == 200).count();
+    record.say(&format!(
+        "{} bookings sent, {} of them after the bound ({bound:.2} s), {served} of these served, {} \
+         run by the old service (the last sent at {last:.2} s)",
+        sent.len(),
+        judged.len(),
+        old.len()
+    ));
+    record::end(record, "CONFIG", !old.is_empty())
 }
--- a/review/lib/daemon.rs
+++ b/review/lib/daemon.rs
@@ -66,6 +66,9 @@
     \"budgetSlack\":54,\"recoveryS\":12,\"maxTransitMs\":120,\"retryAfterS\":6.7,\
     \"requireFencing\":false,\"leaseMs\":3000,\"thawSlackMs\":300}";
 
+/// Ports that this script has given out.
+static TAKEN: Mutex<Vec<u16>> = Mutex::new(Vec::new());
+
 /// Free loopback ports, in groups of three. They are below those that the system gives to sockets
 /// without a port of their own.
 fn ports(count: usize) -> Vec<SocketAddr> {
@@ -74,10 +77,16 @@
             .duration_since(std::time::UNIX_EPOCH)
             .map_or(1, |time| time.as_nanos() as u64);
     let mut held: Vec<TcpListener> = Vec::new();
+    let mut taken = TAKEN.lock().unwrap_or_else(PoisonError::into_inner);
     while held.len() < count {
         seed = seed.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407);
-        let port = 10_000 + (seed >> 33) % 20_000;
-        held.extend(TcpListener::bind(("127.0.0.1", port as u16)).ok());
+        let port = (10_000 + (seed >> 33) % 20_000) as u16;
+        if !taken.contains(&port)
+            && let Ok(listener) = TcpListener::bind(("127.0.0.1", port))
+        {
+            taken.push(port);
+            held.push(listener);
+        }
     }
     held.iter().map(|listener| listener.local_addr().expect("its address")).collect()
 }
