--- a/review/1/case.rs
+++ b/review/1/case.rs
@@ -129,7 +129,11 @@
             threads.push(thread::spawn(move || {
                 let id = format!("{}{number:06x}", ["5", "b"][kind]);
                 let (bytes, timeout_ms, deadline_ms) = match kind {
-                    0 => (client::model_request("/terms/1", &id, STREAM_MS, b"{}"), STREAM_MS, STREAM_MS),
+                    0 => (
+                        client::model_request("/terms/1", &id, STREAM_MS, b"{}"),
+                        STREAM_MS,
+                        STREAM_MS,
+                    ),
                     _ => (
                         client::plain_request("POST", "/book/1", &id, BOOKING_DEADLINE_MS, b"{}"),
                         BOOKING_MS,
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -76,7 +76,8 @@
         for distance in 0..ZONES {
             let zone = (client as usize + distance) % ZONES;
             let all: Vec<usize> = (zone * PER_ZONE..(zone + 1) * PER_ZONE).collect();
-            let ready: Vec<usize> = all.iter().copied().filter(|i| seen[*i].is_in_rotation).collect();
+            let ready: Vec<usize> =
+                all.iter().copied().filter(|i| seen[*i].is_in_rotation).collect();
             match ready.len() {
                 0 => {}
                 count if count * 2 < all.len() => return all[hash % all.len()],
@@ -171,7 +172,8 @@
             stopped = 0;
         }
         if stopped < MACHINES && begun.elapsed() >= turn_at + GAP * stopped as u32 {
-            record.line(&format!("deployment {deployment}: {} gets SIGTERM", daemons[stopped].name));
+            record
+                .line(&format!("deployment {deployment}: {} gets SIGTERM", daemons[stopped].name));
             daemons[stopped].signal(SIGTERM);
             stopped += 1;
             turn += u32::from(stopped == MACHINES);
@@ -179,11 +181,17 @@
         for index in 0..MACHINES {
             match ended[index] {
                 None if daemons[index].ended().is_some() => {
-                    record.line(&format!("deployment {deployment}: {} has ended", daemons[index].name));
+                    record.line(&format!(
+                        "deployment {deployment}: {} has ended",
+                        daemons[index].name
+                    ));
                     ended[index] = Some(Instant::now());
                 }
                 Some(at) if at.elapsed() >= START_AGAIN => {
-                    record.line(&format!("deployment {deployment}: {} starts again", daemons[index].name));
+                    record.line(&format!(
+                        "deployment {deployment}: {} starts again",
+                        daemons[index].name
+                    ));
                     ended[index] = None;
                     daemons[index].start();
                 }
--- a/review/5/case.rs
+++ b/review/5/case.rs
@@ -123,7 +123,8 @@
                 let bytes = client::plain_request("POST", "/book/1", &id, DEADLINE_MS, b"{}");
                 record.line(&format!("{id} sent to frontend-{}", daemon + 1));
                 let seen = client::send(address, &bytes, Duration::from_millis(DEADLINE_MS));
-                let (status, text) = (seen.status, String::from_utf8_lossy(&seen.body).into_owned());
+                let (status, text) =
+                    (seen.status, String::from_utf8_lossy(&seen.body).into_owned());
                 record.line(&format!("{id} answered {status} {}", text.trim()));
                 sent.lock().unwrap().push(Sent { id, daemon, at, status });
             }));
--- a/review/build.sh
+++ b/review/build.sh
@@ -6,5 +6,5 @@
 mkdir -p target/review
 for source in review/[0-9]*/case.rs; do
     number=$(basename "$(dirname "$source")")
-    rustc --edition 2024 -C opt-level=2 -A dead_code "$source" -o "target/review/case-$number"
+    rustc --edition 2024 -C opt-level=2 "$source" -o "target/review/case-$number"
 done
--- a/review/lib/client.rs
+++ b/review/lib/client.rs
@@ -48,7 +48,8 @@
 
 /// Bytes of a request to a model.
 pub fn model_request(path: &str, id: &str, deadline_ms: u64, body: &[u8]) -> Vec<u8> {
-    let own = id.bytes().fold(7_u64, |sum, byte| sum.wrapping_mul(31).wrapping_add(u64::from(byte)));
+    let own =
+        id.bytes().fold(7_u64, |sum, byte| sum.wrapping_mul(31).wrapping_add(u64::from(byte)));
     let mut bytes = format!(
         "POST {path} HTTP/1.1\r\nHost: desk.example\r\nRequest-Id: {id}\r\nModel: m\r\n\
          Token-Count: 3000,80\r\nPrefix-Hash: 5c1e07a2:200,{own:x}:2800\r\n\
--- a/review/lib/daemon.rs
+++ b/review/lib/daemon.rs
@@ -16,20 +16,25 @@
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
-pub const SIGHUP: i32 = 1;
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
-pub const SIGCONT: i32 = 18;
-pub const SIGSTOP: i32 = 19;
 
 /// Processes that run; a script ends them before it exits.
 static RUNNING: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
-/// Kills the processes that are left.
+/// Temporary folders of this script.
+static FOLDERS: Mutex<Vec<PathBuf>> = Mutex::new(Vec::new());
+
+/// Kills the processes that are left, and removes the temporary folders unless `KEEP` is set.
 pub fn end_all() {
     for id in RUNNING.lock().unwrap_or_else(PoisonError::into_inner).drain(..) {
         unsafe { kill(id as i32, SIGKILL) };
     }
+    for folder in FOLDERS.lock().unwrap_or_else(PoisonError::into_inner).drain(..) {
+        if std::env::var_os("KEEP").is_none() {
+            fs::remove_dir_all(folder).ok();
+        }
+    }
 }
 
 fn forget(id: u32) {
@@ -95,6 +100,7 @@
 pub fn temporary_folder(name: &str) -> PathBuf {
     let base = std::env::temp_dir().join(format!("ffw-review-{name}-{}", std::process::id()));
     fs::create_dir_all(&base).unwrap_or_else(|error| record::fail(&format!("folder: {error}")));
+    FOLDERS.lock().unwrap_or_else(PoisonError::into_inner).push(base.clone());
     base
 }
 
@@ -122,7 +128,8 @@
         );
         let settings = common.folder.join(format!("{name}.json"));
         let log = common.folder.join(format!("{name}.log"));
-        fs::write(&settings, text).unwrap_or_else(|error| record::fail(&format!("settings: {error}")));
+        fs::write(&settings, text)
+            .unwrap_or_else(|error| record::fail(&format!("settings: {error}")));
         Daemon { name, callers, readiness, peers, settings, log, child: None }
     };
     ports.chunks(3).enumerate().map(build).collect()
@@ -186,15 +193,6 @@
     pub fn is_ready(&self) -> bool {
         is_ready(self.readiness)
     }
-
-    /// A value of `/proc/ID/status`, in kB.
-    pub fn memory_kb(&self, field: &str) -> u64 {
-        let Some(id) = self.id() else { return 0 };
-        let text = fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
-        let line = text.lines().find_map(|line| line.strip_prefix(field)?.strip_prefix(':'));
-        let number = line.and_then(|line| line.split_whitespace().next()?.parse().ok());
-        number.unwrap_or(0)
-    }
 }
 
 /// Whether a readiness address answers 200.
@@ -202,7 +200,8 @@
     let limit = Duration::from_millis(500);
     let Ok(mut connection) = Connection::open(address, limit) else { return false };
     connection.stream.set_read_timeout(Some(limit)).ok();
-    let asked = connection.write(b"GET /api/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    let asked =
+        connection.write(b"GET /api/ready HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
     asked.is_ok() && connection.read_head().ok().flatten().is_some_and(|head| head.status() == 200)
 }
 
--- a/review/lib/engine.rs
+++ b/review/lib/engine.rs
@@ -19,8 +19,6 @@
 pub struct Run {
     pub id: String,
     pub worker: String,
-    pub at: Instant,
-    pub last_event_id: String,
 }
 
 /// What a decode worker does with a request that it runs.
@@ -30,8 +28,6 @@
     Sound,
     /// Runs it, and its answer is lost: the connection stays open without a byte.
     AnswerLost,
-    /// Runs it, and its answer is lost with the connection, before the first byte.
-    AnswerReset,
     /// Answers with bytes that are no events, in small chunks, without end until its caller closes.
     Endless(usize),
 }
@@ -113,15 +109,13 @@
             let fields = [("Request-Id", id), ("Content-Type", "application/json")];
             return connection.write(&answer(200, &fields, body.as_bytes())).ok();
         }
-        let last_event_id = head.get("Last-Event-Id").to_owned();
-        let first = last_event_id.parse().map_or(0, |last: u32| last + 1);
+        let first = head.get("Last-Event-Id").parse().map_or(0, |last: u32| last + 1);
         let at = Instant::now();
-        let run = Run { id: id.to_owned(), worker: self.id.clone(), at, last_event_id };
+        let run = Run { id: id.to_owned(), worker: self.id.clone() };
         self.runs.lock().unwrap().push(run);
         let limit: u64 = head.get("Deadline-Ms").parse().unwrap_or(14_000);
         let kind = habit(request);
         match kind {
-            Habit::AnswerReset => return None,
             Habit::AnswerLost => {
                 // It works on, to the deadline that it was given, or until its caller has left.
                 while at.elapsed() < Duration::from_millis(limit) && !connection.is_closed() {
--- a/review/lib/json.rs
+++ b/review/lib/json.rs
@@ -143,7 +143,8 @@
             b'n' => self.word("null", Value::Null),
             _ => {
                 let begin = self.at;
-                while self.bytes.get(self.at).is_some_and(|byte| b"+-.eE0123456789".contains(byte)) {
+                while self.bytes.get(self.at).is_some_and(|byte| b"+-.eE0123456789".contains(byte))
+                {
                     self.at += 1;
                 }
                 let text = std::str::from_utf8(&self.bytes[begin..self.at]).ok()?;
--- a/review/lib/plain.rs
+++ b/review/lib/plain.rs
@@ -8,7 +8,7 @@
     net::SocketAddr,
     sync::{Arc, Mutex},
     thread,
-    time::{Duration, Instant},
+    time::Duration,
 };
 
 /// A request that a worker began to run, and when.
@@ -16,7 +16,6 @@
 pub struct Run {
     pub id: String,
     pub worker: String,
-    pub at: Instant,
 }
 
 /// A worker. Clones share its state.
@@ -65,7 +64,7 @@
     /// Records that a request begins to run.
     pub fn begin(&self, request: &Request) {
         let (id, worker) = (request.head.get("Request-Id").to_owned(), self.id.clone());
-        self.runs.lock().unwrap().push(Run { id, worker, at: Instant::now() });
+        self.runs.lock().unwrap().push(Run { id, worker });
     }
 
     /// Runs a request for `work` and writes a sound answer.
--- a/review/lib/record.rs
+++ b/review/lib/record.rs
@@ -1,13 +1,7 @@
 //! What a script writes to `record.txt`, and its exit.
 
 use super::daemon;
-use std::{
-    fs::File,
-    io::Write as _,
-    path::Path,
-    sync::Mutex,
-    time::Instant,
-};
+use std::{fs::File, io::Write as _, path::Path, sync::Mutex, time::Instant};
 
 /// The record of a run; times count from its start.
 pub struct Record {
--- a/review/lib/store.rs
+++ b/review/lib/store.rs
@@ -40,8 +40,6 @@
 #[derive(Default)]
 struct State {
     revision: u64,
-    /// History before this revision is gone.
-    kept_from: u64,
     objects: Vec<Object>,
     history: Vec<(Object, bool)>,
 }
@@ -112,19 +110,6 @@
         was_there
     }
 
-    /// Drops the history: a watch from an earlier revision gets 410, waiting ones too.
-    pub fn forget_history(&self) {
-        let mut state = self.state.lock().unwrap();
-        state.revision += 1;
-        state.kept_from = state.revision;
-        state.history.clear();
-    }
-
-    pub fn names(&self, kind: &str) -> Vec<String> {
-        let state = self.state.lock().unwrap();
-        state.objects.iter().filter(|o| o.kind == kind).map(|o| o.name.clone()).collect()
-    }
-
     fn serve(&self, request: &Request, connection: &mut Connection) -> bool {
         if self.is_silent.load(Ordering::SeqCst) {
             while !connection.is_closed() {
@@ -208,10 +193,11 @@
         loop {
             {
                 let state = self.state.lock().unwrap();
-                if since < state.kept_from || since > state.revision {
+                if since > state.revision {
                     return (410, "{}".to_owned());
                 }
-                let new = state.history.iter().filter(|(o, _)| o.revision > since && o.kind == kind);
+                let new =
+                    state.history.iter().filter(|(o, _)| o.revision > since && o.kind == kind);
                 let events: Vec<String> = new
                     .map(|(object, deleted)| {
                         format!("{{\"deleted\":{deleted},\"object\":{}}}", object.json())
