--- a/crates/ffw-control/tests/config_from_peer.rs
+++ b/crates/ffw-control/tests/config_from_peer.rs
@@ -13,7 +13,7 @@
     ffw_decide::baseline::Policy,
     ffw_peer::{handshake::Secret, link::PeerConnections, server},
     ffw_protocol::config::Version,
-    ffw_runtime::{executor, timer},
+    ffw_runtime::{executor, listener::Tracker, timer},
     smol::{
         io::{AsyncReadExt as _, AsyncWriteExt as _},
         net::{TcpListener, TcpStream},
@@ -103,7 +103,12 @@
 async fn serve(daemon: &Arc<Daemon>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
-    executor::detach(server::serve(listener, secret(), calls::handlers(daemon)));
+    executor::detach(server::serve(
+        listener,
+        secret(),
+        calls::handlers(daemon),
+        Tracker::default(),
+    ));
     address
 }
 
--- a/crates/ffw-control/tests/evidence.rs
+++ b/crates/ffw-control/tests/evidence.rs
@@ -18,7 +18,7 @@
         quarantine::Prompt,
         time::Moment,
     },
-    ffw_runtime::{executor, timer},
+    ffw_runtime::{executor, listener::Tracker, timer},
     smol::net::TcpListener,
     std::{
         net::SocketAddr,
@@ -80,7 +80,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
     let secret = Secret::new("a-shared-key-for-tests");
-    executor::detach(server::serve(listener, secret, calls::handlers(&daemon)));
+    executor::detach(server::serve(listener, secret, calls::handlers(&daemon), Tracker::default()));
     executor::detach(quarantine::run(daemon.clone()));
     let instance = Instance {
         name: name.into(),
--- a/crates/ffw-entry/src/entry.rs
+++ b/crates/ffw-entry/src/entry.rs
@@ -10,8 +10,9 @@
     },
     ffw_control::daemon::Daemon,
     ffw_decide::retry::Allowance,
-    ffw_http::server::{self, CallerConnection, Handle, Limits},
+    ffw_http::server::{self, CallerConnection, Limits},
     ffw_protocol::error::Result,
+    ffw_runtime::listener::Tracker,
     http_types::{Request, Response},
     log::{debug, info},
     smol::net::TcpListener,
@@ -27,23 +28,23 @@
     pub limits: Limits,
     /// Limits the open requests of each workspace.
     pub limiter: Limiter,
-    /// Stops the listener, and shows whether it is stopping.
-    pub handle: Handle,
+    /// Callers' connections; closed when no further one is let in.
+    pub callers: Tracker,
     retry_budget: Mutex<Allowance>,
 }
 
 impl Entry {
     /// Creates an entry; [`Entry::serve`] starts it.
     pub fn new(daemon: Arc<Daemon>, limits: Limits) -> Arc<Entry> {
-        let (limiter, handle) = (Limiter::default(), Handle::default());
-        Arc::new(Entry { daemon, limits, limiter, handle, retry_budget: Mutex::default() })
+        let (limiter, callers) = (Limiter::default(), Tracker::default());
+        Arc::new(Entry { daemon, limits, limiter, callers, retry_budget: Mutex::default() })
     }
 
-    /// Serves callers until the handle is stopped.
+    /// Serves callers until their tracker is closed.
     pub async fn serve(self: Arc<Entry>, listener: TcpListener) {
-        let (limits, handle) = (self.limits, self.handle.clone());
+        let (limits, callers) = (self.limits, self.callers.clone());
         let handler = move |request, caller| self.clone().handle(request, caller);
-        server::serve(listener, limits, handle, handler).await;
+        server::serve(listener, limits, callers, handler).await;
     }
 
     /// The retry budget shared by all requests of this daemon.
--- a/crates/ffw-entry/src/filter/authenticate.rs
+++ b/crates/ffw-entry/src/filter/authenticate.rs
@@ -18,7 +18,7 @@
 /// [`Kind::NotReady`] before it has a configuration, [`Kind::Unauthenticated`] if the key is
 /// missing or unknown.
 pub fn apply(entry: &Arc<Entry>, exchange: &mut Exchange) -> Result<()> {
-    if entry.daemon.is_draining() && entry.handle.is_stopping() {
+    if entry.daemon.is_draining() && entry.callers.is_closed() {
         return Err(Error::new(Kind::Draining, "this instance is shutting down"));
     }
     let Some(snapshot) = entry.daemon.view.config() else {
--- a/crates/ffw-entry/src/health.rs
+++ b/crates/ffw-entry/src/health.rs
@@ -3,19 +3,20 @@
 
 use {
     ffw_control::{burn, daemon::Daemon},
-    ffw_http::server::{self, CallerConnection, Handle, Limits},
+    ffw_http::server::{self, CallerConnection, Limits},
+    ffw_runtime::listener::Tracker,
     http_types::{Request, Response},
     smol::net::TcpListener,
     std::sync::Arc,
 };
 
-/// Serves health requests until `handle` is stopped.
-pub async fn serve(daemon: Arc<Daemon>, listener: TcpListener, handle: Handle) {
+/// Serves health requests until the tracker is closed.
+pub async fn serve(daemon: Arc<Daemon>, listener: TcpListener, tracker: Tracker) {
     let handler = move |request: Request, _: CallerConnection| {
         let response = answer(&daemon, request.url().path());
         async move { response }
     };
-    server::serve(listener, Limits::default(), handle, handler).await;
+    server::serve(listener, Limits::default(), tracker, handler).await;
 }
 
 fn answer(daemon: &Daemon, path: &str) -> Response {
--- a/crates/ffw-http/src/connection.rs
+++ b/crates/ffw-http/src/connection.rs
@@ -303,6 +303,14 @@
         }
     }
 
+    /// Closes the connection after a whole response. Lingers for at most `limit` if the other side
+    /// has sent more already.
+    pub async fn close(self, limit: Duration) {
+        if !self.is_reusable().await {
+            self.linger(limit).await;
+        }
+    }
+
     /// Closes the sending half, then reads and discards what the other side still sends, for at
     /// most `limit`. Closing a socket with unread bytes sends a TCP reset, which can destroy the
     /// response before the other side has read it.
--- a/crates/ffw-http/src/server.rs
+++ b/crates/ffw-http/src/server.rs
@@ -1,27 +1,24 @@
 //! A server loop with limits on the time of each step, the size of bodies and the number of
 //! connections, so that slow or silent callers can't occupy a server.
 //!
-//! After [`Handle::stop`] no further request is accepted; those in flight are answered completely.
+//! After [`Tracker::close`] no further connection is accepted. Requests that are in flight then, or
+//! under way on an open connection, are answered completely.
 
 use {
     ffw_protocol::error::{Error, Kind},
-    ffw_runtime::{executor, timer},
+    ffw_runtime::{
+        listener::{self, Tracker},
+        timer,
+    },
     futures_lite::{AsyncRead, AsyncReadExt as _, AsyncWriteExt as _},
     http_types::{Body, Method, Request, Response, StatusCode},
     log::debug,
-    smol::{
-        channel::{self, Receiver, Sender},
-        net::{TcpListener, TcpStream},
-    },
+    smol::net::{TcpListener, TcpStream},
     std::{
         future::Future,
         io,
         net::{Shutdown, SocketAddr},
-        sync::{
-            Arc,
-            atomic::{AtomicUsize, Ordering},
-        },
-        time::Duration,
+        time::{Duration, Instant},
     },
 };
 
@@ -32,8 +29,8 @@
 /// end.
 const CLOSE_CHECK_PAUSE: Duration = Duration::from_millis(50);
 
-/// Pause after a failed `accept`, for example because no file descriptor is free.
-const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Time for which an idle connection is kept open after the tracker was closed.
+const CLOSING_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Time and bytes for which the unread rest of a request is read and discarded after the response.
 const LINGER_TIME: Duration = Duration::from_secs(2);
@@ -87,66 +84,6 @@
     }
 }
 
-/// Stops a running server and counts its connections and requests.
-#[derive(Clone, Debug)]
-pub struct Handle {
-    stop: Sender<()>,
-    stopped: Receiver<()>,
-    open_connections: Arc<AtomicUsize>,
-    requests_in_flight: Arc<AtomicUsize>,
-}
-
-impl Default for Handle {
-    fn default() -> Handle {
-        let (stop, stopped) = channel::bounded(1);
-        Handle {
-            stop,
-            stopped,
-            open_connections: Arc::default(),
-            requests_in_flight: Arc::default(),
-        }
-    }
-}
-
-impl Handle {
-    /// Accepts no further connections or requests; requests in flight are answered completely.
-    pub fn stop(&self) {
-        self.stop.close();
-    }
-
-    /// Whether [`Handle::stop`] was called.
-    pub fn is_stopping(&self) -> bool {
-        self.stop.is_closed()
-    }
-
-    /// Waits until [`Handle::stop`] is called; returns `None`, for use in a race.
-    async fn stopped<T>(&self) -> Option<T> {
-        self.stopped.recv().await.ok();
-        None
-    }
-
-    /// Number of requests whose response is not completely written.
-    pub fn in_flight(&self) -> usize {
-        self.requests_in_flight.load(Ordering::SeqCst)
-    }
-}
-
-/// Increments a counter, and decrements it on drop.
-struct CountGuard(Arc<AtomicUsize>);
-
-impl CountGuard {
-    fn new(counter: &Arc<AtomicUsize>) -> CountGuard {
-        counter.fetch_add(1, Ordering::SeqCst);
-        CountGuard(counter.clone())
-    }
-}
-
-impl Drop for CountGuard {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::SeqCst);
-    }
-}
-
 /// Binds a listener.
 ///
 /// # Errors
@@ -155,44 +92,48 @@
     TcpListener::bind(address).await
 }
 
-/// Accepts connections until [`Handle::stop`], and answers each request with the response of
-/// `handler`.
-pub async fn serve<F, Fut>(listener: TcpListener, limits: Limits, handle: Handle, handler: F)
+/// Accepts connections until the tracker is closed, and answers each request with the response of
+/// `handler`. Connections that were let in before are served to their end.
+pub async fn serve<F, Fut>(listener: TcpListener, limits: Limits, tracker: Tracker, handler: F)
 where
     F: Fn(Request, CallerConnection) -> Fut + Clone + Send + Sync + 'static,
     Fut: Future<Output = Response> + Send + 'static,
 {
-    while !handle.is_stopping() {
-        let accepting = async { Some(listener.accept().await) };
-        let stream = match smol::future::or(accepting, handle.stopped()).await {
-            None => return,
-            Some(Ok((stream, _))) => stream,
-            Some(Err(err)) => {
-                debug!("event=accept_failed error={err}");
-                timer::sleep(ACCEPT_PAUSE).await;
-                continue;
-            }
-        };
-        if handle.open_connections.load(Ordering::SeqCst) >= limits.connections_max {
+    listener::accept(listener, "http", &tracker, |stream, token| {
+        // The listener's own token counts as one.
+        if tracker.open() > limits.connections_max + 1 {
             debug!("event=connection_refused cause=too_many_connections");
-            continue;
+            return;
         }
         stream.set_nodelay(true).ok();
-        let (handle, handler) = (handle.clone(), handler.clone());
-        let open_guard = CountGuard::new(&handle.open_connections);
-        executor::detach(async move {
-            let _open_guard = open_guard;
-            if let Err(err) = serve_connection(stream, limits, &handle, handler).await {
+        let (tracker, handler) = (tracker.clone(), handler.clone());
+        listener::detach_with(token, async move {
+            if let Err(err) = serve_connection(stream, limits, &tracker, handler).await {
                 debug!("event=connection_ended error={err}");
             }
         });
-    }
+    })
+    .await;
+}
+
+/// Waits for the first byte of a request; returns whether one arrived in time. After the tracker
+/// was closed, a caller may still have sent a request that is under way.
+async fn wait_for_request(stream: &TcpStream, limit: Duration, tracker: &Tracker) -> bool {
+    let mut byte = [0];
+    let arriving = async { matches!(stream.peek(&mut byte).await, Ok(1)) };
+    let closing = async {
+        tracker.closed().await;
+        timer::sleep(CLOSING_IDLE_TIMEOUT).await;
+        false
+    };
+    let waiting = smol::future::or(arriving, closing);
+    timer::timeout(limit, waiting).await.unwrap_or(false)
 }
 
 async fn serve_connection<F, Fut>(
     stream: TcpStream,
     limits: Limits,
-    handle: &Handle,
+    tracker: &Tracker,
     handler: F,
 ) -> io::Result<()>
 where
@@ -200,20 +141,21 @@
     Fut: Future<Output = Response>,
 {
     loop {
+        let idle_since = Instant::now();
+        if !wait_for_request(&stream, limits.head_timeout, tracker).await {
+            return Ok(());
+        }
+        let head_time_left = limits.head_timeout.saturating_sub(idle_since.elapsed());
         let decoding = async_h1::server::decode(stream.clone());
-        let decoding = smol::future::or(async { Some(decoding.await) }, handle.stopped());
-        let (request, mut rest) =
-            match timer::timeout(limits.head_timeout, decoding).await.flatten() {
-                None | Some(Ok(None)) => return Ok(()),
-                Some(Ok(Some(parts))) => parts,
-                Some(Err(err)) => {
-                    let error =
-                        Error::new(Kind::Malformed, format!("the request can't be parsed: {err}"));
-                    return write_answer(&stream, error_response(&error), Method::Get, &limits)
-                        .await;
-                }
-            };
-        let _in_flight = CountGuard::new(&handle.requests_in_flight);
+        let (request, mut rest) = match timer::timeout(head_time_left, decoding).await {
+            None | Some(Ok(None)) => return Ok(()),
+            Some(Ok(Some(parts))) => parts,
+            Some(Err(err)) => {
+                let error =
+                    Error::new(Kind::Malformed, format!("the request can't be parsed: {err}"));
+                return write_answer(&stream, error_response(&error), Method::Get, &limits).await;
+            }
+        };
         let method = request.method();
         let keep_alive = !request
             .header("connection")
@@ -224,7 +166,7 @@
             timer::timeout(Duration::from_millis(1), rest.read(&mut scratch)).await,
             Some(Ok(0))
         );
-        let keep_alive = keep_alive && body_read && !handle.is_stopping();
+        let keep_alive = keep_alive && body_read && !tracker.is_closed();
         if !keep_alive {
             response.insert_header("connection", "close");
         }
--- a/crates/ffw-operator/src/server.rs
+++ b/crates/ffw-operator/src/server.rs
@@ -2,12 +2,18 @@
 
 use {
     crate::{generated::operator_server::OperatorServer, service::Service},
-    ffw_runtime::{executor, timer},
+    ffw_runtime::{
+        executor,
+        listener::{self, Tracker},
+    },
     hyper::{Request, body::Incoming, server::conn::http2::Builder, service::service_fn},
-    log::{debug, warn},
-    smol::net::{TcpListener, TcpStream},
+    log::debug,
+    smol::{
+        future,
+        net::{TcpListener, TcpStream},
+    },
     smol_hyper::rt::{FuturesIo, SmolTimer},
-    std::{future::Future, time::Duration},
+    std::{future::Future, pin::pin, time::Duration},
     tower::Service as _,
 };
 
@@ -29,29 +35,38 @@
     }
 }
 
-/// Accepts and serves operators' connections; never returns. A failed `accept` is logged and tried
-/// again after a pause.
-pub async fn serve(listener: TcpListener, service: Service) {
+/// Accepts and serves operators' connections until the tracker is closed. Calls that were received
+/// until then are answered.
+pub async fn serve(listener: TcpListener, service: Service, tracker: Tracker) {
     let server = OperatorServer::new(service);
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => executor::detach(serve_connection(stream, server.clone())),
-            Err(err) => {
-                warn!("event=operator_accept_failed error={err}");
-                timer::sleep(Duration::from_millis(50)).await;
-            }
-        }
-    }
+    listener::accept(listener, "operators", &tracker, |stream, token| {
+        let served = serve_connection(stream, server.clone(), tracker.clone());
+        listener::detach_with(token, served);
+    })
+    .await;
 }
 
-async fn serve_connection(stream: TcpStream, server: OperatorServer<Service>) {
+async fn serve_connection(stream: TcpStream, server: OperatorServer<Service>, tracker: Tracker) {
     let handler = service_fn(move |request: Request<Incoming>| server.clone().call(request));
-    let served = Builder::new(Spawner)
-        .timer(SmolTimer::new())
-        .keep_alive_interval(KEEP_ALIVE_PERIOD)
-        .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
-        .serve_connection(FuturesIo::new(stream), handler);
-    if let Err(err) = served.await {
+    let mut serving = pin!(
+        Builder::new(Spawner)
+            .timer(SmolTimer::new())
+            .keep_alive_interval(KEEP_ALIVE_PERIOD)
+            .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
+            .serve_connection(FuturesIo::new(stream), handler)
+    );
+    let closed = async {
+        tracker.closed().await;
+        None
+    };
+    let served = match future::or(async { Some(serving.as_mut().await) }, closed).await {
+        Some(served) => served,
+        None => {
+            serving.as_mut().graceful_shutdown();
+            serving.await
+        }
+    };
+    if let Err(err) = served {
         debug!("event=operator_connection_ended error={err}");
     }
 }
--- a/crates/ffw-peer/src/server.rs
+++ b/crates/ffw-peer/src/server.rs
@@ -8,14 +8,17 @@
     },
     async_compat::Compat,
     ffw_runtime::{
-        executor,
+        listener::{self, Tracker},
         meter::{Metered, Wire},
         timer,
     },
-    futures_lite::StreamExt as _,
+    futures_lite::{Stream, StreamExt as _, future},
     log::warn,
     smol::net::{TcpListener, TcpStream},
-    std::time::Duration,
+    std::{
+        pin::{Pin, pin},
+        time::Duration,
+    },
     tarpc::{
         server::{BaseChannel, Channel as _},
         tokio_serde::formats::Bincode,
@@ -26,26 +29,24 @@
 /// Time within which the handshake of a connection must finish.
 const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Time in which the last answers of a connection are written after their calls have ended.
+const FLUSH_TIME: Duration = Duration::from_millis(20);
+
 /// Largest message between daemons.
 pub(crate) const MAX_FRAME_BYTES: usize = 4 << 20;
 
-/// Serves peers; never returns. A failed accept is logged and retried after 50 ms.
-pub async fn serve(listener: TcpListener, secret: Secret, handlers: Handlers) {
+/// Serves peers until the tracker is closed. Calls that are being handled then are answered; later
+/// ones are not handled, and the connections close.
+pub async fn serve(listener: TcpListener, secret: Secret, handlers: Handlers, tracker: Tracker) {
     let service = PeerService::new(handlers);
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                executor::detach(serve_peer(stream, secret.clone(), service.clone()));
-            }
-            Err(err) => {
-                warn!("event=peer_accept_failed error={err}");
-                timer::sleep(Duration::from_millis(50)).await;
-            }
-        }
-    }
+    listener::accept(listener, "peers", &tracker, |stream, token| {
+        let served = serve_peer(stream, secret.clone(), service.clone(), tracker.clone());
+        listener::detach_with(token, served);
+    })
+    .await;
 }
 
-async fn serve_peer(mut stream: TcpStream, secret: Secret, service: PeerService) {
+async fn serve_peer(mut stream: TcpStream, secret: Secret, service: PeerService, tracker: Tracker) {
     stream.set_nodelay(true).ok();
     let authentication = handshake::authenticate(&mut stream, &secret, Side::Server);
     match timer::timeout(HANDSHAKE_TIMEOUT, authentication).await {
@@ -57,12 +58,35 @@
     let transport = tarpc::serde_transport::new(framed, Bincode::default());
     let channel = BaseChannel::with_defaults(transport);
     let serving = async move {
-        let mut calls = Box::pin(channel.execute(service.serve()));
+        let calls = pin!(channel.execute(service.serve()));
+        serve_calls(calls, &tracker).await;
+    };
+    Compat::new(serving).await;
+}
+
+/// Handles the calls of a connection until it ends. Once the tracker is closed, waits for the calls
+/// that are being handled, and for their answers to be written.
+async fn serve_calls<F>(mut calls: Pin<&mut impl Stream<Item = F>>, tracker: &Tracker)
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let running = Tracker::default();
+    let handling = async {
         while let Some(call) = calls.next().await {
-            executor::detach(Compat::new(call));
+            if let Some(token) = running.token() {
+                listener::detach_with(token, Compat::new(call));
+            }
         }
     };
-    Compat::new(serving).await;
+    future::or(handling, tracker.closed()).await;
+    running.close();
+    // Reading the stream of calls is what writes the answers.
+    let writing = async { while calls.next().await.is_some() {} };
+    let answered = async {
+        running.drained().await;
+        timer::sleep(FLUSH_TIME).await;
+    };
+    future::or(writing, answered).await;
 }
 
 pub(crate) fn codec() -> LengthDelimitedCodec {
--- a/crates/ffw-route/src/caller.rs
+++ b/crates/ffw-route/src/caller.rs
@@ -10,7 +10,7 @@
         dialect::RequestInfo,
         plain,
         response::{self, Persistence},
-        router::{CounterGuard, Router},
+        router::{CounterGuard, INGRESS_DRAIN_TIME, Router},
         stream,
     },
     ffw_control::{
@@ -41,6 +41,10 @@
 /// Time for which an idle connection is kept open after the daemon has begun to shut down.
 const DRAINING_IDLE_TIMEOUT: Duration = Duration::from_millis(2_500);
 
+/// Time for which a connection may stay idle once the listener is closed. A caller that connected
+/// just before sends its request at once.
+const CLOSED_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Longest time for which the unread rest of a request is read and discarded before its
 /// connection is closed.
 const DISCARD_TIME: Duration = Duration::from_secs(2);
@@ -119,7 +123,8 @@
         let _in_flight = router.begin_request();
         match serve_request(&router, &mut caller, head).await {
             Disposition::Keep => {}
-            Disposition::Close => return,
+            Disposition::Close => return caller.close(DISCARD_TIME).await,
+            Disposition::Cut => return,
             Disposition::Unread => return caller.linger(DISCARD_TIME).await,
         }
     }
@@ -128,7 +133,10 @@
 /// What happens to a connection after a request.
 enum Disposition {
     Keep,
+    /// The caller has got a whole response.
     Close,
+    /// The caller must not take the response for complete, or has left.
+    Cut,
     /// The request was not read to its end: the rest is read and discarded, then the
     /// connection is closed.
     Unread,
@@ -173,7 +181,10 @@
             Some(readable) => return readable.is_ok(),
             None if router.daemon.is_draining() => {
                 let since = *draining_since.get_or_insert_with(Instant::now);
-                if since.elapsed() >= DRAINING_IDLE_TIMEOUT {
+                let is_closed = router.daemon.draining_for() >= INGRESS_DRAIN_TIME;
+                if since.elapsed() >= DRAINING_IDLE_TIMEOUT
+                    || is_closed && started_at.elapsed() >= CLOSED_IDLE_TIMEOUT
+                {
                     return false;
                 }
             }
@@ -223,7 +234,8 @@
     request.record_outcome(router, outcome);
     match end {
         stream::Outcome::Complete(Persistence::Keep) => Disposition::Keep,
-        stream::Outcome::Complete(Persistence::Close) | stream::Outcome::Cut => Disposition::Close,
+        stream::Outcome::Complete(Persistence::Close) => Disposition::Close,
+        stream::Outcome::Cut => Disposition::Cut,
         stream::Outcome::Failed(error) => refuse(router, caller, &head, &error, true).await,
     }
 }
@@ -251,7 +263,7 @@
     match served {
         None => {
             debug!("event=caller_gone request={}", request.request_info.id);
-            Disposition::Close
+            Disposition::Cut
         }
         Some(Err(error)) => refuse(router, caller, head, &error, true).await,
         Some(Ok(served)) => {
@@ -266,10 +278,10 @@
 }
 
 fn disposition(is_written: bool, persistence: Persistence) -> Disposition {
-    if is_written && persistence == Persistence::Keep {
-        Disposition::Keep
-    } else {
-        Disposition::Close
+    match persistence {
+        _ if !is_written => Disposition::Cut,
+        Persistence::Keep => Disposition::Keep,
+        Persistence::Close => Disposition::Close,
     }
 }
 
--- a/crates/ffw-route/src/server.rs
+++ b/crates/ffw-route/src/server.rs
@@ -5,85 +5,67 @@
     crate::{
         caller,
         response::{self, Persistence},
-        router::{INGRESS_DRAIN_TIME, Router},
+        router::Router,
     },
     ffw_control::burn,
     ffw_http::{connection::Connection, message::Response},
-    ffw_runtime::{executor, meter::Wire, timer},
+    ffw_runtime::{
+        listener::{self, Tracker},
+        meter::Wire,
+        timer,
+    },
     log::{debug, warn},
     smol::net::TcpListener,
-    std::{
-        sync::{
-            Arc,
-            atomic::{AtomicUsize, Ordering},
-        },
-        time::Duration,
-    },
+    std::{sync::Arc, time::Duration},
 };
 
 /// Time after which unacknowledged bytes break a connection.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Period at which the listener checks whether the daemon shuts down.
-const ACCEPT_POLL_PERIOD: Duration = Duration::from_millis(500);
-
-/// Time after a failed accept before the next one. Accepting fails, for example, while the process
-/// has no free file descriptor.
-const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
-
 /// Largest head of a request of the platform, in bytes.
 const PLATFORM_HEAD_BYTES_MAX: usize = 8 << 10;
 
 /// Time for which a connection of the platform may stay idle.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Accepts connections of callers until [`INGRESS_DRAIN_TIME`] after the daemon has begun to shut
-/// down. Connections that are open then are still served.
-pub async fn serve(router: Arc<Router>, listener: TcpListener) {
-    let open_connections = Arc::new(AtomicUsize::new(0));
-    while router.daemon.draining_for() < INGRESS_DRAIN_TIME {
-        let stream = match timer::timeout(ACCEPT_POLL_PERIOD, listener.accept()).await {
-            None => continue,
-            Some(Ok((stream, _))) => stream,
-            Some(Err(err)) => {
-                warn!("event=accept_failed error=\"{err}\"");
-                timer::sleep(ACCEPT_RETRY_DELAY).await;
-                continue;
-            }
-        };
-        if open_connections.load(Ordering::SeqCst) >= router.limits().connections_max {
+/// Time after the tracker was closed in which a request of the platform is still answered.
+const CLOSING_TIMEOUT: Duration = Duration::from_millis(20);
+
+/// Accepts connections of callers until their tracker is closed. Connections that are open then are
+/// still served.
+pub async fn serve(router: Arc<Router>, listener: TcpListener, tracker: Tracker) {
+    listener::accept(listener, "callers", &tracker, |stream, token| {
+        // The listener's own token counts as one.
+        if tracker.open() > router.limits().connections_max + 1 {
             warn!("event=connection_refused cause=too_many_connections");
-            continue;
+            return;
         }
-        let (router, open_connections) = (router.clone(), open_connections.clone());
-        open_connections.fetch_add(1, Ordering::SeqCst);
-        router.daemon.metrics.routed.callers.inc();
-        executor::detach(async move {
-            caller::serve(
-                router.clone(),
-                Connection::new(stream, Wire::Request, UNACKNOWLEDGED_TIMEOUT),
-            )
-            .await;
-            router.daemon.metrics.routed.callers.dec();
-            open_connections.fetch_sub(1, Ordering::SeqCst);
-        });
-    }
+        let connection = Connection::new(stream, Wire::Request, UNACKNOWLEDGED_TIMEOUT);
+        listener::detach_with(token, serve_caller(router.clone(), connection));
+    })
+    .await;
 }
 
-/// Answers the platform's requests for readiness and for metrics; never returns.
-pub async fn serve_readiness(router: Arc<Router>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                let connection = Connection::new(stream, Wire::Report, UNACKNOWLEDGED_TIMEOUT);
-                executor::detach(serve_platform(router.clone(), connection));
-            }
-            Err(err) => {
-                warn!("event=accept_failed error=\"{err}\"");
-                timer::sleep(ACCEPT_RETRY_DELAY).await;
-            }
-        }
-    }
+async fn serve_caller(router: Arc<Router>, connection: Connection) {
+    router.daemon.metrics.routed.callers.inc();
+    caller::serve(router.clone(), connection).await;
+    router.daemon.metrics.routed.callers.dec();
+}
+
+/// Answers the platform's requests for readiness and for metrics until the tracker is closed.
+pub async fn serve_readiness(router: Arc<Router>, listener: TcpListener, tracker: Tracker) {
+    listener::accept(listener, "readiness", &tracker, |stream, token| {
+        let connection = Connection::new(stream, Wire::Report, UNACKNOWLEDGED_TIMEOUT);
+        let (router, tracker) = (router.clone(), tracker.clone());
+        listener::detach_with(token, async move {
+            let closed = async {
+                tracker.closed().await;
+                timer::sleep(CLOSING_TIMEOUT).await;
+            };
+            smol::future::or(serve_platform(router, connection), closed).await;
+        });
+    })
+    .await;
 }
 
 async fn serve_platform(router: Arc<Router>, mut connection: Connection) {
--- a/crates/ffw-runtime/src/lib.rs
+++ b/crates/ffw-runtime/src/lib.rs
@@ -1,7 +1,9 @@
-//! Runtime of a daemon: the executor, timers, clocks, signals, and the byte counts of connections.
+//! Runtime of a daemon: the executor, timers, clocks, signals, listeners, and the byte counts of
+//! connections.
 
 pub mod clock;
 pub mod executor;
+pub mod listener;
 pub mod meter;
 pub mod shutdown;
 pub mod timer;
--- a/crates/ffw-soak/src/daemon.rs
+++ b/crates/ffw-soak/src/daemon.rs
@@ -5,7 +5,7 @@
     crate::wire,
     eyre::{Result, WrapErr as _},
     rustix::process::{Pid, Signal, kill_process},
-    serde_json::json,
+    serde_json::{Value, json},
     std::{
         fs::{self, File},
         net::SocketAddr,
@@ -88,6 +88,16 @@
         Ok(Daemon { name, caller_address, readiness_address, settings, log, child: None })
     }
 
+    /// Changes the settings file; a running process reads it again within seconds, or on SIGHUP.
+    ///
+    /// # Errors
+    /// The settings file can't be read or written.
+    pub fn change_settings(&self, change: impl FnOnce(&mut Value)) -> Result<()> {
+        let mut node_file = serde_json::from_str(&fs::read_to_string(&self.settings)?)?;
+        change(&mut node_file);
+        fs::write(&self.settings, node_file.to_string()).wrap_err("settings")
+    }
+
     /// Starts the process and appends its output to the log file.
     ///
     /// # Errors
--- a/crates/ffw-soak/src/worker.rs
+++ b/crates/ffw-soak/src/worker.rs
@@ -30,7 +30,7 @@
 
 /// Time to prefill a prompt.
 const PREFILL_TIME: Duration = Duration::from_millis(20);
-/// Time to run a plain request.
+/// Time to run a plain request, unless [`Worker::set_plain_time`] sets another one.
 const PLAIN_TIME: Duration = Duration::from_millis(15);
 
 /// Which requests a server runs.
@@ -148,6 +148,8 @@
     /// Whether it closes the connection before the end of a response: without any response to a
     /// plain request, and as soon as more than half of the events of a stream are sent.
     pub aborts_responses: Arc<AtomicBool>,
+    /// Time to run a plain request.
+    plain_time: Arc<Mutex<Duration>>,
     /// Requests a second that it states to take from all daemons together, as text; `None` if it
     /// states no limit.
     rate_limit: Arc<Mutex<Option<String>>>,
@@ -179,6 +181,7 @@
             address,
             is_full: Arc::default(),
             aborts_responses: Arc::default(),
+            plain_time: Arc::new(Mutex::new(PLAIN_TIME)),
             rate_limit: Arc::default(),
             arrivals: Arc::default(),
             listener: listener.clone(),
@@ -193,6 +196,11 @@
         Ok(worker)
     }
 
+    /// Sets the time to run a plain request.
+    pub fn set_plain_time(&self, time: Duration) {
+        *self.plain_time.lock().unwrap_or_else(PoisonError::into_inner) = time;
+    }
+
     /// States a rate limit in each response from now on, or none.
     pub fn set_rate_limit(&self, per_s: Option<f64>) {
         let text = per_s.map(|per_s| per_s.to_string());
@@ -301,7 +309,8 @@
     }
 
     async fn run_plain(self, mut exchange: Exchange, head: Response, id: &str) -> Option<Exchange> {
-        timer::sleep(PLAIN_TIME).await;
+        let time = *self.plain_time.lock().unwrap_or_else(PoisonError::into_inner);
+        timer::sleep(time).await;
         if self.aborts_responses.load(Ordering::SeqCst) {
             return None;
         }
--- a/crates/ffw-standin/src/engine.rs
+++ b/crates/ffw-standin/src/engine.rs
@@ -8,12 +8,12 @@
 use {
     crate::handler,
     ffw_backend::engine::{CacheEvent, Completion, HeldRequest, Load, Loaded, Order},
-    ffw_http::server::{self, CallerConnection, Handle, Limits},
+    ffw_http::server::{self, CallerConnection, Limits},
     ffw_protocol::{
         error::{Error, Kind},
         instance::Role,
     },
-    ffw_runtime::{executor, timer},
+    ffw_runtime::{executor, listener::Tracker, timer},
     http_types::{Method, Request, Response},
     serde::{Deserialize, Serialize},
     serde_json::json,
@@ -161,15 +161,15 @@
         }
     }
 
-    /// Serves until the handle stops.
-    pub async fn serve(self, listener: TcpListener, handle: Handle) {
+    /// Serves until the tracker is closed.
+    pub async fn serve(self, listener: TcpListener, tracker: Tracker) {
         let engine = self.clone();
         let _refresh_task = timer::run_periodically(self.settings.report_lag, move || {
             engine.refresh_report();
             async {}
         });
         let handler = move |request, _: CallerConnection| self.clone().handle(request);
-        server::serve(listener, Limits::default(), handle, handler).await;
+        server::serve(listener, Limits::default(), tracker, handler).await;
     }
 
     /// Replaces all injected faults.
--- a/crates/ffw-standin/src/main.rs
+++ b/crates/ffw-standin/src/main.rs
@@ -5,9 +5,10 @@
     eyre::{Result, WrapErr as _, eyre},
     ffw_http::{
         client::{self, Call},
-        server::{self, Handle},
+        server,
     },
     ffw_protocol::instance::{Instance, Role, State},
+    ffw_runtime::listener::Tracker,
     ffw_standin::{
         caller::{Completion, Plain},
         engine::{self, Engine},
@@ -100,11 +101,11 @@
     match name {
         "platform" => {
             let listener = server::bind(required(matches, "listen")?).await?;
-            platform::Platform::default().serve(listener, Handle::default()).await;
+            platform::Platform::default().serve(listener, Tracker::default()).await;
         }
         "plain" => {
             let listener = server::bind(required(matches, "listen")?).await?;
-            plain::Plain::default().serve(listener, Handle::default()).await;
+            plain::Plain::default().serve(listener, Tracker::default()).await;
         }
         "engine" => run_engine(matches).await?,
         "instance" => put_instance(matches).await?,
@@ -131,7 +132,7 @@
         ..engine::Settings::default()
     };
     let listener = server::bind(listen).await?;
-    Engine::new(settings, listen).serve(listener, Handle::default()).await;
+    Engine::new(settings, listen).serve(listener, Tracker::default()).await;
     Ok(())
 }
 
--- a/crates/ffw-standin/src/plain.rs
+++ b/crates/ffw-standin/src/plain.rs
@@ -3,9 +3,9 @@
 
 use {
     crate::handler,
-    ffw_http::server::{self, CallerConnection, Handle, Limits},
+    ffw_http::server::{self, CallerConnection, Limits},
     ffw_protocol::error::Error,
-    ffw_runtime::timer,
+    ffw_runtime::{listener::Tracker, timer},
     http_types::{Method, Request, Response},
     serde::{Deserialize, Serialize},
     serde_json::json,
@@ -48,10 +48,10 @@
 }
 
 impl Plain {
-    /// Serves until the handle stops.
-    pub async fn serve(self, listener: TcpListener, handle: Handle) {
+    /// Serves until the tracker is closed.
+    pub async fn serve(self, listener: TcpListener, tracker: Tracker) {
         let handler = move |request, _: CallerConnection| self.clone().handle(request);
-        server::serve(listener, Limits::default(), handle, handler).await;
+        server::serve(listener, Limits::default(), tracker, handler).await;
     }
 
     /// Replaces all injected faults.
--- a/crates/ffw-standin/src/platform.rs
+++ b/crates/ffw-standin/src/platform.rs
@@ -5,13 +5,13 @@
     crate::handler,
     ffw_http::{
         body::{self, Writer},
-        server::{self, CallerConnection, Handle, Limits},
+        server::{self, CallerConnection, Limits},
     },
     ffw_protocol::{
         error::{Error, Kind},
         instance::Instance,
     },
-    ffw_runtime::{executor, timer},
+    ffw_runtime::{executor, listener::Tracker, timer},
     http_types::{Method, Request, Response},
     serde::{Deserialize, Serialize},
     serde_json::{Value, json},
@@ -184,10 +184,10 @@
 }
 
 impl Platform {
-    /// Serves until the handle stops.
-    pub async fn serve(self, listener: TcpListener, handle: Handle) {
+    /// Serves until the tracker is closed.
+    pub async fn serve(self, listener: TcpListener, tracker: Tracker) {
         let handler = move |request, _: CallerConnection| self.clone().handle(request);
-        server::serve(listener, Limits::default(), handle, handler).await;
+        server::serve(listener, Limits::default(), tracker, handler).await;
     }
 
     /// Replaces all injected faults.
--- a/crates/ffw-support/src/cluster.rs
+++ b/crates/ffw-support/src/cluster.rs
@@ -10,13 +10,13 @@
     daemon::Daemon,
     ffw_http::{
         client::{self, Call},
-        server::{self, Handle},
+        server,
     },
     ffw_protocol::{
         declaration::Deployment,
         instance::{Instance, Role, State},
     },
-    ffw_runtime::{executor, timer},
+    ffw_runtime::{executor, listener::Tracker, timer},
     ffw_standin::{
         caller::{Answer, Completion, Plain as PlainCall},
         engine::{self, Engine},
@@ -97,13 +97,13 @@
     pub address: SocketAddr,
     /// State of the stand-in, shared with its server task.
     pub service: T,
-    handle: Handle,
+    tracker: Tracker,
 }
 
 impl<T> Node<T> {
     /// Closes the listener, so that new connections are refused.
     pub fn stop(&self) {
-        self.handle.stop();
+        self.tracker.close();
     }
 }
 
@@ -135,8 +135,8 @@
     pub async fn start(plan: Plan) -> Cluster {
         let permit = permit::acquire(CORES).await;
         let platform = Platform::default();
-        let node = start_node("platform", platform.clone(), |service, listener, handle| {
-            service.serve(listener, handle)
+        let node = start_node("platform", platform.clone(), |service, listener, tracker| {
+            service.serve(listener, tracker)
         });
         let mut cluster = Cluster {
             platform: node.await,
@@ -176,18 +176,18 @@
         let name: Arc<str> = format!("notes-{kind}-{n}").into();
         let listener = bind().await;
         let address = listener.local_addr().expect("a bound listener");
-        let handle = Handle::default();
+        let tracker = Tracker::default();
         let service = Engine::new(settings, address);
-        executor::detach(service.clone().serve(listener, handle.clone()));
+        executor::detach(service.clone().serve(listener, tracker.clone()));
         self.list(&name, role, address, self.plan.pool);
-        let node = Node { name, address, service, handle };
+        let node = Node { name, address, service, tracker };
         if role == Role::Prefill { self.prefills.push(node) } else { self.decodes.push(node) }
     }
 
     async fn add_plain(&mut self, n: usize) {
         let name = format!("booking-{n}");
-        let node = start_node(&name, Plain::default(), |service, listener, handle| {
-            service.serve(listener, handle)
+        let node = start_node(&name, Plain::default(), |service, listener, tracker| {
+            service.serve(listener, tracker)
         });
         let node = node.await;
         self.list(&node.name, Role::Plain, node.address, "booking");
@@ -337,7 +337,7 @@
 pub async fn start_node<T, Fut>(
     name: &str,
     service: T,
-    serve: impl FnOnce(T, smol::net::TcpListener, Handle) -> Fut,
+    serve: impl FnOnce(T, smol::net::TcpListener, Tracker) -> Fut,
 ) -> Node<T>
 where
     T: Clone,
@@ -345,7 +345,7 @@
 {
     let listener = bind().await;
     let address = listener.local_addr().expect("a bound listener");
-    let handle = Handle::default();
-    executor::detach(serve(service.clone(), listener, handle.clone()));
-    Node { name: name.into(), address, service, handle }
+    let tracker = Tracker::default();
+    executor::detach(serve(service.clone(), listener, tracker.clone()));
+    Node { name: name.into(), address, service, tracker }
 }
--- a/crates/fireflyworks/src/command/route.rs
+++ b/crates/fireflyworks/src/command/route.rs
@@ -23,6 +23,7 @@
     },
     ffw_runtime::{
         executor,
+        listener::Tracker,
         shutdown::{self, Signal},
         timer,
     },
@@ -31,18 +32,15 @@
     },
     log::{LevelFilter, info, warn},
     smol::channel::Receiver,
-    std::{
-        process::ExitCode,
-        sync::Arc,
-        time::{Duration, Instant},
-    },
+    std::{process::ExitCode, sync::Arc, time::Duration},
 };
 
 /// Time by which the process ends before the grace period of the platform is over.
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
 
-/// Period at which a shutdown checks whether requests are still open.
-const POLL_PERIOD: Duration = Duration::from_millis(50);
+/// Longest time that the end of the process waits for the calls of other daemons and of the platform
+/// that are being answered.
+const LAST_CALLS_TIMEOUT: Duration = Duration::from_millis(90);
 
 /// Period at which the settings file is read again without a signal.
 const RELOAD_PERIOD: Duration = Duration::from_secs(5);
@@ -107,10 +105,13 @@
     })?;
     let incarnation = daemon.identity.incarnation;
     info!("event=started instance={} incarnation={incarnation:x}", settings.instance);
-    executor::detach(ffw_peer::server::serve(peers, secret, calls::handlers(&daemon)));
+    let (caller_tracker, call_tracker) = (Tracker::default(), Tracker::default());
+    let handlers = calls::handlers(&daemon);
+    executor::detach(ffw_peer::server::serve(peers, secret, handlers, call_tracker.clone()));
     let store = Arc::new(Store::new(settings.store));
     follow::start(&daemon, &store);
-    executor::detach(announce::announce(store.clone(), daemon.clone(), own_instance(&settings)));
+    let announcing =
+        executor::spawn(announce::announce(store.clone(), daemon.clone(), own_instance(&settings)));
     executor::detach(announce::remove_unreachable_daemons(store.clone(), daemon.clone()));
     executor::detach(relay::run_without_platform(daemon.clone()));
     executor::detach(owner::run_owned_shards(daemon.clone()));
@@ -119,12 +120,14 @@
     executor::detach(router::forget_vanished_servers(router.clone()));
     executor::detach(engine::run_probes(router.clone()));
     executor::detach(roles::run(router.clone(), lease::storage(&store)));
-    executor::detach(server::serve_readiness(router.clone(), readiness));
-    executor::detach(server::serve(router.clone(), callers));
+    executor::detach(server::serve_readiness(router.clone(), readiness, call_tracker.clone()));
+    executor::detach(server::serve(router.clone(), callers, caller_tracker.clone()));
     reload_until_stop(&router, settings.clone(), &signals).await;
-    shut_down(&router).await;
-    announce::remove_entry(&store, &settings.instance).await;
-    info!("event=shutdown_done open={}", router.in_flight());
+    shut_down(&router, &caller_tracker).await;
+    announce::withdraw(&store, &settings.instance, announcing).await;
+    call_tracker.close();
+    let is_answered = timer::timeout(LAST_CALLS_TIMEOUT, call_tracker.drained()).await.is_some();
+    info!("event=shutdown_done open={} calls_answered={is_answered}", router.in_flight());
     Ok(ExitCode::SUCCESS)
 }
 
@@ -188,14 +191,17 @@
 }
 
 /// Reports not ready, serves requests that still arrive for [`router::INGRESS_DRAIN_TIME`], and
-/// then waits for the open requests. Returns at the latest when the grace period is over.
-async fn shut_down(router: &Router) {
+/// then waits until each connection that was let in has ended. Returns at the latest when the grace
+/// period is over. Further signals to stop change nothing.
+async fn shut_down(router: &Router, callers: &Tracker) {
     info!("event=shutdown_begun open={}", router.in_flight());
     router.daemon.drain();
-    let began = Instant::now();
     let grace = router.limits().shutdown_grace;
-    let accept_time = router::INGRESS_DRAIN_TIME.min(grace);
-    while began.elapsed() < accept_time || router.in_flight() > 0 && began.elapsed() < grace {
-        timer::sleep(POLL_PERIOD).await;
+    timer::sleep(router::INGRESS_DRAIN_TIME.min(grace)).await;
+    callers.close();
+    info!("event=listener_closed open={} connections={}", router.in_flight(), callers.open());
+    let time_left = grace.saturating_sub(router.daemon.draining_for());
+    if timer::timeout(time_left, callers.drained()).await.is_none() {
+        warn!("event=shutdown_overdue open={} connections={}", router.in_flight(), callers.open());
     }
 }
--- a/crates/fireflyworks/src/command/serve.rs
+++ b/crates/fireflyworks/src/command/serve.rs
@@ -14,11 +14,12 @@
         ledger, order, owner, quarantine, relay, report, sweep,
     },
     ffw_entry::{entry, health},
-    ffw_http::server::{self, Handle},
+    ffw_http::server,
     ffw_operator::service::Service,
     ffw_peer::{handshake::Secret, link::PeerConnections},
     ffw_runtime::{
         executor,
+        listener::Tracker,
         shutdown::{self, Signal},
         timer,
     },
@@ -41,6 +42,11 @@
 /// Longest time that a shutdown waits until other daemons own its shards.
 const HAND_OVER_TIMEOUT: Duration = Duration::from_secs(3);
 
+/// Longest times that a shutdown waits for the calls of operators, and of other daemons, that are
+/// being answered.
+const OPERATORS_TIMEOUT: Duration = Duration::from_secs(10);
+const PEERS_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Pause between two attempts to bind an address, and between two checks of a condition that a
 /// shutdown waits for.
 const POLL_PERIOD: Duration = Duration::from_millis(50);
@@ -122,22 +128,35 @@
         "event=started instance={} incarnation={:x}",
         settings.instance, daemon.identity.incarnation
     );
-    let peers = ffw_peer::server::serve(listeners.peers, secret, calls::handlers(&daemon));
+    let trackers = Trackers::default();
+    let handlers = calls::handlers(&daemon);
+    let peers = ffw_peer::server::serve(listeners.peers, secret, handlers, trackers.peers.clone());
     executor::detach(peers);
     let operators = Service::new(daemon.clone(), settings.operator_keys.clone());
-    executor::detach(ffw_operator::server::serve(listeners.operators, operators));
-    executor::detach(health::serve(daemon.clone(), listeners.health, Handle::default()));
+    let operators =
+        ffw_operator::server::serve(listeners.operators, operators, trackers.operators.clone());
+    executor::detach(operators);
+    executor::detach(health::serve(daemon.clone(), listeners.health, Tracker::default()));
     start_controllers(&daemon);
     let entry = entry::Entry::new(daemon.clone(), settings.limits);
     executor::detach(entry.clone().serve(listeners.callers));
     wait_for_stop(&signals).await;
-    let forced = async {
-        wait_for_stop(&signals).await;
-        warn!("event=shutdown_forced");
-        ExitCode::FAILURE
+    let repeated = async {
+        loop {
+            wait_for_stop(&signals).await;
+            let open = daemon.open.load(Ordering::SeqCst);
+            info!("event=shutdown_continues cause=repeated_signal open={open}");
+        }
     };
-    let shutting_down = shut_down(&daemon, &entry, settings.drain_lag);
-    Ok(smol::future::or(shutting_down, forced).await)
+    let shutting_down = shut_down(&daemon, &entry, &trackers, settings.drain_lag);
+    Ok(smol::future::or(shutting_down, repeated).await)
+}
+
+/// Connections and calls besides those of callers.
+#[derive(Default)]
+struct Trackers {
+    operators: Tracker,
+    peers: Tracker,
 }
 
 /// Waits for a signal to stop. A reload signal changes nothing, as the flags and environment of a
@@ -159,21 +178,38 @@
 }
 
 /// Reports not ready, closes the callers' listener after `lag`, the time in which load balancers
-/// may still send connections, and waits for every request in flight. Then waits until other
-/// daemons own the shards, and stores the ledger.
-async fn shut_down(daemon: &Arc<Daemon>, entry: &entry::Entry, lag: Duration) -> ExitCode {
+/// may still send connections, and waits for everything that was let in. Then waits until other
+/// daemons own the shards, answers the operators' calls, stores the ledger, and answers the calls
+/// of other daemons. A repeated signal to stop changes nothing, as it may come from a supervisor.
+async fn shut_down(
+    daemon: &Arc<Daemon>,
+    entry: &entry::Entry,
+    trackers: &Trackers,
+    lag: Duration,
+) -> ExitCode {
     info!("event=shutdown_begun open={}", daemon.open.load(Ordering::SeqCst));
     daemon.drain();
     timer::sleep(lag).await;
-    entry.handle.stop();
-    while daemon.open.load(Ordering::SeqCst) > 0 || entry.handle.in_flight() > 0 {
+    entry.callers.close();
+    entry.callers.drained().await;
+    // The task that serves a request may outlive its connection.
+    while daemon.open.load(Ordering::SeqCst) > 0 {
         timer::sleep(POLL_PERIOD).await;
     }
     wait_for_hand_over(daemon).await;
+    trackers.operators.close();
+    let operators = trackers.operators.drained();
+    if timer::timeout(OPERATORS_TIMEOUT, operators).await.is_none() {
+        warn!("event=operators_unanswered connections={}", trackers.operators.open());
+    }
     let began = Instant::now();
     while !ledger::store_all(daemon).await && began.elapsed() < FLUSH_TIMEOUT {
         timer::sleep(POLL_PERIOD * 10).await;
     }
+    trackers.peers.close();
+    if timer::timeout(PEERS_TIMEOUT, trackers.peers.drained()).await.is_none() {
+        warn!("event=peers_unanswered connections={}", trackers.peers.open());
+    }
     info!("event=shutdown_done unstored_records={}", daemon.ledger.unstored());
     ExitCode::SUCCESS
 }
--- a/crates/fireflyworks/tests/leaving.rs
+++ b/crates/fireflyworks/tests/leaving.rs
@@ -133,3 +133,47 @@
         assert_eq!(status.code(), Some(0));
     });
 }
+
+/// A daemon gets SIGTERM again and again while a backend server runs a booking. Supervisors repeat
+/// signals; the booking must be answered all the same.
+#[test]
+fn a_repeated_signal_cuts_off_no_booking() {
+    smol::block_on(async {
+        let mut cluster = Cluster::start(Plan::new(BINARY)).await;
+        let faults = ffw_standin::plain::Faults { work_ms: 1_500, lost_answers: 0 };
+        cluster.plains[0].service.set_faults(faults);
+        let call = cluster.booking(1, "group", Some("key"));
+        let call_task = executor::spawn(async move { call.send().await });
+        for _ in 0..4 {
+            timer::sleep(Duration::from_millis(250)).await;
+            cluster.daemons[1].terminate();
+        }
+        let answer = call_task.await;
+        assert_eq!((answer.status, &*answer.run), (200, "ran"), "{answer:?}");
+        let status = cluster.daemons[1].wait_exit(Duration::from_secs(20)).await;
+        assert_eq!(status.code(), Some(0));
+    });
+}
+
+/// A daemon shuts down, with nothing else to wait for, while it carries out an operator's change
+/// and the platform is slow. Guards against a change that is made and not answered.
+#[test]
+fn an_operators_change_is_answered_before_the_shutdown_ends() {
+    smol::block_on(async {
+        let mut cluster = Cluster::start(Plan::new(BINARY)).await;
+        timer::sleep(Duration::from_secs(1)).await;
+        let slow = platform::Faults { slow_ms: 700, ..platform::Faults::default() };
+        cluster.platform.service.set_faults(slow);
+        let name = cluster.decodes[1].name.clone();
+        let changing = operator::drain(&cluster.daemons[1], &name, 1);
+        let stopping = async {
+            timer::sleep(Duration::from_millis(300)).await;
+            cluster.daemons[1].terminate();
+        };
+        let (reply, ()) = smol::future::zip(changing, stopping).await;
+        assert!(reply.accepted, "{reply:?}");
+        cluster.platform.service.set_faults(platform::Faults::default());
+        let status = cluster.daemons[1].wait_exit(Duration::from_secs(20)).await;
+        assert_eq!(status.code(), Some(0));
+    });
+}
--- /dev/null
+++ b/crates/fireflyworks/tests/shutdown.rs
@@ -0,0 +1,267 @@
+//! The end of a `route` process: SIGTERM while callers connect, book on kept connections and are in
+//! the middle of a request, and while the store answers late.
+//!
+//! Guards against a process that ends while it serves connections that it has let in, so that a
+//! booking runs and its caller gets no answer.
+
+use {
+    ffw_http::{
+        connection::Connection,
+        framing::{Decoder, Framing},
+    },
+    ffw_runtime::{executor, meter::Wire, timer},
+    ffw_soak::{
+        daemon::{self, Daemon},
+        store::Store,
+        worker::{Log, Role, Worker},
+    },
+    ffw_support::permit,
+    rustix::process::Signal,
+    serde_json::json,
+    smol::Task,
+    std::{
+        fs,
+        net::SocketAddr,
+        num::NonZero,
+        path::Path,
+        time::{Duration, Instant},
+    },
+};
+
+/// Processor cores for each run.
+const CORES: NonZero<usize> = NonZero::new(1).expect("not zero");
+
+/// Time after SIGTERM by which the process must have ended.
+const GRACE: Duration = Duration::from_secs(8);
+
+/// Time for which the listener stays open after SIGTERM.
+const LISTEN_TIME: Duration = Duration::from_millis(3_200);
+
+/// Limit on connecting, on each write, and on the time for which bytes stay unacknowledged.
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+struct Fixture {
+    daemon: Daemon,
+    store: Store,
+    server: Worker,
+    log: Log,
+}
+
+/// How a booking ended.
+struct Booking {
+    id: String,
+    /// Status of the response; `None` if the connection ended without a whole one.
+    status: Option<u16>,
+}
+
+impl Fixture {
+    async fn start(name: &str) -> Fixture {
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("shutdown-{name}"));
+        fs::create_dir_all(&folder).expect("a folder");
+        let (store, store_address) = Store::start().await.expect("a store");
+        let configuration = json!({
+            "version": 1,
+            "routes": [{"name": "r", "host": "h", "pathPrefix": "/r/", "type": "non_idempotent",
+                "timeoutMs": 4000, "targetLatencyMs": 100, "priority": 1, "maxAttempts": 1,
+                "service": "app"}],
+            "services": [{"name": "app"}],
+            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1_048_576,
+                "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+        });
+        store.put("config", "main", configuration);
+        let log = Log::default();
+        let server = Worker::start("server", "app", Role::Plain, &log).await.expect("a server");
+        let entry = json!({"service": "app", "address": server.address, "zone": "a",
+            "state": "ready", "slots": 16});
+        store.put("servers", "server", entry);
+        let addresses = daemon::addresses(1).await.expect("addresses")[0];
+        let seeds = [addresses.all[2]];
+        let daemon = Daemon::new(&folder, 0, addresses, &seeds, store_address).expect("settings");
+        let set_grace = |file: &mut serde_json::Value| {
+            file["bounds"]["graceS"] = json!(GRACE.as_secs());
+        };
+        daemon.change_settings(set_grace).expect("settings");
+        Fixture { daemon, store, server, log }
+    }
+
+    fn spawn(&mut self) {
+        let program = Path::new(env!("CARGO_BIN_EXE_fireflyworks"));
+        self.daemon.start(program).expect("a daemon");
+    }
+
+    async fn wait_until_it_serves(&self) {
+        let started_at = Instant::now();
+        while book(self.daemon.caller_address, "first").await.status != Some(200) {
+            assert!(started_at.elapsed() < Duration::from_secs(15), "the daemon does not serve");
+            timer::sleep(Duration::from_millis(50)).await;
+        }
+    }
+
+    /// Books in the background.
+    fn begin_booking(&self, id: &str) -> Task<Booking> {
+        let (address, id) = (self.daemon.caller_address, id.to_owned());
+        executor::spawn(async move { book(address, &id).await })
+    }
+
+    /// Waits until the process ends; returns the time since `since`.
+    async fn wait_for_end(&mut self, since: Instant) -> Duration {
+        loop {
+            if let Some(code) = self.daemon.take_exit_code() {
+                assert_eq!(code, 0, "exit code");
+                return since.elapsed();
+            }
+            assert!(since.elapsed() < GRACE, "the process outlives its grace period");
+            timer::sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    /// Checks that each booking that ran was answered.
+    fn check(&self, bookings: &[Booking]) {
+        let runs = self.log.runs();
+        for booking in bookings.iter().filter(|booking| booking.status.is_none()) {
+            let has_run = runs.iter().any(|run| run.id == booking.id);
+            assert!(!has_run, "{} ran and has no answer", booking.id);
+        }
+    }
+}
+
+async fn book(address: SocketAddr, id: &str) -> Booking {
+    let status = match Connection::open(address, Wire::Request, TIMEOUT, TIMEOUT).await {
+        Ok(mut connection) => book_on(&mut connection, id).await,
+        Err(_) => None,
+    };
+    Booking { id: id.to_owned(), status }
+}
+
+fn request(id: &str) -> String {
+    format!(
+        "POST /r/x HTTP/1.1\r\nHost: h\r\nRequest-Id: {id}\r\nDeadline-Ms: 4000\r\n\
+         Content-Length: 2\r\n\r\nhi"
+    )
+}
+
+async fn book_on(connection: &mut Connection, id: &str) -> Option<u16> {
+    connection.write(request(id).as_bytes(), TIMEOUT).await.ok()?;
+    read_answer(connection).await
+}
+
+async fn read_answer(connection: &mut Connection) -> Option<u16> {
+    let head = timer::timeout(TIMEOUT, connection.read_response(64 << 10)).await?.ok()?;
+    let mut decoder = Decoder::new(Framing::of_response(&head, "POST").ok()?);
+    while connection.read_part(&mut decoder).await.ok()?.is_some() {}
+    Some(head.status)
+}
+
+async fn sleep_until(moment: Instant) {
+    timer::sleep(moment.saturating_duration_since(Instant::now())).await;
+}
+
+/// Nothing is open when the time of the listener is over, the store takes 300 ms to remove the
+/// entry, and callers still connect. Their bookings take longer than the removal.
+#[test]
+fn a_booking_that_comes_when_the_listener_closes_is_answered_or_not_run() {
+    smol::block_on(async {
+        let _permit = permit::acquire(CORES).await;
+        let mut fixture = Fixture::start("late").await;
+        fixture.spawn();
+        fixture.wait_until_it_serves().await;
+        fixture.store.set_response_delay(Duration::from_millis(300));
+        let stopped_at = Instant::now();
+        fixture.daemon.signal(Signal::TERM);
+        sleep_until(stopped_at + LISTEN_TIME - Duration::from_millis(250)).await;
+        let mut bookings = vec![fixture.begin_booking("before").await];
+        assert_eq!(bookings[0].status, Some(200));
+        fixture.server.set_plain_time(Duration::from_millis(600));
+        sleep_until(stopped_at + LISTEN_TIME + Duration::from_millis(60)).await;
+        let mut late = Vec::new();
+        for number in 0..8 {
+            late.push(fixture.begin_booking(&format!("late-{number}")));
+            timer::sleep(Duration::from_millis(20)).await;
+        }
+        for booking in late {
+            bookings.push(booking.await);
+        }
+        fixture.wait_for_end(stopped_at).await;
+        fixture.check(&bookings);
+    });
+}
+
+/// Callers use kept connections, connect, and are in the middle of a request when the listener
+/// closes. The settings are reloaded right before SIGTERM, which is repeated, and the store has
+/// gone silent.
+#[test]
+fn what_was_let_in_is_answered_though_signals_repeat_and_the_store_is_away() {
+    smol::block_on(async {
+        let _permit = permit::acquire(CORES).await;
+        let mut fixture = Fixture::start("signals").await;
+        fixture.spawn();
+        fixture.wait_until_it_serves().await;
+        let address = fixture.daemon.caller_address;
+        fixture.store.set_response_delay(Duration::from_secs(60));
+        fixture.server.set_plain_time(Duration::from_millis(200));
+        fixture.daemon.signal(Signal::HUP);
+        let stopped_at = Instant::now();
+        fixture.daemon.signal(Signal::TERM);
+        let flow = executor::spawn(async move {
+            let mut bookings = Vec::new();
+            while stopped_at.elapsed() < LISTEN_TIME + Duration::from_millis(300) {
+                let id = format!("flow-{}", bookings.len());
+                bookings.push(executor::spawn(async move { book(address, &id).await }));
+                timer::sleep(Duration::from_millis(7)).await;
+            }
+            bookings
+        });
+        let kept = executor::spawn(async move {
+            let opening = Connection::open(address, Wire::Request, TIMEOUT, TIMEOUT);
+            let mut connection = opening.await.expect("a connection");
+            sleep_until(stopped_at + Duration::from_millis(2_000)).await;
+            book_on(&mut connection, "kept").await
+        });
+        let half_sent = executor::spawn(async move {
+            sleep_until(stopped_at + LISTEN_TIME - Duration::from_millis(100)).await;
+            let opening = Connection::open(address, Wire::Request, TIMEOUT, TIMEOUT);
+            let mut connection = opening.await.expect("a connection");
+            let request = request("half");
+            let (first, rest) = request.split_at(30);
+            connection.write(first.as_bytes(), TIMEOUT).await.expect("written");
+            timer::sleep(Duration::from_millis(900)).await;
+            connection.write(rest.as_bytes(), TIMEOUT).await.expect("written");
+            read_answer(&mut connection).await
+        });
+        for after in [1_000, 3_100, 3_300] {
+            sleep_until(stopped_at + Duration::from_millis(after)).await;
+            fixture.daemon.signal(Signal::TERM);
+            fixture.daemon.signal(Signal::HUP);
+        }
+        assert_eq!(half_sent.await, Some(200), "a request that is half sent");
+        assert_eq!(kept.await, Some(200), "a connection that turns busy late");
+        let mut bookings = Vec::new();
+        for booking in flow.await {
+            bookings.push(booking.await);
+        }
+        fixture.wait_for_end(stopped_at).await;
+        let answered = bookings.iter().filter(|booking| booking.status == Some(200)).count();
+        assert!(answered * 10 >= bookings.len() * 7, "{answered} of {} answered", bookings.len());
+        fixture.check(&bookings);
+    });
+}
+
+/// SIGTERM arrives while the process starts, before or while it writes its entry. The entry must
+/// not be left behind.
+#[test]
+fn a_stop_during_the_start_leaves_no_entry() {
+    smol::block_on(async {
+        let _permit = permit::acquire(CORES).await;
+        for delay_ms in [30, 60, 120, 240] {
+            let mut fixture = Fixture::start(&format!("start-{delay_ms}")).await;
+            fixture.store.set_response_delay(Duration::from_millis(40));
+            fixture.spawn();
+            timer::sleep(Duration::from_millis(delay_ms)).await;
+            let stopped_at = Instant::now();
+            fixture.daemon.signal(Signal::TERM);
+            fixture.wait_for_end(stopped_at).await;
+            let entries = fixture.store.objects("fireflyworks-daemons");
+            assert!(entries.is_empty(), "stopped after {delay_ms} ms: {entries:?}");
+        }
+    });
+}
