Wait in a test until the confirmation of the start is too old

a_service_is_not_unknown_once_the_store_has_it failed once, in a run of all tests. Its log: the daemon read version 1 at 33.322, the test wrote version 2 and asked at 34.077, 0.755 s later, and got 404 in 1 ms. A 404 may rest on an answer of the store that is at most 1 s old, by design (freshness) and by the users' bound of 2 s; the test took for granted that the cluster's start takes longer than that second.

--- a/crates/fireflyworks/tests/configuration.rs
+++ b/crates/fireflyworks/tests/configuration.rs
@@ -203,6 +203,8 @@
 fn a_service_is_not_unknown_once_the_store_has_it() {
     smol::block_on(async {
         let cluster = Cluster::start(Plan { daemons: 4, ..Plan::new(BINARY) }).await;
+        // An answer of the store is relied on for 1 s, also the one of the daemon's start.
+        timer::sleep(Duration::from_millis(1_100)).await;
         let (kind, name) = (Kind::Configurations, "matariki");
         let store = Store { address: cluster.platform.address };
         let mut stored: Object<Version> = store.get(kind, name).await.expect("a version");
