Make the work for a received byte constant, and let readers yield

Cause: after each chunk the relay searched all bytes that it held for the end of an event, and a read that finds bytes at once never gives the worker thread back, so that neither other tasks nor the stream's own time limit got a turn.

Change: `ffw_runtime::coop` yields after eight such reads, below all connections. `ffw_http` consumes bytes in constant time and searches each once (heads, chunk sizes, trailers); a part of a body is all that was received. `stream::events` splits streams in one pass. Related paths: empty lines, lingering, lines of token streams and watches in `serve`, values of the store; two events that arrive together are passed on together. New metric `fireflyworks_examined_bytes`.

--- a/crates/ffw-backend/src/engine.rs
+++ b/crates/ffw-backend/src/engine.rs
@@ -9,7 +9,7 @@
     },
     ffw_protocol::admission::Attempt,
     ffw_runtime::meter::Wire,
-    futures_lite::{AsyncBufReadExt as _, io::BufReader},
+    futures_lite::{AsyncBufReadExt as _, AsyncReadExt as _, io::BufReader},
     http_types::{Body, Method},
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, sync::Arc, time::Duration},
@@ -211,7 +211,9 @@
     /// long.
     pub async fn next(&mut self) -> Result<Step, Fault> {
         loop {
-            let read = self.body.read_until(b'\n', &mut self.line).await;
+            // Bytes without a line end must not be read without end.
+            let room = (MAX_LINE_BYTES + 1).saturating_sub(self.line.len()) as u64;
+            let read = (&mut self.body).take(room).read_until(b'\n', &mut self.line).await;
             let count = read.map_err(|err| Fault::Broken(err.to_string()))?;
             if count == 0 || self.line.len() > MAX_LINE_BYTES {
                 return Err(Fault::Broken(
--- a/crates/ffw-control/src/metrics.rs
+++ b/crates/ffw-control/src/metrics.rs
@@ -42,6 +42,7 @@
     pub config_confirmed: IntGauge,
     /// Bytes so far on each kind of connection, in both directions.
     pub wire_bytes: IntGaugeVec,
+    examined_bytes: IntGaugeVec,
     /// Requests in the queue of each shard that this daemon owns, by pool.
     pub waiting: IntGaugeVec,
     /// Reservations of each shard that this daemon owns, by pool.
@@ -133,6 +134,11 @@
                 "Bytes so far by kind of connection, both directions",
                 &["wire"],
             )?,
+            examined_bytes: gauges(
+                "fireflyworks_examined_bytes",
+                "Bytes that parsers have looked at so far by kind of connection, repeats included",
+                &["wire"],
+            )?,
             waiting: gauges("fireflyworks_queue_waiting", "Requests in the queue", &["pool"])?,
             held: gauges("fireflyworks_places_held", "Places held", &["pool"])?,
             unstored_records: gauge(
@@ -153,7 +159,9 @@
     /// the error.
     pub fn text(&self) -> Arc<str> {
         for wire in Wire::ALL {
-            self.wire_bytes.with_label_values(&[wire.name()]).set(wire.bytes() as i64);
+            let label = [wire.name()];
+            self.wire_bytes.with_label_values(&label).set(wire.bytes().cast_signed());
+            self.examined_bytes.with_label_values(&label).set(wire.examined().cast_signed());
         }
         let mut buffer = Vec::new();
         let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut buffer);
--- a/crates/ffw-http/src/connection.rs
+++ b/crates/ffw-http/src/connection.rs
@@ -6,7 +6,9 @@
 
 use {
     crate::{
+        buffer::Buffer,
         framing::{Decoder, Step},
+        head::Search,
         message::{Malformed, Request, Response},
     },
     ffw_runtime::{
@@ -16,11 +18,11 @@
     futures_lite::{AsyncRead as _, AsyncReadExt as _, AsyncWriteExt as _, future},
     rustix::net::sockopt,
     smol::net::TcpStream,
-    std::{fmt, io, net::SocketAddr, pin::Pin, task::Poll, time::Duration},
+    std::{fmt, io, net::SocketAddr, pin::Pin, time::Duration},
 };
 
-/// Maximum number of bytes of one read from the socket.
-const READ_BYTES: usize = 8 << 10;
+/// Size of the buffer in which bytes are read that are discarded.
+const DISCARD_BYTES: usize = 8 << 10;
 
 /// TCP keepalive: period of the probes on an idle connection, and how many may stay unanswered
 /// before the connection fails.
@@ -83,9 +85,10 @@
 /// A connection with the bytes that were received but not yet parsed.
 #[derive(Debug)]
 pub struct Connection {
-    stream: TcpStream,
-    wire: Wire,
-    buffer: Vec<u8>,
+    stream: Metered<TcpStream>,
+    buffer: Buffer,
+    /// Search for the end of the head at the start of the buffer.
+    head_search: Search,
 }
 
 impl Connection {
@@ -100,7 +103,8 @@
         sockopt::set_tcp_keepintvl(&stream, PROBE_PERIOD).ok();
         sockopt::set_tcp_keepcnt(&stream, MAX_UNANSWERED_PROBES).ok();
         sockopt::set_socket_keepalive(&stream, true).ok();
-        Connection { stream, wire, buffer: Vec::new() }
+        let (buffer, head_search) = (Buffer::default(), Search::default());
+        Connection { stream: Metered::new(stream, wire), buffer, head_search }
     }
 
     /// Connects within `limit`; for the other arguments see [`Connection::new`].
@@ -128,7 +132,7 @@
     /// other side did not close it.
     pub async fn is_reusable(&self) -> bool {
         let mut byte = [0];
-        let peeked = future::poll_once(self.stream.peek(&mut byte)).await;
+        let peeked = future::poll_once(self.stream.get_ref().peek(&mut byte)).await;
         self.buffer.is_empty() && peeked.is_none()
     }
 
@@ -142,50 +146,77 @@
 
     /// A watcher that detects when the other side closes the connection.
     pub fn close_watcher(&self) -> CloseWatcher {
-        CloseWatcher { stream: self.stream.clone() }
+        CloseWatcher { stream: self.stream.get_ref().clone() }
     }
 
     /// Makes closing send a TCP reset, so that the other side does not take what was sent for
     /// complete.
     pub fn reset_on_close(&self) {
-        sockopt::set_socket_linger(&self.stream, Some(Duration::ZERO)).ok();
+        sockopt::set_socket_linger(self.stream.get_ref(), Some(Duration::ZERO)).ok();
     }
 
     /// Waits for bytes and appends them to the buffer. Cancel-safe: dropping the call leaves the
     /// buffer unchanged.
     async fn fill(&mut self) -> Result<(), Fault> {
-        let used = self.buffer.len();
-        let (buffer, wire) = (&mut self.buffer, self.wire);
-        let mut stream = Metered::new(&mut self.stream, wire);
-        let count = future::poll_fn(|cx| {
-            buffer.resize(used + READ_BYTES, 0);
-            let polled = Pin::new(&mut stream).poll_read(cx, &mut buffer[used..]);
-            let count = if let Poll::Ready(Ok(count)) = &polled { *count } else { 0 };
-            buffer.truncate(used + count);
-            polled
-        });
-        match count.await {
-            Ok(0) if used == 0 => Err(Fault::Closed),
+        let (stream, buffer) = (&mut self.stream, &mut self.buffer);
+        let reading = future::poll_fn(|cx| Pin::new(&mut *stream).poll_read(cx, buffer.room()));
+        match reading.await {
+            Ok(0) if self.buffer.is_empty() => Err(Fault::Closed),
             Ok(0) => Err(Fault::Broken(io::ErrorKind::UnexpectedEof.into())),
-            Ok(_) => Ok(()),
+            Ok(count) => {
+                self.buffer.fill(count);
+                Ok(())
+            }
             Err(err) => Err(Fault::Broken(err)),
         }
     }
 
+    fn consume(&mut self, count: usize) {
+        self.buffer.consume(count);
+        self.head_search = Search::default();
+    }
+
+    /// Consumes the empty lines at the start of the buffer; returns their bytes.
+    fn skip_empty_lines(&mut self) -> usize {
+        let is_line_end = |byte: &&u8| matches!(byte, b'\r' | b'\n');
+        let count = self.buffer.bytes().iter().take_while(is_line_end).count();
+        if count > 0 {
+            self.stream.wire().record_examined(count);
+            self.consume(count);
+        }
+        count
+    }
+
+    /// Parses the head at the start of the buffer, and consumes it; `None` if it is not complete.
+    fn parse_head<T>(
+        &mut self,
+        parse: impl Fn(&[u8]) -> Result<Option<(T, usize)>, Malformed>,
+    ) -> Result<Option<(T, usize)>, Malformed> {
+        let bytes = self.buffer.bytes();
+        let (parses, looked_at) = self.head_search.advance(bytes);
+        let parsed_bytes = if parses { bytes.len() } else { 0 };
+        self.stream.wire().record_examined(looked_at + parsed_bytes);
+        if !parses {
+            return Ok(None);
+        }
+        let Some((head, length)) = parse(bytes)? else { return Ok(None) };
+        self.consume(length);
+        Ok(Some((head, length)))
+    }
+
     /// Reads the head of a request of at most `limit` bytes.
     ///
     /// # Errors
     /// See [`Fault`].
     pub async fn read_request(&mut self, limit: usize) -> Result<Request, Fault> {
+        let mut skipped = 0;
         loop {
             // RFC 9112 recommends that a server ignore empty lines before a request.
-            let blank = self.buffer.iter().take_while(|byte| matches!(byte, b'\r' | b'\n')).count();
-            self.buffer.drain(..blank);
-            if let Some((head, length)) = Request::parse(&self.buffer)? {
-                self.buffer.drain(..length);
+            skipped += self.skip_empty_lines();
+            if let Some((head, length)) = self.parse_head(Request::parse)? {
                 return if length > limit { Err(Fault::TooLarge) } else { Ok(head) };
             }
-            if self.buffer.len() > limit {
+            if skipped + self.buffer.len() > limit {
                 return Err(Fault::TooLarge);
             }
             self.fill().await?;
@@ -198,10 +229,10 @@
     /// # Errors
     /// See [`Fault`].
     pub async fn read_response(&mut self, limit: usize) -> Result<Response, Fault> {
-        let mut interim = 0;
+        let (mut interim, mut skipped) = (0, 0);
         loop {
-            if let Some((head, length)) = Response::parse(&self.buffer)? {
-                self.buffer.drain(..length);
+            skipped += self.skip_empty_lines();
+            if let Some((head, _)) = self.parse_head(Response::parse)? {
                 if !matches!(head.status, 100 | 102 | 103) {
                     return Ok(head);
                 }
@@ -211,7 +242,7 @@
                 }
                 continue;
             }
-            if self.buffer.len() > limit {
+            if skipped + self.buffer.len() > limit {
                 return Err(Fault::TooLarge);
             }
             self.fill().await?;
@@ -228,7 +259,7 @@
         bytes: &[u8],
         limit: usize,
     ) -> Result<(Response, bool), Fault> {
-        let mut writer = Metered::new(self.stream.clone(), self.wire);
+        let mut writer = Metered::new(self.stream.get_ref().clone(), self.stream.wire());
         let mut is_written = false;
         let writing = async {
             // A server that responds early may stop reading. A failed write is therefore no error
@@ -240,23 +271,31 @@
         Ok((head, is_written))
     }
 
-    /// Reads the next part of a body, which is not empty; `None` at the end of the body.
+    /// Reads the next part of a body, which is not empty; `None` at the end of the body. A part is
+    /// all that has been received, of however many chunks.
     ///
     /// # Errors
     /// The connection ended or failed within the body, or the framing is malformed.
     pub async fn read_part(&mut self, decoder: &mut Decoder) -> Result<Option<Vec<u8>>, Fault> {
+        let mut part = Vec::new();
         loop {
-            match decoder.step(&self.buffer)? {
+            let step = decoder.step(self.buffer.bytes());
+            self.stream.wire().record_examined(decoder.take_examined());
+            let step = match step {
+                Ok(step) => step,
+                Err(_) if !part.is_empty() => return Ok(Some(part)),
+                Err(malformed) => return Err(malformed.into()),
+            };
+            match step {
                 Step::End { skip } => {
-                    self.buffer.drain(..skip);
-                    return Ok(None);
+                    self.consume(skip);
+                    return Ok((!part.is_empty()).then_some(part));
                 }
+                Step::More if !part.is_empty() => return Ok(Some(part)),
                 Step::Part { skip, length } => {
-                    let part = self.buffer[skip..skip + length].to_vec();
-                    self.buffer.drain(..skip + length);
-                    if !part.is_empty() {
-                        return Ok(Some(part));
-                    }
+                    part.extend_from_slice(&self.buffer.bytes()[skip..skip + length]);
+                    self.stream.wire().record_examined(length);
+                    self.consume(skip + length);
                 }
                 Step::More => match self.fill().await {
                     Err(Fault::Closed) if decoder.ends_with_connection() => return Ok(None),
@@ -293,8 +332,7 @@
     /// # Errors
     /// The connection failed, or the other side did not read enough within `limit`.
     pub async fn write(&mut self, bytes: &[u8], limit: Duration) -> io::Result<()> {
-        let mut stream = Metered::new(&mut self.stream, self.wire);
-        match timer::timeout(limit, stream.write_all(bytes)).await {
+        match timer::timeout(limit, self.stream.write_all(bytes)).await {
             Some(written) => written,
             None => Err(io::Error::new(
                 io::ErrorKind::TimedOut,
@@ -316,8 +354,8 @@
     /// response before the other side has read it.
     pub async fn linger(mut self, limit: Duration) {
         let draining = async {
-            self.stream.shutdown(std::net::Shutdown::Write)?;
-            let mut buffer = vec![0; READ_BYTES];
+            self.stream.get_ref().shutdown(std::net::Shutdown::Write)?;
+            let mut buffer = vec![0; DISCARD_BYTES];
             while self.stream.read(&mut buffer).await? > 0 {}
             Ok::<(), io::Error>(())
         };
--- a/crates/ffw-http/src/framing.rs
+++ b/crates/ffw-http/src/framing.rs
@@ -102,6 +102,10 @@
 #[derive(Clone, Debug)]
 pub struct Decoder {
     state: State,
+    /// Bytes of an incomplete line in which its end was searched for.
+    searched: usize,
+    /// Bytes that were looked at since the last [`Decoder::take_examined`].
+    examined: usize,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -125,7 +129,12 @@
             Framing::Chunked => State::ChunkSize,
             Framing::UntilClose => State::UntilClose,
         };
-        Decoder { state }
+        Decoder { state, searched: 0, examined: 0 }
+    }
+
+    /// Number of bytes that were looked at since the last call.
+    pub(crate) fn take_examined(&mut self) -> usize {
+        std::mem::take(&mut self.examined)
     }
 
     /// Whether the end of the body was found.
@@ -174,8 +183,24 @@
         }
     }
 
+    /// Length of the line at the start of `bytes`, with its end; `None` if its end is missing.
+    fn line(&mut self, bytes: &[u8]) -> Option<usize> {
+        // The same bytes are passed again, with further ones, until the line is complete.
+        let from = self.searched.min(bytes.len());
+        let end = bytes[from..].iter().position(|byte| *byte == b'\n');
+        self.examined += end.map_or(bytes.len() - from, |index| index + 1);
+        self.searched = if end.is_some() { 0 } else { bytes.len() };
+        end.map(|index| from + index + 1)
+    }
+
     fn chunk_size(&mut self, bytes: &[u8]) -> Result<Step, Malformed> {
-        match httparse::parse_chunk_size(bytes) {
+        const MALFORMED: Malformed = Malformed("the size of a chunk is malformed");
+        let Some(length) = self.line(bytes) else {
+            let may_be_size = bytes[0].is_ascii_hexdigit() && bytes.len() < MAX_LINE_BYTES;
+            return if may_be_size { Ok(Step::More) } else { Err(MALFORMED) };
+        };
+        self.examined += length;
+        match httparse::parse_chunk_size(&bytes[..length]) {
             Ok(httparse::Status::Complete((skip, 0))) => {
                 self.state = State::Trailer(MAX_TRAILER_BYTES);
                 Ok(Step::Part { skip, length: 0 })
@@ -184,26 +209,25 @@
                 self.state = State::ChunkData(size);
                 Ok(Step::Part { skip, length: 0 })
             }
-            Ok(httparse::Status::Partial) if bytes.len() < MAX_LINE_BYTES => Ok(Step::More),
-            _ => Err(Malformed("the size of a chunk is malformed")),
+            _ => Err(MALFORMED),
         }
     }
 
     fn trailer(&mut self, bytes: &[u8], left: usize) -> Result<Step, Malformed> {
-        let Some(line_end) = bytes.iter().position(|byte| *byte == b'\n') else {
+        let Some(length) = self.line(bytes) else {
             return if bytes.len() < MAX_LINE_BYTES {
                 Ok(Step::More)
             } else {
                 Err(TRAILER_TOO_LONG)
             };
         };
-        if matches!(&bytes[..line_end], [] | [b'\r']) {
+        if matches!(&bytes[..length], b"\n" | b"\r\n") {
             self.state = State::Ended;
-            return Ok(Step::End { skip: line_end + 1 });
+            return Ok(Step::End { skip: length });
         }
-        let left = left.checked_sub(line_end + 1).ok_or(TRAILER_TOO_LONG)?;
+        let left = left.checked_sub(length).ok_or(TRAILER_TOO_LONG)?;
         self.state = State::Trailer(left);
-        Ok(Step::Part { skip: line_end + 1, length: 0 })
+        Ok(Step::Part { skip: length, length: 0 })
     }
 }
 
--- a/crates/ffw-http/src/lib.rs
+++ b/crates/ffw-http/src/lib.rs
@@ -5,10 +5,12 @@
 //! and write messages without rewriting them, for the router.
 
 pub mod body;
+mod buffer;
 pub mod client;
 pub mod connection;
 pub mod fault;
 pub mod framing;
+mod head;
 pub mod message;
 pub mod pool;
 pub mod server;
--- a/crates/ffw-http/src/server.rs
+++ b/crates/ffw-http/src/server.rs
@@ -7,6 +7,7 @@
 use {
     ffw_protocol::error::{Error, Kind},
     ffw_runtime::{
+        coop::Coop,
         listener::{self, Tracker},
         timer,
     },
@@ -146,7 +147,7 @@
             return Ok(());
         }
         let head_time_left = limits.head_timeout.saturating_sub(idle_since.elapsed());
-        let decoding = async_h1::server::decode(stream.clone());
+        let decoding = async_h1::server::decode(Coop::new(stream.clone()));
         let (request, mut rest) = match timer::timeout(head_time_left, decoding).await {
             None | Some(Ok(None)) => return Ok(()),
             Some(Ok(Some(parts))) => parts,
@@ -179,8 +180,9 @@
 
 /// Reads and discards what a caller still sends after its response. Closing a socket with unread
 /// bytes sends a TCP reset, which can destroy the response before the caller has read it.
-async fn linger(mut stream: TcpStream) -> io::Result<()> {
+async fn linger(stream: TcpStream) -> io::Result<()> {
     stream.shutdown(Shutdown::Write)?;
+    let mut stream = Coop::new(stream);
     let mut buffer = vec![0; COPY_BUFFER_BYTES];
     let draining = async {
         let mut remaining = LINGER_BYTES;
--- a/crates/ffw-operator/src/server.rs
+++ b/crates/ffw-operator/src/server.rs
@@ -3,6 +3,7 @@
 use {
     crate::{generated::operator_server::OperatorServer, service::Service},
     ffw_runtime::{
+        coop::Coop,
         executor,
         listener::{self, Tracker},
     },
@@ -53,7 +54,7 @@
             .timer(SmolTimer::new())
             .keep_alive_interval(KEEP_ALIVE_PERIOD)
             .keep_alive_timeout(KEEP_ALIVE_TIMEOUT)
-            .serve_connection(FuturesIo::new(stream), handler)
+            .serve_connection(FuturesIo::new(Coop::new(stream)), handler)
     );
     let closed = async {
         tracker.closed().await;
--- a/crates/ffw-platform/src/watch.rs
+++ b/crates/ffw-platform/src/watch.rs
@@ -8,7 +8,7 @@
     },
     ffw_http::client::{self, Call},
     ffw_runtime::{meter::Wire, timer},
-    futures_lite::{AsyncBufReadExt as _, io::BufReader},
+    futures_lite::{AsyncBufReadExt as _, AsyncReadExt as _, io::BufReader},
     http_types::{Body, Method},
     serde::{Deserialize, Serialize, de::DeserializeOwned},
     std::time::Duration,
@@ -42,6 +42,9 @@
     pub object: Option<Object<T>>,
 }
 
+/// Largest event, in bytes.
+const LINE_BYTES_MAX: u64 = 8 << 20;
+
 /// A running watch. Dropping it closes the connection.
 #[derive(Debug)]
 pub struct Watch {
@@ -74,11 +77,15 @@
     /// [`Fault::Lost`] if the watch ended, no event arrived in time, or an event can't be parsed.
     pub async fn next<T: DeserializeOwned>(&mut self) -> Result<Event<T>> {
         let mut line = String::new();
-        let reading = self.lines.read_line(&mut line);
+        let mut lines = (&mut self.lines).take(LINE_BYTES_MAX);
+        let reading = lines.read_line(&mut line);
         match timer::timeout(SILENCE_LIMIT, reading).await {
             None => return Err(Fault::Lost("no event arrived on the watch in time".into())),
             Some(Err(err)) => return Err(Fault::Lost(err.to_string())),
             Some(Ok(0)) => return Err(Fault::Lost("the watch ended".into())),
+            Some(Ok(_)) if !line.ends_with('\n') => {
+                return Err(Fault::Lost("an event was cut off or is too large".into()));
+            }
             Some(Ok(_)) => {}
         }
         serde_json::from_str(&line).map_err(|err| Fault::Lost(err.to_string()))
--- a/crates/ffw-route/src/stream.rs
+++ b/crates/ffw-route/src/stream.rs
@@ -9,6 +9,7 @@
 
 mod ask;
 mod calls;
+mod events;
 mod failure;
 mod moving;
 mod quarantine;
--- a/crates/ffw-route/src/stream/relay.rs
+++ b/crates/ffw-route/src/stream/relay.rs
@@ -2,7 +2,7 @@
 //! that another run can continue after the last one.
 
 use {
-    super::{Outcome, ask, moving::Mover},
+    super::{Outcome, ask, events::Events, moving::Mover},
     crate::{
         caller::{self, RoutedRequest},
         response::{self, Persistence, UNREAD_TIMEOUT},
@@ -12,7 +12,7 @@
     ffw_control::admission::Reservation,
     ffw_http::connection::{Connection, Fault},
     ffw_protocol::{admission::Ask, error::Error},
-    ffw_runtime::timer,
+    ffw_runtime::{meter::Wire, timer},
     std::time::{Duration, Instant},
 };
 
@@ -112,7 +112,7 @@
         reservation: &Reservation,
         mover: &mut Mover,
     ) -> RelayEnd {
-        let mut unsent: Vec<u8> = Vec::new();
+        let mut unsent = Events::default();
         loop {
             let reading = response.connection.read_part(&mut response.decoder);
             let part = match timer::timeout(EVENT_TIMEOUT, reading).await {
@@ -124,15 +124,15 @@
                 Some(Ok(part)) => part,
             };
             let Some(part) = part else { break };
-            unsent.extend_from_slice(&part);
+            unsent.push(&part);
+            Wire::Request.record_examined(part.len());
+            let events = unsent.take_numbered();
             if unsent.len() > EVENT_BYTES_MAX {
                 return broken("an event is too large");
             }
-            let complete_bytes = numbered_events_len(&unsent);
-            if complete_bytes == 0 {
+            if events.is_empty() {
                 continue;
             }
-            let events: Vec<u8> = unsent.drain(..complete_bytes).collect();
             if !self.record_events(&events) {
                 return broken("the ids of the events do not increase");
             }
@@ -144,7 +144,7 @@
         }
         // A body that ends with its connection may have been cut anywhere.
         let is_disconnect = response.decoder.ends_with_connection();
-        if complete_events_len(&unsent) < unsent.len() {
+        if !unsent.is_whole() {
             let cause = "the stream ended within an event".into();
             return RelayEnd::Broken { cause, is_disconnect };
         }
@@ -152,7 +152,8 @@
             let cause = "the stream ended without an event".into();
             return RelayEnd::Broken { cause, is_disconnect };
         }
-        if !unsent.is_empty() && self.send(router, &response, &unsent).await.is_err() {
+        let rest = unsent.into_bytes();
+        if !rest.is_empty() && self.send(router, &response, &rest).await.is_err() {
             return RelayEnd::CallerGone;
         }
         if self.finish(router, &response).await.is_err() {
@@ -259,28 +260,3 @@
 fn broken(cause: &str) -> RelayEnd {
     RelayEnd::Broken { cause: cause.into(), is_disconnect: false }
 }
-
-/// Whether an event ends before this index.
-fn ends_event(bytes: &[u8], index: usize) -> bool {
-    bytes[..index].ends_with(b"\n\n") || bytes[..index].ends_with(b"\n\r\n")
-}
-
-/// Length of the complete events at the start of `bytes`.
-fn complete_events_len(bytes: &[u8]) -> usize {
-    (0..=bytes.len()).rev().find(|index| ends_event(bytes, *index)).unwrap_or(0)
-}
-
-/// Length of the complete events at the start of `bytes`, up to the last one with an id. Those
-/// after it wait for the next event with an id or the end of the stream, as bytes that are no
-/// events may look like events without one.
-fn numbered_events_len(bytes: &[u8]) -> usize {
-    let complete = &bytes[..complete_events_len(bytes)];
-    let is_id = |index: &usize| complete[*index..].starts_with(b"id:");
-    let mut starts = (0..complete.len()).rev().filter(|index| is_line_start(complete, *index));
-    let Some(last_id) = starts.find(is_id) else { return 0 };
-    (last_id..=complete.len()).find(|index| ends_event(complete, *index)).unwrap_or(0)
-}
-
-fn is_line_start(bytes: &[u8], index: usize) -> bool {
-    index == 0 || bytes[index - 1] == b'\n'
-}
--- a/crates/ffw-runtime/src/lib.rs
+++ b/crates/ffw-runtime/src/lib.rs
@@ -2,6 +2,7 @@
 //! connections.
 
 pub mod clock;
+pub mod coop;
 pub mod executor;
 pub mod listener;
 pub mod meter;
--- a/crates/ffw-runtime/src/meter.rs
+++ b/crates/ffw-runtime/src/meter.rs
@@ -1,7 +1,9 @@
 //! Counts the bytes on each kind of connection, so that the traffic of control can be distinguished
-//! from that of requests.
+//! from that of requests, and the bytes that parsers look at, which shows whether bytes in small
+//! pieces cost more than others.
 
 use {
+    crate::coop::Coop,
     futures_lite::{AsyncRead, AsyncWrite},
     std::{
         io,
@@ -44,21 +46,43 @@
     pub fn bytes(self) -> u64 {
         BYTES[self as usize].load(Ordering::Relaxed)
     }
+
+    /// Bytes that the parsers of messages have looked at so far; one that is looked at twice counts
+    /// twice.
+    pub fn examined(self) -> u64 {
+        EXAMINED[self as usize].load(Ordering::Relaxed)
+    }
+
+    /// Records that a parser has looked at `count` bytes.
+    pub fn record_examined(self, count: usize) {
+        EXAMINED[self as usize].fetch_add(count as u64, Ordering::Relaxed);
+    }
 }
 
 static BYTES: [AtomicU64; 4] = [const { AtomicU64::new(0) }; 4];
+static EXAMINED: [AtomicU64; 4] = [const { AtomicU64::new(0) }; 4];
 
-/// A connection whose bytes are counted, in both directions together.
+/// A connection whose bytes are counted, in both directions together, and whose reader yields.
 #[derive(Debug)]
 pub struct Metered<S> {
-    stream: S,
+    stream: Coop<S>,
     wire: Wire,
 }
 
 impl<S> Metered<S> {
     /// Wraps a connection to count its bytes under `wire`.
     pub fn new(stream: S, wire: Wire) -> Metered<S> {
-        Metered { stream, wire }
+        Metered { stream: Coop::new(stream), wire }
+    }
+
+    /// The connection itself. What is read or written there directly is not counted.
+    pub fn get_ref(&self) -> &S {
+        self.stream.get_ref()
+    }
+
+    /// Purpose of the connection.
+    pub fn wire(&self) -> Wire {
+        self.wire
     }
 
     fn record_bytes(&self, result: &Poll<io::Result<usize>>) {
