Record an attempt before its first byte, and say not run in one place

Cause: two timers end at the deadline of a stream. The outer one said *not run* unless a flag was set, and the call set the flag only after it had returned. The log's message is that of the outer timer, which tells it from a refusal taken for another request's.

Change: `ffw_decide::attempts` accounts for the attempts of a request. `transport::call` begins one before the first byte that makes a server run it; only the server's statement takes it back. Every error for a caller is qualified by it: deadline, quarantine, refusal, failure, of streams, continuations, plain requests, and of `serve`'s calls. A panic no longer ends a worker thread.

--- a/crates/ffw-decide/src/lib.rs
+++ b/crates/ffw-decide/src/lib.rs
@@ -3,6 +3,7 @@
 //! events without waiting.
 
 pub mod arena;
+pub mod attempts;
 pub mod balance;
 pub mod baseline;
 pub mod budget;
--- a/crates/ffw-entry/src/generate.rs
+++ b/crates/ffw-entry/src/generate.rs
@@ -17,6 +17,7 @@
     attempt::Failure,
     deliver::ResponseWriter,
     ffw_control::identity,
+    ffw_decide::attempts::Attempts,
     ffw_http::server::CallerConnection,
     ffw_protocol::{
         digest,
@@ -199,23 +200,27 @@
     number: &mut u32,
 ) -> Result<()> {
     generation.entry.retry_budget().record_call();
-    let mut may_have_run = false;
+    let attempts = Attempts::default();
     loop {
         *number += 1;
+        attempts.begin();
         let failure = match attempt::run(generation, response, caller, *number).await {
             Ok(()) => return Ok(()),
             Err(failure) => failure,
         };
+        let (Failure::Final(error) | Failure::Retryable(error)) = &failure;
+        if error.run == Run::Not {
+            attempts.prove_not_run();
+        }
         let error = match failure {
-            Failure::Final(error) => return Err(correct_run_state(error, may_have_run)),
+            Failure::Final(error) => return Err(attempts.qualify(error)),
             Failure::Retryable(error) => error,
         };
-        may_have_run |= error.run != Run::Not;
         let may_retry = *number < ATTEMPTS_MAX
             && !generation.time_to_deadline(response.count() > 0).is_zero()
             && generation.entry.retry_budget().take();
         if !may_retry {
-            return Err(correct_run_state(error, may_have_run));
+            return Err(attempts.qualify(error));
         }
         warn!(
             "event=attempt_failed request={} attempt={number} error=\"{error}\"",
@@ -225,8 +230,3 @@
         generation.recorder.daemon.metrics.retries.with_label_values(&label).inc();
     }
 }
-
-/// Replaces the state *not run* with *unknown* if an earlier attempt may have run.
-fn correct_run_state(error: Error, may_have_run: bool) -> Error {
-    if may_have_run && error.run == Run::Not { error.run(Run::Unknown) } else { error }
-}
--- a/crates/ffw-entry/src/plain.rs
+++ b/crates/ffw-entry/src/plain.rs
@@ -14,7 +14,10 @@
     },
     ffw_backend::plain,
     ffw_control::{claim, identity},
-    ffw_decide::claim::{Answer, Finish, Outcome},
+    ffw_decide::{
+        attempts::Attempts,
+        claim::{Answer, Finish, Outcome},
+    },
     ffw_http::{
         client::{Call, Header},
         fault::Fault,
@@ -120,21 +123,26 @@
 /// Sends the call until a server responds, within [`SENDS_MAX`], the deadline and the retry budget.
 async fn call_with_retries(plain_call: &PlainCall) -> Result<Response> {
     plain_call.entry.retry_budget().record_call();
+    let attempts = Attempts::default();
     let mut sends = 0;
     loop {
         sends += 1;
-        let server = select_server(plain_call)?;
+        let server = select_server(plain_call).map_err(|error| attempts.qualify(error))?;
+        attempts.begin();
         let fault = match plain::call(&http_call(plain_call, &server)).await {
             Ok(answer) => return Ok(respond(plain_call, &to_answer(answer))),
             Err(fault) => fault,
         };
+        if fault.proves_not_run() {
+            attempts.prove_not_run();
+        }
         warn!(
             "event=plain_call_failed request={} server={} error=\"{fault}\"",
             plain_call.recorder.request_id, server.name
         );
         let is_late = identity::now().since(plain_call.recorder.arrived) >= plain_call.time_limit;
         if sends >= SENDS_MAX || is_late || !plain_call.entry.retry_budget().take() {
-            return Err(fault.to_error(&server.name));
+            return Err(attempts.qualify(fault.to_error(&server.name)));
         }
         timer::sleep(Duration::from_millis(20)).await;
     }
--- a/crates/ffw-route/src/plain.rs
+++ b/crates/ffw-route/src/plain.rs
@@ -18,6 +18,7 @@
     },
     ffw_control::{identity, rate},
     ffw_decide::{
+        attempts::Attempts,
         balance::{Candidate, Outcome},
         permits,
     },
@@ -66,6 +67,16 @@
 pub(crate) async fn serve(
     router: &Router,
     request: &RoutedRequest,
+) -> Result<PlainResponse, Error> {
+    let attempts = Attempts::default();
+    let served = run_attempts(router, request, &attempts).await;
+    served.map_err(|error| attempts.qualify(error))
+}
+
+async fn run_attempts(
+    router: &Router,
+    request: &RoutedRequest,
+    attempts: &Attempts,
 ) -> Result<PlainResponse, Error> {
     let mut tried: Vec<Arc<str>> = Vec::new();
     let mut sends = 0;
@@ -84,7 +95,7 @@
         };
         tried.push(server.name.clone());
         let started_at = Instant::now();
-        let result = send(router, request, &server, permit).await;
+        let result = send(router, request, &server, permit, attempts).await;
         record_outcome(router, &server, started_at, &result);
         sends += u32::from(!matches!(result, Err(Failure::Unreached(_) | Failure::Withheld(_))));
         let is_last = sends >= request.route.attempts || request.is_expired();
@@ -200,6 +211,7 @@
     request: &RoutedRequest,
     server: &Server,
     permit: Permit,
+    attempts: &Attempts,
 ) -> Result<FullResponse, Failure> {
     let is_idempotent = request.route.repeat == Repeat::Idempotent;
     let outgoing = OutgoingRequest {
@@ -217,6 +229,7 @@
             REUSE_IDLE_MAX_AT_MOST_ONCE
         },
         permit,
+        attempts,
     };
     let response = transport::call(router, &outgoing).await?;
     if let Some(load) = response.response_info.load {
--- a/crates/ffw-route/src/stream.rs
+++ b/crates/ffw-route/src/stream.rs
@@ -27,10 +27,11 @@
         metrics::routed::Stage,
         rate,
     },
+    ffw_decide::attempts::Attempts,
     ffw_http::connection::Connection,
     ffw_protocol::{
         admission::{Failing, Phase, Refusal, Server},
-        error::{Error, Kind, Result, Run},
+        error::{Error, Kind, Result},
         instance::Role,
     },
     ffw_runtime::timer,
@@ -78,9 +79,9 @@
     request: &RoutedRequest,
     caller: &mut Connection,
 ) -> Outcome {
-    let watcher = caller.close_watcher();
-    let mut stream =
-        Stream { router, request, relay: Relay::new(request, caller), may_have_run: false };
+    let (watcher, attempts) = (caller.close_watcher(), Attempts::default());
+    let relay = Relay::new(request, caller);
+    let mut stream = Stream { router, request, relay, attempts: &attempts };
     let time_left = request.time_left();
     let result = {
         let running = async { Some(stream.run().await) };
@@ -99,10 +100,8 @@
         }
         None => {
             info!("event=stream_overdue request={id} begun={}", stream.relay.has_begun());
-            let run = if stream.may_have_run { Run::Unknown } else { Run::Not };
             let message = "the deadline of the request has passed";
-            let error = Error::new(Kind::Timeout, message).run(run).retry_after(RETRY_AFTER);
-            stream.relay.fail(error)
+            stream.fail(Error::new(Kind::Timeout, message).retry_after(RETRY_AFTER))
         }
     }
 }
@@ -111,8 +110,8 @@
     router: &'a Arc<Router>,
     request: &'a RoutedRequest,
     relay: Relay<'a>,
-    /// Whether a decode server may have begun to run the request.
-    may_have_run: bool,
+    /// What has been sent to decode servers.
+    attempts: &'a Attempts,
 }
 
 /// Server of a run before the run was moved.
@@ -128,13 +127,13 @@
         loop {
             let requested_at = Instant::now();
             if let Some(error) = self.quarantine_error() {
-                return self.relay.fail(error);
+                return self.fail(error);
             }
             let reserving = self.reserve(reservations);
             let reserved = smol::future::or(reserving, self.until_held()).await;
             let reservation = match reserved {
                 Ok(reservation) => reservation,
-                Err(error) => return self.relay.fail(self.correct_run_state(error)),
+                Err(error) => return self.fail(error),
             };
             self.record_stage(Stage::Wait, requested_at.elapsed());
             reservations += 1;
@@ -164,15 +163,14 @@
                 && !self.request.is_expired()
                 && (retry_calls == 0 || self.router.take_retries(&self.request.pool, retry_calls));
             if !may_retry {
-                return self.relay.fail(error);
+                return self.fail(error);
             }
         }
     }
 
-    /// Replaces the state *not run* with *unknown* if an earlier attempt may have run.
-    fn correct_run_state(&self, error: Error) -> Error {
-        let is_wrong = self.may_have_run && error.run == Run::Not;
-        if is_wrong { error.run(Run::Unknown) } else { error }
+    /// Ends the stream with an error, which tells the caller what is known of the work.
+    fn fail(&mut self, error: Error) -> Outcome {
+        self.relay.fail(self.attempts.qualify(error))
     }
 
     fn record_stage(&self, step: Stage, span: Duration) {
@@ -373,7 +371,7 @@
     /// Whether another run may begin: either none has begun, or the route declares streams
     /// resumable.
     fn may_restart(&self) -> bool {
-        !self.may_have_run || self.request.route.is_resumable
+        !self.attempts.may_have_run() || self.request.route.is_resumable
     }
 
     /// Checks the servers of a grant against this entry's view, as the owner may not know yet that
@@ -390,9 +388,7 @@
         let message = format!("backend server {} {state}", unusable.name);
         let how = if is_leaving { Failing::Replaced } else { Failing::Refused };
         Err(AttemptFailure {
-            error: Error::new(Kind::BackendRefused, message)
-                .run(if self.may_have_run { Run::Unknown } else { Run::Not })
-                .retry_after(RETRY_AFTER),
+            error: Error::new(Kind::BackendRefused, message).retry_after(RETRY_AFTER),
             failed: Some(failure::failed_server(unusable, how)),
             may_retry: self.may_restart(),
             retry_calls: 0,
--- a/crates/ffw-route/src/stream/calls.rs
+++ b/crates/ffw-route/src/stream/calls.rs
@@ -13,7 +13,7 @@
     ffw_control::admission::Reservation,
     ffw_protocol::{
         admission::{Failing, Server},
-        error::{Error, Kind, Run},
+        error::{Error, Kind},
     },
     std::time::{Duration, Instant},
 };
@@ -55,7 +55,6 @@
         };
         let not_prefilled = |failing: Failing, cause: String| AttemptFailure {
             error: Error::new(Kind::BackendRefused, format!("prefill: {cause}"))
-                .run(if self.may_have_run { Run::Unknown } else { Run::Not })
                 .retry_after(RETRY_AFTER),
             failed: Some(failure::failed_server(server, failing)),
             may_retry: self.may_restart(),
@@ -90,7 +89,7 @@
     /// Starts the request at the reservation's decode server and waits for the head of its stream.
     /// Without a source, the decode server prefills the prompt itself.
     pub(super) async fn decode(
-        &mut self,
+        &self,
         reservation: &Reservation,
         source: Option<&Source>,
     ) -> std::result::Result<IncomingResponse, AttemptFailure> {
@@ -103,11 +102,9 @@
         let outgoing = self.outgoing(server, step, head_deadline);
         let result = transport::call(self.router, &outgoing).await;
         let message = |cause: String| format!("backend server {}: {cause}", server.name);
-        let (may_have_run, may_retry) = (self.may_have_run, self.may_restart());
+        let may_retry = self.may_restart();
         let not_run = |cause: String, failing: Failing| AttemptFailure {
-            error: Error::new(Kind::BackendRefused, message(cause))
-                .run(if may_have_run { Run::Unknown } else { Run::Not })
-                .retry_after(RETRY_AFTER),
+            error: Error::new(Kind::BackendRefused, message(cause)).retry_after(RETRY_AFTER),
             failed: Some(failure::failed_server(server, failing)),
             may_retry,
             retry_calls: CALLS_PER_RESERVATION,
@@ -127,14 +124,12 @@
                 return Err(not_run(cause.into(), Failing::Refused).without_calls());
             }
             Err(failure @ (Failure::Broken(_) | Failure::Disconnected(_) | Failure::TimedOut)) => {
-                self.may_have_run = true;
                 if matches!(failure, Failure::Disconnected(_)) {
                     self.suspect_crash(server, false);
                 }
                 return Err(self.broken_run(server, &failure.to_string()));
             }
         };
-        self.may_have_run = true;
         let fault = transport::fault(&response.head, &response.response_info);
         let cause = match fault {
             None if response.head.status == 200 => return Ok(response),
@@ -161,6 +156,7 @@
             head_deadline: head_deadline.min(self.request.deadline),
             reuse_idle_max: REUSE_IDLE_MAX,
             permit: Permit::Wanted(PERMIT_PATIENCE),
+            attempts: self.attempts,
         }
     }
 }
--- a/crates/ffw-route/src/stream/quarantine.rs
+++ b/crates/ffw-route/src/stream/quarantine.rs
@@ -7,7 +7,7 @@
     ffw_http::connection,
     ffw_protocol::{
         admission::Server,
-        error::{Error, Kind, Result, Run},
+        error::{Error, Kind, Result},
         quarantine::names,
     },
     ffw_runtime::{executor, timer},
@@ -24,8 +24,7 @@
         let refusal = quarantine::refusal(daemon, pool, &self.request.request_info.prompt)?;
         let parts = names(&refusal.parts);
         let message = format!("servers crash under part {parts} of the prompt");
-        let run = if self.may_have_run { Run::Unknown } else { Run::Not };
-        Some(Error::new(Kind::Quarantined, message).run(run).retry_after(refusal.left))
+        Some(Error::new(Kind::Quarantined, message).retry_after(refusal.left))
     }
 
     fn is_held(&self) -> bool {
--- a/crates/ffw-route/src/transport.rs
+++ b/crates/ffw-route/src/transport.rs
@@ -10,6 +10,7 @@
         router::Router,
     },
     ffw_control::rate,
+    ffw_decide::attempts::Attempts,
     ffw_http::{
         connection::{Connection, Fault},
         framing::{Decoder, Framing},
@@ -76,6 +77,15 @@
     pub(crate) reuse_idle_max: Duration,
     /// What allows the call if the server has a rate limit.
     pub(crate) permit: Permit,
+    /// Account of the request's attempts.
+    pub(crate) attempts: &'a Attempts,
+}
+
+impl OutgoingRequest<'_> {
+    /// Whether the call makes the server run the request, and not only prefill its prompt.
+    fn runs_request(&self) -> bool {
+        !matches!(self.step, Step::Prefill)
+    }
 }
 
 /// What allows a call to a server that has a rate limit.
@@ -145,6 +155,9 @@
     let mut bytes = (router.dialect.write_call)(outgoing.head, &call).to_bytes();
     bytes.extend_from_slice(outgoing.body);
     let limit = outgoing.head_deadline.saturating_duration_since(Instant::now());
+    if outgoing.runs_request() {
+        outgoing.attempts.begin();
+    }
     let exchanging = exchange(router, &mut connection, outgoing, &bytes);
     let (head, response_info, is_request_sent_whole) = match timer::timeout(limit, exchanging).await
     {
@@ -261,6 +274,9 @@
         router.record_notices(&outgoing.server.name, &response_info);
         let is_stale = response_info.id.as_ref().is_some_and(|id| **id != *outgoing.id);
         if !is_stale {
+            if response_info.is_not_run && outgoing.runs_request() {
+                outgoing.attempts.prove_not_run();
+            }
             return Ok((head, response_info, is_request_sent_whole));
         }
         let mut decoder = Decoder::new(Framing::of_response(&head, &outgoing.head.method)?);
--- a/crates/ffw-route/tests/support/harness.rs
+++ b/crates/ffw-route/tests/support/harness.rs
@@ -52,6 +52,12 @@
     Close(Vec<u8>),
     /// Closes the connection without sending anything.
     CloseUnanswered,
+    /// Sends these bytes after a time and waits for the next call.
+    Late(Duration, Vec<u8>),
+    /// Closes the connection after a time without sending anything.
+    LateClose(Duration),
+    /// Sends nothing, until the caller closes the connection.
+    Silent,
     /// Sends the first bytes, and then the second ones again and again until the caller closes.
     Endless(Vec<u8>, Vec<u8>),
 }
@@ -104,6 +110,12 @@
                 Reply::Bytes(bytes) => (bytes, false),
                 Reply::Close(bytes) => (bytes, true),
                 Reply::CloseUnanswered => return,
+                Reply::Late(after, bytes) => {
+                    timer::sleep(after).await;
+                    (bytes, false)
+                }
+                Reply::LateClose(after) => return timer::sleep(after).await,
+                Reply::Silent => return connection.close_watcher().closed().await,
                 Reply::Endless(mut bytes, again) => {
                     while connection.write(&bytes, TIMEOUT).await.is_ok() {
                         bytes.clone_from(&again);
@@ -209,7 +221,9 @@
 fn parse_request(head: &Request) -> Result<RequestInfo, Malformed> {
     Ok(RequestInfo {
         id: head.fields.text("Id").unwrap_or_default().into(),
-        timeout: Some(Duration::from_secs(5)),
+        timeout: Some(head.fields.text("Timeout-Ms").map_or(Duration::from_secs(5), |text| {
+            Duration::from_millis(text.parse().expect("a number"))
+        })),
         tokens: Some(Tokens { prompt: 100, output: 50, output_hint: None }),
         last_event_id: None,
         prompt: Prompt::default(),
--- a/crates/ffw-runtime/src/executor.rs
+++ b/crates/ffw-runtime/src/executor.rs
@@ -4,6 +4,7 @@
     smol::{Executor, Task, future},
     std::{
         future::Future,
+        panic,
         sync::{OnceLock, mpsc},
         thread,
     },
@@ -20,7 +21,6 @@
     EXECUTOR.get_or_init(|| {
         let threads = thread::available_parallelism().map_or(1, |count| count.get());
         for index in 0..threads.min(MAX_THREADS) {
-            let run_worker = || smol::block_on(executor().run(future::pending::<()>()));
             let spawned = thread::Builder::new().name(format!("worker-{index}")).spawn(run_worker);
             drop(spawned);
         }
@@ -28,6 +28,15 @@
     })
 }
 
+/// Runs tasks; never returns. A task that panics ends, and the others go on.
+fn run_worker() {
+    loop {
+        let running = || smol::block_on(executor().run(future::pending::<()>()));
+        // The panic hook has reported the panic.
+        drop(panic::catch_unwind(running));
+    }
+}
+
 /// Runs a task on the process's executor; dropping the handle cancels it.
 pub fn spawn<T: Send + 'static>(task: impl Future<Output = T> + Send + 'static) -> Task<T> {
     executor().spawn(task)
