--- a/crates/ffw-soak/src/store.rs
+++ b/crates/ffw-soak/src/store.rs
@@ -62,6 +62,8 @@
     /// Number of calls of [`Store::silence_watches`]. A watch that began before the last one is
     /// never answered.
     silences: Arc<AtomicU64>,
+    /// Whether calls that arrive are never answered, and earlier ones not yet.
+    is_silent: Arc<AtomicBool>,
     reads: Arc<AtomicU64>,
 }
 
@@ -173,6 +175,12 @@
         self.silences.fetch_add(1, Ordering::SeqCst);
     }
 
+    /// Falls silent, or answers again. Calls that arrive in a silence are never answered, on
+    /// connections that stay open; watches that were open before are answered after it.
+    pub fn set_silent(&self, is_silent: bool) {
+        self.is_silent.store(is_silent, Ordering::SeqCst);
+    }
+
     /// Number of reads, watches included, that have arrived.
     pub fn reads(&self) -> u64 {
         self.reads.load(Ordering::SeqCst)
@@ -190,6 +198,9 @@
         let name = parts.next().map(str::to_owned);
         let is_write = &*exchange.head.method != "GET";
         self.reads.fetch_add(u64::from(!is_write), Ordering::SeqCst);
+        if self.is_silent.load(Ordering::SeqCst) {
+            return smol::future::pending().await;
+        }
         let (status, body) = match (&*exchange.head.method, name) {
             ("GET", None) if query.contains("watch=") => self.watch(&kind, query).await,
             ("GET", None) => (200, self.list(&kind)),
@@ -262,6 +273,10 @@
             if self.silences.load(Ordering::SeqCst) != silences {
                 smol::future::pending::<()>().await;
             }
+            if self.is_silent.load(Ordering::SeqCst) {
+                timer::sleep(POLL_INTERVAL).await;
+                continue;
+            }
             if let Some(answer) = self.changes(kind, since) {
                 return answer;
             }
