--- a/crates/ffw-soak/src/daemon.rs
+++ b/crates/ffw-soak/src/daemon.rs
@@ -125,6 +125,14 @@
         }
     }
 
+    /// Resident memory of the process in kilobytes, if it is running.
+    pub fn memory_kb(&self) -> Option<u64> {
+        let id = self.child.as_ref()?.id();
+        let status = fs::read_to_string(format!("/proc/{id}/status")).ok()?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+        line.trim().trim_end_matches(" kB").parse().ok()
+    }
+
     /// Returns the exit code if the process has exited since the last call, 0 if a signal ended it.
     /// `None` if it is still running or was not started.
     pub fn take_exit_code(&mut self) -> Option<i32> {
