Take a response for a request only if it can't be an earlier one's

Report of other operators: a faulty server writes an earlier refusal once more on a kept connection. Shown: without a request id it was taken for the answer to the next request, which ran, and its caller got 503, "not run". Also shown: a write to the store was confirmed by the response to an earlier one, and an id that a caller sends twice went twice over one connection.

Change: a connection carries each id once; a response without an id counts on a new connection only, and never states that a request did not run; a new connection on which bytes wait is not used.

--- a/crates/ffw-http/src/connection.rs
+++ b/crates/ffw-http/src/connection.rs
@@ -18,7 +18,14 @@
     futures_lite::{AsyncRead as _, AsyncReadExt as _, AsyncWriteExt as _, future},
     rustix::net::sockopt,
     smol::net::TcpStream,
-    std::{fmt, io, net::SocketAddr, pin::Pin, time::Duration},
+    std::{
+        fmt,
+        hash::{DefaultHasher, Hash as _, Hasher as _},
+        io,
+        net::SocketAddr,
+        pin::Pin,
+        time::Duration,
+    },
 };
 
 /// Size of the buffer in which bytes are read that are discarded.
@@ -32,6 +39,9 @@
 /// Largest number of interim responses before a response.
 const MAX_INTERIM_RESPONSES: u32 = 8;
 
+/// Largest number of requests that are sent on one connection.
+const SENT_MAX: usize = 4_096;
+
 /// Pause between two checks whether the other side closed, while unread bytes hide the end.
 const CLOSE_CHECK_PAUSE: Duration = Duration::from_millis(50);
 
@@ -89,6 +99,8 @@
     buffer: Buffer,
     /// Search for the end of the head at the start of the buffer.
     head_search: Search,
+    /// Digests of the ids of the requests that were sent.
+    sent: Vec<u64>,
 }
 
 impl Connection {
@@ -104,7 +116,7 @@
         sockopt::set_tcp_keepcnt(&stream, MAX_UNANSWERED_PROBES).ok();
         sockopt::set_socket_keepalive(&stream, true).ok();
         let (buffer, head_search) = (Buffer::default(), Search::default());
-        Connection { stream: Metered::new(stream, wire), buffer, head_search }
+        Connection { stream: Metered::new(stream, wire), buffer, head_search, sent: Vec::new() }
     }
 
     /// Connects within `limit`; for the other arguments see [`Connection::new`].
@@ -136,6 +148,23 @@
         self.buffer.is_empty() && peeked.is_none()
     }
 
+    /// Records that a request with this id is sent.
+    pub fn record_sent(&mut self, id: &str) {
+        self.sent.push(digest(id));
+    }
+
+    /// Whether a request was sent on this connection.
+    pub fn was_used(&self) -> bool {
+        !self.sent.is_empty()
+    }
+
+    /// Whether a request with this id can be told from all that were sent before: a late answer to
+    /// an earlier one would have another id. A connection that was used very often can't be used
+    /// again.
+    pub fn can_carry(&self, id: &str) -> bool {
+        self.sent.len() < SENT_MAX && !self.sent.contains(&digest(id))
+    }
+
     /// Waits until bytes were received. Cancel-safe.
     ///
     /// # Errors
@@ -364,6 +393,12 @@
     }
 }
 
+fn digest(id: &str) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    id.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Detects that the other side of a connection has closed it.
 #[derive(Clone, Debug)]
 pub struct CloseWatcher {
--- a/crates/ffw-http/src/pool.rs
+++ b/crates/ffw-http/src/pool.rs
@@ -38,10 +38,11 @@
 
 impl Pool {
     /// Takes the most recently used connection to a server that has been idle for less than
-    /// `max_idle`, was not closed and received no bytes. Connections found unusable are closed.
-    pub async fn take(&self, server: &str, max_idle: Duration) -> Option<Connection> {
+    /// `max_idle`, was not closed, received no bytes, and can carry a request with this id.
+    /// Connections found unusable are closed.
+    pub async fn take(&self, server: &str, max_idle: Duration, id: &str) -> Option<Connection> {
         loop {
-            let idle = self.pop(server)?;
+            let idle = self.pop(server, id)?;
             let is_fresh = idle.idle_since.elapsed() < max_idle && !idle.has_expired();
             if is_fresh && idle.connection.is_reusable().await {
                 return Some(idle.connection);
@@ -49,9 +50,10 @@
         }
     }
 
-    fn pop(&self, server: &str) -> Option<Idle> {
+    fn pop(&self, server: &str, id: &str) -> Option<Idle> {
         let mut idle = self.lock();
-        let index = idle.iter().rposition(|entry| &*entry.server == server)?;
+        let fits = |entry: &Idle| &*entry.server == server && entry.connection.can_carry(id);
+        let index = idle.iter().rposition(fits)?;
         Some(idle.remove(index))
     }
 
--- a/crates/ffw-route/src/transport.rs
+++ b/crates/ffw-route/src/transport.rs
@@ -1,8 +1,9 @@
 //! Calls to backend servers, and what the end of a call shows about whether the request ran.
 //!
 //! Connections are kept for further calls if the last exchange ended cleanly. A kept connection may
-//! still deliver the response to an earlier request, so responses with another request's id are
-//! skipped.
+//! still deliver the response to an earlier request, or deliver one again. So a connection carries
+//! each id once, responses with another request's id are skipped, and one without an id counts on a
+//! new connection only. That the server has not run the request is believed only with its id.
 
 use {
     crate::{
@@ -14,7 +15,7 @@
     ffw_http::{
         connection::{Connection, Fault},
         framing::{Decoder, Framing},
-        message::{Request, Response},
+        message::{Malformed, Request, Response},
     },
     ffw_protocol::admission::Server,
     ffw_runtime::{meter::Wire, timer},
@@ -45,9 +46,15 @@
 /// opens a connection of its own.
 const CONTROL_REUSE_IDLE_MAX: Duration = Duration::ZERO;
 
+/// Id of control calls, which carry none, in the record of what was sent on a connection.
+const CONTROL_ID: &str = "";
+
 /// Why a request is withheld from a server with a rate limit.
 const LIMIT_USED_UP: &str = "its rate limit is used up";
 
+/// A response on a kept connection without the id of a request, which may be an earlier one's.
+const UNIDENTIFIED: Malformed = Malformed("the response on a kept connection has no request id");
+
 /// Share of a server's stated keep-alive time for which an idle connection is kept.
 const KEEP_ALIVE_SHARE: f64 = 0.5;
 
@@ -63,7 +70,7 @@
     pub(crate) head: &'a Request,
     /// Body of the caller's request.
     pub(crate) body: &'a [u8],
-    /// Id of the request. A response with another id is skipped; one without an id is accepted.
+    /// Id of the request, which its response must have.
     pub(crate) id: &'a str,
     /// What the server has to do.
     pub(crate) step: Step<'a>,
@@ -181,7 +188,8 @@
     if let Permit::Wanted(patience) = outgoing.permit {
         acquire_permit(router, server, patience).await?;
     }
-    let connected = connect(router, server, head_deadline, outgoing.reuse_idle_max).await;
+    let reuse_idle_max = outgoing.reuse_idle_max;
+    let connected = connect(router, server, head_deadline, reuse_idle_max, outgoing.id).await;
     // The server may have answered another request meanwhile.
     let checked = connected.and_then(|connection| {
         check_notices(router, server)?;
@@ -213,7 +221,9 @@
 ) -> Result<FullResponse, Failure> {
     let deadline = Instant::now() + limit;
     acquire_permit(router, server, Duration::ZERO).await?;
-    let mut connection = connect(router, server, deadline, CONTROL_REUSE_IDLE_MAX).await?;
+    let mut connection =
+        connect(router, server, deadline, CONTROL_REUSE_IDLE_MAX, CONTROL_ID).await?;
+    connection.record_sent(CONTROL_ID);
     let mut head = head.clone();
     head.fields.set("Host", server.address.to_string());
     if !body.is_empty() {
@@ -251,15 +261,20 @@
     server: &Server,
     deadline: Instant,
     reuse_idle_max: Duration,
+    id: &str,
 ) -> Result<Connection, Failure> {
-    if let Some(idle) = router.idle_connections.take(&server.name, reuse_idle_max).await {
+    if let Some(idle) = router.idle_connections.take(&server.name, reuse_idle_max, id).await {
         return Ok(idle);
     }
     let time_left = deadline.saturating_duration_since(Instant::now());
     let limit = CONNECT_TIMEOUT.min(time_left);
     let opened =
         Connection::open(server.address, Wire::Request, limit, UNACKNOWLEDGED_TIMEOUT).await;
-    opened.map_err(|err| Failure::Unreached(err.to_string()))
+    let opened = opened.map_err(|err| Failure::Unreached(err.to_string()))?;
+    if !opened.is_reusable().await {
+        return Err(Failure::Unreached("the server closed, or answered before a request".into()));
+    }
+    Ok(opened)
 }
 
 async fn exchange(
@@ -268,16 +283,26 @@
     outgoing: &OutgoingRequest<'_>,
     bytes: &[u8],
 ) -> Result<(Response, ResponseInfo, bool), Fault> {
+    let was_used = connection.was_used();
+    connection.record_sent(outgoing.id);
     let (mut head, is_request_sent_whole) = connection.exchange(bytes, HEAD_BYTES_MAX).await?;
     for _ in 0..STALE_RESPONSES_MAX {
-        let response_info = (router.dialect.parse_response)(&head);
+        let mut response_info = (router.dialect.parse_response)(&head);
         router.record_notices(&outgoing.server.name, &response_info);
-        let is_stale = response_info.id.as_ref().is_some_and(|id| **id != *outgoing.id);
-        if !is_stale {
-            if response_info.is_not_run && outgoing.runs_request() {
-                outgoing.attempts.prove_not_run();
+        match response_info.id.as_deref() {
+            Some(id) if id == outgoing.id => {
+                if response_info.is_not_run && outgoing.runs_request() {
+                    outgoing.attempts.prove_not_run();
+                }
+                return Ok((head, response_info, is_request_sent_whole));
+            }
+            Some(_) => {}
+            None if was_used => return Err(Fault::Malformed(UNIDENTIFIED)),
+            None => {
+                // Without the id, the statement may be about another request.
+                response_info.is_not_run = false;
+                return Ok((head, response_info, is_request_sent_whole));
             }
-            return Ok((head, response_info, is_request_sent_whole));
         }
         let mut decoder = Decoder::new(Framing::of_response(&head, &outgoing.head.method)?);
         connection.read_body(&mut decoder, UNRELAYED_BODY_BYTES_MAX).await?;
--- a/crates/ffw-route/tests/support/harness.rs
+++ b/crates/ffw-route/tests/support/harness.rs
@@ -26,6 +26,7 @@
         router::{Limits, Router},
     },
     ffw_runtime::{clock, executor, meter::Wire, timer},
+    smol::io::AsyncWriteExt as _,
     smol::net::{TcpListener, TcpStream},
     std::{
         net::SocketAddr,
@@ -56,6 +57,8 @@
     Late(Duration, Vec<u8>),
     /// Closes the connection after a time without sending anything.
     LateClose(Duration),
+    /// Sends the first bytes at once and the second ones after a time.
+    Twice(Vec<u8>, Duration, Vec<u8>),
     /// Sends nothing, until the caller closes the connection.
     Silent,
     /// Sends the first bytes, and then the second ones again and again until the caller closes.
@@ -69,6 +72,8 @@
     calls: Arc<Mutex<Vec<String>>>,
     /// Number of endless replies that the caller has closed.
     closed: Arc<AtomicUsize>,
+    /// Number of connections that were accepted.
+    connections: Arc<AtomicUsize>,
 }
 
 impl Backend {
@@ -77,10 +82,12 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
         let address = listener.local_addr().expect("an address");
         let calls: Arc<Mutex<Vec<String>>> = Arc::default();
-        let backend = Backend { address, calls, closed: Arc::default() };
+        let backend =
+            Backend { address, calls, closed: Arc::default(), connections: Arc::default() };
         let serving = backend.clone();
         executor::detach(async move {
             while let Ok((stream, _)) = listener.accept().await {
+                serving.connections.fetch_add(1, Ordering::SeqCst);
                 executor::detach(serving.clone().serve(stream, script.clone()));
             }
         });
@@ -91,7 +98,31 @@
     pub(crate) async fn gone() -> Backend {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
         let address = listener.local_addr().expect("an address");
-        Backend { address, calls: Arc::default(), closed: Arc::default() }
+        let (calls, closed, connections) = (Arc::default(), Arc::default(), Arc::default());
+        Backend { address, calls, closed, connections }
+    }
+
+    /// A server that sends these bytes on each connection before it reads a request, and then
+    /// replies by a script.
+    pub(crate) async fn start_eager(greeting: Vec<u8>, script: Script) -> Backend {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+        let address = listener.local_addr().expect("an address");
+        let (calls, closed, connections) = (Arc::default(), Arc::default(), Arc::default());
+        let backend = Backend { address, calls, closed, connections };
+        let serving = backend.clone();
+        executor::detach(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                if stream.write_all(&greeting).await.is_ok() {
+                    executor::detach(serving.clone().serve(stream, script.clone()));
+                }
+            }
+        });
+        backend
+    }
+
+    /// Number of connections that were accepted.
+    pub(crate) fn connections(&self) -> usize {
+        self.connections.load(Ordering::SeqCst)
     }
 
     async fn serve(self, stream: TcpStream, script: Script) {
@@ -114,6 +145,13 @@
                     timer::sleep(after).await;
                     (bytes, false)
                 }
+                Reply::Twice(first, after, second) => {
+                    if connection.write(&first, TIMEOUT).await.is_err() {
+                        return;
+                    }
+                    timer::sleep(after).await;
+                    (second, false)
+                }
                 Reply::LateClose(after) => return timer::sleep(after).await,
                 Reply::Silent => return connection.close_watcher().closed().await,
                 Reply::Endless(mut bytes, again) => {
@@ -135,7 +173,8 @@
     pub(crate) async fn start_slow(moved: Arc<AtomicBool>) -> Backend {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
         let address = listener.local_addr().expect("an address");
-        let backend = Backend { address, calls: Arc::default(), closed: Arc::default() };
+        let (calls, closed, connections) = (Arc::default(), Arc::default(), Arc::default());
+        let backend = Backend { address, calls, closed, connections };
         let serving = backend.clone();
         executor::detach(async move {
             while let Ok((stream, _)) = listener.accept().await {
--- a/crates/ffw-soak/src/store.rs
+++ b/crates/ffw-soak/src/store.rs
@@ -62,6 +62,8 @@
     /// Number of calls of [`Store::silence_watches`]. A watch that began before the last one is
     /// never answered.
     silences: Arc<AtomicU64>,
+    /// Time after which each response is sent once more, in milliseconds; 0 if it is not.
+    repeat_after_ms: Arc<AtomicU64>,
     /// Whether calls that arrive are never answered, and earlier ones not yet.
     is_silent: Arc<AtomicBool>,
     reads: Arc<AtomicU64>,
@@ -175,6 +177,12 @@
         self.silences.fetch_add(1, Ordering::SeqCst);
     }
 
+    /// Sends each response once more after a time, on the same connection.
+    pub fn set_repeat_after(&self, time: Duration) {
+        let millis = u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
+        self.repeat_after_ms.store(millis, Ordering::SeqCst);
+    }
+
     /// Falls silent, or answers again. Calls that arrive in a silence are never answered, on
     /// connections that stay open; watches that were open before are answered after it.
     pub fn set_silent(&self, is_silent: bool) {
@@ -221,7 +229,12 @@
         if era > 0 {
             head.fields.set("Store-Era", era.to_string());
         }
-        exchange.answer(head, body.as_bytes()).await.ok()?;
+        exchange.answer(head.clone(), body.as_bytes()).await.ok()?;
+        let repeat_after_ms = self.repeat_after_ms.load(Ordering::SeqCst);
+        if repeat_after_ms > 0 {
+            timer::sleep(Duration::from_millis(repeat_after_ms)).await;
+            exchange.answer(head, body.as_bytes()).await.ok()?;
+        }
         Some(exchange)
     }
 
