Relay nothing but events of the stream, and end it only after an event

Report of other operators: a stream breaks off, the next server answers with an error, and callers find its text in their stream, or the stream ends as if complete. Shown: answers with another status were held off, but a signed 200 of another media type, text or heads between empty lines, and empty bodies were not.

Cause: the relay took for events what ends with an empty line, and for the end of the stream any end of a body.

Change: `stream::events` accepts lines of events only, a run must have the media type of the stream, and a run that continues a stream ends it only if it has brought an event, or the allowed output is reached. Else the next server is tried within the budget, or the connection is cut.

--- a/crates/ffw-route/src/stream/relay.rs
+++ b/crates/ffw-route/src/stream/relay.rs
@@ -10,7 +10,10 @@
         transport::IncomingResponse,
     },
     ffw_control::admission::Reservation,
-    ffw_http::connection::{Connection, Fault},
+    ffw_http::{
+        connection::{Connection, Fault},
+        message::Response,
+    },
     ffw_protocol::{admission::Ask, error::Error},
     ffw_runtime::{meter::Wire, timer},
     std::time::{Duration, Instant},
@@ -22,6 +25,9 @@
 /// Largest event, in bytes. Many streams may receive bytes without end at the same time.
 const EVENT_BYTES_MAX: usize = 128 << 10;
 
+/// Media type of an event stream.
+const EVENT_STREAM: &[u8] = b"text/event-stream";
+
 /// How a run ended.
 pub(super) enum RelayEnd {
     /// The stream ended with this run.
@@ -42,6 +48,8 @@
     request: &'a RoutedRequest,
     caller: &'a mut Connection,
     has_begun: bool,
+    /// Media type of the response, which is that of the first run.
+    media_type: Option<Vec<u8>>,
     last_event_id: Option<u64>,
     events: u32,
     tokens_per_event: u32,
@@ -57,6 +65,7 @@
             request,
             caller,
             has_begun: false,
+            media_type: None,
             last_event_id: request.request_info.last_event_id,
             events: 0,
             tokens_per_event: pool.map_or(1, |pool| pool.event_tokens),
@@ -112,6 +121,10 @@
         reservation: &Reservation,
         mover: &mut Mover,
     ) -> RelayEnd {
+        if let Some(cause) = self.unfit(&response) {
+            return broken(cause);
+        }
+        let (continues, events_before) = (self.has_begun, self.events);
         let mut unsent = Events::default();
         loop {
             let reading = response.connection.read_part(&mut response.decoder);
@@ -127,19 +140,24 @@
             unsent.push(&part);
             Wire::Request.record_examined(part.len());
             let events = unsent.take_numbered();
+            if !events.is_empty() {
+                if !self.record_events(&events) {
+                    return broken("the ids of the events do not increase");
+                }
+                reservation.record_emitted(self.emitted_tokens());
+                if self.send(router, &response, &events).await.is_err() {
+                    return RelayEnd::CallerGone;
+                }
+            }
+            if unsent.is_foreign() {
+                return broken("the stream holds something else than events");
+            }
             if unsent.len() > EVENT_BYTES_MAX {
                 return broken("an event is too large");
             }
             if events.is_empty() {
                 continue;
             }
-            if !self.record_events(&events) {
-                return broken("the ids of the events do not increase");
-            }
-            reservation.record_emitted(self.emitted_tokens());
-            if self.send(router, &response, &events).await.is_err() {
-                return RelayEnd::CallerGone;
-            }
             mover.advance(reservation, || self.build_ask(router)).await;
         }
         // A body that ends with its connection may have been cut anywhere.
@@ -148,6 +166,11 @@
             let cause = "the stream ended within an event".into();
             return RelayEnd::Broken { cause, is_disconnect };
         }
+        // The run of before broke off, so that something is missing, unless its output had come to
+        // the largest size.
+        if continues && self.events == events_before && !self.has_full_output() {
+            return broken("the continued stream ended without an event");
+        }
         if is_disconnect && !self.has_begun {
             let cause = "the stream ended without an event".into();
             return RelayEnd::Broken { cause, is_disconnect };
@@ -163,6 +186,22 @@
         RelayEnd::Complete
     }
 
+    /// Why a run's response can't be a part of the stream.
+    fn unfit(&self, response: &IncomingResponse) -> Option<&'static str> {
+        let media_type = media_type(&response.head);
+        if media_type.as_ref().is_some_and(|media_type| media_type != EVENT_STREAM) {
+            return Some("the response is no event stream");
+        }
+        let is_another = self.has_begun && media_type != self.media_type;
+        is_another.then_some("the response has another media type than the stream")
+    }
+
+    /// Whether the caller has got as much output as it allows.
+    fn has_full_output(&self) -> bool {
+        let tokens = self.request.request_info.tokens;
+        tokens.is_some_and(|tokens| self.emitted_tokens() >= tokens.output)
+    }
+
     /// Builds the admission request for a reservation to which the run is moved.
     fn build_ask(&self, router: &Router) -> Option<Ask> {
         ask::build(self.request, self, router.daemon.identity.next_request(), 1, true).ok()
@@ -239,6 +278,7 @@
         if std::mem::replace(&mut self.has_begun, true) {
             return Vec::new();
         }
+        self.media_type = media_type(&response.head);
         let mut head = response.head.clone();
         head.fields.remove_hop_by_hop();
         head.fields.remove("content-length");
@@ -257,6 +297,13 @@
     }
 }
 
+/// Media type of a response, without parameters and in lower case.
+fn media_type(head: &Response) -> Option<Vec<u8>> {
+    let value = head.fields.all("content-type").next()?;
+    let media_type = value.split(|byte| *byte == b';').next().unwrap_or_default();
+    Some(media_type.trim_ascii().to_ascii_lowercase())
+}
+
 fn broken(cause: &str) -> RelayEnd {
     RelayEnd::Broken { cause: cause.into(), is_disconnect: false }
 }
