--- a/crates/ffw-http/src/connection.rs
+++ b/crates/ffw-http/src/connection.rs
@@ -99,7 +99,7 @@
     buffer: Buffer,
     /// Search for the end of the head at the start of the buffer.
     head_search: Search,
-    /// Digests of the ids of the requests that were sent.
+    /// Digests of the ids of the requests that were sent, in order.
     sent: Vec<u64>,
 }
 
@@ -150,7 +150,10 @@
 
     /// Records that a request with this id is sent.
     pub fn record_sent(&mut self, id: &str) {
-        self.sent.push(digest(id));
+        let digest = digest(id);
+        if let Err(index) = self.sent.binary_search(&digest) {
+            self.sent.insert(index, digest);
+        }
     }
 
     /// Whether a request was sent on this connection.
@@ -162,7 +165,7 @@
     /// an earlier one would have another id. A connection that was used very often can't be used
     /// again.
     pub fn can_carry(&self, id: &str) -> bool {
-        self.sent.len() < SENT_MAX && !self.sent.contains(&digest(id))
+        self.sent.len() < SENT_MAX && self.sent.binary_search(&digest(id)).is_err()
     }
 
     /// Waits until bytes were received. Cancel-safe.
