Lock the ports that tests choose for daemons

A trial that starts three daemons again and again, eight runs at once, shows it: in 16 of 3,840 runs a daemon ended with "Address already in use". One run at a time: none of 500.

Cause: the harness tried a port, released it and let a daemon bind it later, with nothing that kept others from choosing it. Now a port is locked by a file for as long as its daemon may bind it, across threads and processes, for the soak and for clusters. The soak ends at once when a daemon ends while it starts, and says which, with its last log line.

On the way, the code that sends a request and reads its answer, which stood in three test files, moves to ffw_soak::client.

--- a/crates/ffw-soak/src/daemon.rs
+++ b/crates/ffw-soak/src/daemon.rs
@@ -2,12 +2,13 @@
 //! and a daemon that is dropped kills its process.
 
 use {
-    crate::wire,
     eyre::{Result, WrapErr as _},
+    ffw_support::port::Port,
     rustix::process::{Pid, Signal, kill_process},
     serde_json::{Value, json},
     std::{
         fs::{self, File},
+        io,
         net::SocketAddr,
         path::{Path, PathBuf},
         process::{Child, Command},
@@ -26,37 +27,40 @@
     pub caller_address: SocketAddr,
     /// Address of its readiness endpoint, on which it listens from its start.
     pub readiness_address: SocketAddr,
+    #[allow(dead_code, reason = "held for the locks")]
+    ports: Ports,
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
 }
 
-/// Listen addresses of a daemon.
-#[derive(Clone, Copy, Debug)]
-pub struct Addresses {
-    /// For callers, for the readiness probe, and for other daemons, in this order.
-    pub all: [SocketAddr; 3],
-}
+/// Ports on which a daemon listens: for callers, for the readiness probe, and for other daemons.
+#[derive(Debug)]
+pub struct Ports([Port; 3]);
 
-/// Chooses free loopback addresses for `count` daemons. All listeners stay bound until every port
-/// is chosen, so that no port is chosen twice. The daemons bind the ports later, also after each
-/// restart, so the ports are none that the system gives to other sockets meanwhile.
-///
-/// # Errors
-/// No port is free.
-pub async fn addresses(count: usize) -> Result<Vec<Addresses>> {
-    let mut listeners = Vec::new();
-    let mut addresses = Vec::new();
-    for _ in 0..count {
-        let mut all = Vec::new();
-        for _ in 0..3 {
-            let (listener, address) = wire::bind_outside_ephemeral().await?;
-            listeners.push(listener);
-            all.push(address);
-        }
-        addresses.push(Addresses { all: [all[0], all[1], all[2]] });
+impl Ports {
+    /// Chooses free ports for a daemon.
+    ///
+    /// # Errors
+    /// No port is free.
+    pub fn choose() -> io::Result<Ports> {
+        Ok(Ports([Port::choose()?, Port::choose()?, Port::choose()?]))
+    }
+
+    /// Address for callers.
+    pub fn callers(&self) -> SocketAddr {
+        self.0[0].address
+    }
+
+    /// Address of the readiness endpoint.
+    pub fn readiness(&self) -> SocketAddr {
+        self.0[1].address
+    }
+
+    /// Address for other daemons.
+    pub fn peers(&self) -> SocketAddr {
+        self.0[2].address
     }
-    Ok(addresses)
 }
 
 impl Daemon {
@@ -67,16 +71,15 @@
     pub fn new(
         folder: &Path,
         number: usize,
-        addresses: Addresses,
+        ports: Ports,
         seeds: &[SocketAddr],
         store: SocketAddr,
     ) -> Result<Daemon> {
         let name = format!("daemon-{number}");
-        let [caller_address, readiness_address, peer_address] = addresses.all;
         let node_file = json!({
             "nodeName": name, "zone": "a",
-            "listen": {"frontend": caller_address, "readiness": readiness_address,
-                "controlPlane": peer_address},
+            "listen": {"frontend": ports.callers(), "readiness": ports.readiness(),
+                "controlPlane": ports.peers()},
             "seedNodes": seeds, "limits": {"memoryMb": 256, "maxFds": 4000},
             "bounds": {"graceS": SHUTDOWN_GRACE_S, "retryBudgetRatio": 0.2, "budgetWindowS": 10,
                 "budgetSlack": 56},
@@ -85,7 +88,8 @@
         let settings = folder.join(format!("{name}.json"));
         fs::write(&settings, node_file.to_string()).wrap_err("settings")?;
         let log = folder.join(format!("{name}.log"));
-        Ok(Daemon { name, caller_address, readiness_address, settings, log, child: None })
+        let (caller_address, readiness_address) = (ports.callers(), ports.readiness());
+        Ok(Daemon { name, caller_address, readiness_address, ports, settings, log, child: None })
     }
 
     /// Changes the settings file; a running process reads it again within seconds, or on SIGHUP.
@@ -142,6 +146,12 @@
         Some(status.code().unwrap_or(0))
     }
 
+    /// The last line that the process has logged.
+    pub fn last_log_line(&self) -> String {
+        let log = fs::read_to_string(&self.log).unwrap_or_default();
+        log.lines().last().unwrap_or_default().to_owned()
+    }
+
     /// Whether a process was started whose exit has not been seen by
     /// [`take_exit_code`](Daemon::take_exit_code).
     pub fn is_running(&self) -> bool {
--- a/crates/ffw-soak/src/lib.rs
+++ b/crates/ffw-soak/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod caller;
 pub mod check;
+pub mod client;
 pub mod daemon;
 pub mod plan;
 pub mod proxy;
--- a/crates/ffw-soak/src/run.rs
+++ b/crates/ffw-soak/src/run.rs
@@ -11,13 +11,13 @@
     crate::{
         caller::{self, Habits, Outcomes},
         check::{self, Disturbance, Removal, Reroute},
-        daemon::{self, Daemon, SHUTDOWN_GRACE_S},
+        daemon::{Daemon, Ports, SHUTDOWN_GRACE_S},
         plan::{self, Step},
         proxy::{Fault, Proxy},
         store::Store,
         worker::{Log, Role, Worker},
     },
-    eyre::{Result, ensure},
+    eyre::{Result, bail, ensure},
     ffw_runtime::{executor, timer},
     rand::{Rng as _, SeedableRng as _},
     rand_chacha::ChaCha8Rng,
@@ -203,17 +203,25 @@
     }
 
     async fn start_daemons(&mut self) -> Result<()> {
-        let addresses = daemon::addresses(self.options.daemons).await?;
-        let seeds: Vec<_> = addresses.iter().take(3).map(|daemon| daemon.all[2]).collect();
-        for (number, addresses) in addresses.into_iter().enumerate() {
+        let mut ports = Vec::new();
+        for _ in 0..self.options.daemons {
+            ports.push(Ports::choose()?);
+        }
+        let seeds: Vec<_> = ports.iter().take(3).map(Ports::peers).collect();
+        for (number, ports) in ports.into_iter().enumerate() {
             let folder = &self.options.folder;
             let store = self.store_proxy.address;
-            let mut daemon = Daemon::new(folder, number, addresses, &seeds, store)?;
+            let mut daemon = Daemon::new(folder, number, ports, &seeds, store)?;
             daemon.start(&self.options.program)?;
             self.daemons.push(daemon);
         }
         let started_at = Instant::now();
         while !self.all_listening().await {
+            for daemon in &mut self.daemons {
+                if let Some(code) = daemon.take_exit_code() {
+                    bail!("{} ended with {code}: {}", daemon.name, daemon.last_log_line());
+                }
+            }
             ensure!(
                 started_at.elapsed() < LISTEN_LIMIT,
                 "the daemons did not start to listen in time"
--- a/crates/ffw-soak/src/wire.rs
+++ b/crates/ffw-soak/src/wire.rs
@@ -8,12 +8,11 @@
         message::{Request, Response},
     },
     ffw_runtime::{executor, meter::Wire},
-    rand::Rng as _,
     smol::{
         channel::{self, Receiver, Sender},
         net::{TcpListener, TcpStream},
     },
-    std::{future::Future, io, net::SocketAddr, ops::Range, time::Duration},
+    std::{future::Future, io, net::SocketAddr, time::Duration},
 };
 
 /// Time limit of a write, and time after which unacknowledged bytes close a connection.
@@ -57,27 +56,6 @@
     Ok((listener, address))
 }
 
-/// Ports below those that the system gives to sockets without one of their own.
-const FIXED_PORTS: Range<u16> = 10_000..30_000;
-
-/// Number of ports that are tried before none counts as free.
-const PORT_TRIES: usize = 100;
-
-/// Binds a listener on a free port of the loopback address that the system gives to no other
-/// socket, so that the port can be bound again after the listener was closed.
-///
-/// # Errors
-/// No port is free.
-pub async fn bind_outside_ephemeral() -> io::Result<(TcpListener, SocketAddr)> {
-    for _ in 0..PORT_TRIES {
-        let address = SocketAddr::from(([127, 0, 0, 1], rand::thread_rng().gen_range(FIXED_PORTS)));
-        if let Ok(listener) = TcpListener::bind(address).await {
-            return Ok((listener, address));
-        }
-    }
-    Err(io::ErrorKind::AddrInUse.into())
-}
-
 /// Accepts connections in the background and calls `handle` for each request. `handle` returns the
 /// exchange to keep the connection open for the next request, or `None` to close it.
 pub fn serve<F, Fut>(listener: TcpListener, handle: F)
--- a/crates/ffw-support/src/cluster/daemon.rs
+++ b/crates/ffw-support/src/cluster/daemon.rs
@@ -3,6 +3,7 @@
 
 use {
     super::Plan,
+    crate::port::Port,
     ffw_http::client::{self, Call},
     ffw_protocol::digest,
     ffw_runtime::timer,
@@ -10,13 +11,10 @@
     rustix::process::{Pid, Signal, kill_process},
     std::{
         fs::OpenOptions,
-        net::{SocketAddr, TcpListener},
+        net::SocketAddr,
         path::{Path, PathBuf},
         process::{Child, Command, ExitStatus, Stdio},
-        sync::{
-            Arc,
-            atomic::{AtomicU32, Ordering},
-        },
+        sync::Arc,
         time::{Duration, Instant},
     },
 };
@@ -52,29 +50,13 @@
     pub peers: SocketAddr,
     /// Address for operators.
     pub operators: SocketAddr,
+    #[allow(dead_code, reason = "held for the locks")]
+    ports: [Port; 4],
     child: Child,
     command: Vec<String>,
     log: PathBuf,
 }
 
-/// Ports for daemons, below the range from which the kernel assigns ports to outgoing connections.
-const PORTS: std::ops::Range<u32> = 12_000..32_000;
-
-static NEXT_PORT: AtomicU32 = AtomicU32::new(0);
-
-/// An address whose port is free now and that no other daemon of this process has.
-fn free_address() -> SocketAddr {
-    let begin = std::process::id().wrapping_mul(127);
-    loop {
-        let offset = begin.wrapping_add(NEXT_PORT.fetch_add(1, Ordering::SeqCst));
-        let port = PORTS.start + offset % PORTS.len() as u32;
-        let address = SocketAddr::from(([127, 0, 0, 1], port as u16));
-        if TcpListener::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 impl Daemon {
     /// Starts a daemon on free ports; its output goes to a file in the temporary directory.
     pub fn start(
@@ -83,7 +65,8 @@
         platform: SocketAddr,
         seeds: &[SocketAddr],
     ) -> Daemon {
-        let [callers, health, peers, operators] = [(); 4].map(|()| free_address());
+        let ports = [(); 4].map(|()| Port::choose().expect("a free port"));
+        let [callers, health, peers, operators] = ports.each_ref().map(|port| port.address);
         let digest = |key: &str| digest::hex(key.as_bytes());
         let mut command: Vec<String> = vec![plan.binary.into(), "serve".into()];
         let mut push = |flag: &str, value: String| {
@@ -110,7 +93,7 @@
         let file = format!("fireflyworks-{}-{}.log", std::process::id(), callers.port());
         let log = std::env::temp_dir().join(file);
         let child = spawn(&command, &log);
-        Daemon { name: name.clone(), callers, health, peers, operators, child, command, log }
+        Daemon { name: name.clone(), callers, health, peers, operators, ports, child, command, log }
     }
 
     /// Kills the process and starts it again with the same addresses.
--- a/crates/ffw-support/src/lib.rs
+++ b/crates/ffw-support/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod cluster;
 pub mod drive;
 pub mod permit;
+pub mod port;
 pub mod seed;
--- a/crates/fireflyworks/tests/id_to_cause.rs
+++ b/crates/fireflyworks/tests/id_to_cause.rs
@@ -12,7 +12,7 @@
     },
     ffw_runtime::{executor, meter::Wire, timer},
     ffw_soak::{
-        daemon::{self, Daemon},
+        daemon::{Daemon, Ports},
         store::Store,
         wire::IO_TIMEOUT,
         worker::{Log, Role, Worker},
@@ -60,8 +60,8 @@
     start("prefill-1", "llm", Role::Prefill).await;
     let decode = start("decode-1", "llm", Role::Decode).await;
     store.put("config", "main", configuration());
-    let addresses = daemon::addresses(1).await.expect("addresses")[0];
-    let mut daemon = Daemon::new(&folder, 0, addresses, &[], address).expect("settings");
+    let ports = Ports::choose().expect("ports");
+    let mut daemon = Daemon::new(&folder, 0, ports, &[], address).expect("settings");
     daemon.start(Path::new(env!("CARGO_BIN_EXE_fireflyworks"))).expect("a daemon");
     let bench = Bench { daemon, plain, decode, log: folder.join("daemon-0.log") };
     bench.wait_until_served().await;
--- a/crates/fireflyworks/tests/odd_objects.rs
+++ b/crates/fireflyworks/tests/odd_objects.rs
@@ -5,13 +5,10 @@
 //! followed any more.
 
 use {
-    ffw_http::{
-        connection::Connection,
-        framing::{Decoder, Framing},
-    },
-    ffw_runtime::{meter::Wire, timer},
+    ffw_runtime::timer,
     ffw_soak::{
-        daemon::{self, Daemon},
+        client,
+        daemon::{Daemon, Ports},
         store::Store,
         worker::{Log, Role, Worker},
     },
@@ -30,9 +27,6 @@
 /// Processor cores for each run.
 const CORES: NonZero<usize> = NonZero::new(1).expect("not zero");
 
-/// Limit on connecting, on each write, and on the time for which bytes stay unacknowledged.
-const TIMEOUT: Duration = Duration::from_secs(5);
-
 /// Time within which a change of the servers is followed, in the bounds of the users' deployments.
 const FOLLOW_TIME: Duration = Duration::from_secs(2);
 
@@ -59,17 +53,12 @@
 }
 
 async fn book(address: SocketAddr, id: &str) -> Option<u16> {
-    let opening = Connection::open(address, Wire::Request, TIMEOUT, TIMEOUT);
-    let mut connection = opening.await.ok()?;
     let request = format!(
         "POST /r/x HTTP/1.1\r\nHost: h\r\nRequest-Id: {id}\r\n\
          Connection: close\r\nContent-Length: 2\r\n\r\nhi"
     );
-    connection.write(request.as_bytes(), TIMEOUT).await.ok()?;
-    let head = timer::timeout(TIMEOUT, connection.read_response(64 << 10)).await?.ok()?;
-    let mut decoder = Decoder::new(Framing::of_response(&head, "POST").ok()?);
-    while connection.read_part(&mut decoder).await.ok()?.is_some() {}
-    Some(head.status)
+    let answer = client::send(address, &request).await?;
+    Some(answer.status)
 }
 
 fn entry(server: &Worker) -> Value {
@@ -108,8 +97,8 @@
             store.put("fireflyworks-leases", "orders", nested());
         };
         put_odd(0);
-        let addresses = daemon::addresses(1).await.expect("addresses")[0];
-        let daemon = Daemon::new(&folder, 0, addresses, &[], store_address);
+        let ports = Ports::choose().expect("ports");
+        let daemon = Daemon::new(&folder, 0, ports, &[], store_address);
         let mut daemon = daemon.expect("settings");
         daemon.start(Path::new(env!("CARGO_BIN_EXE_fireflyworks"))).expect("a daemon");
         let started_at = Instant::now();
--- a/crates/fireflyworks/tests/rate_limit.rs
+++ b/crates/fireflyworks/tests/rate_limit.rs
@@ -5,13 +5,10 @@
 //! unused, and against callers that wait for a server in need although another one is free.
 
 use {
-    ffw_http::{
-        connection::Connection,
-        framing::{Decoder, Framing},
-    },
-    ffw_runtime::{executor, meter::Wire, timer},
+    ffw_runtime::{executor, timer},
     ffw_soak::{
-        daemon::{self, Daemon},
+        client,
+        daemon::{Daemon, Ports},
         store::Store,
         worker::{Log, Role, Worker},
     },
@@ -37,9 +34,6 @@
 /// Span over which arrivals are counted, by the users' rule.
 const WINDOW: Duration = Duration::from_secs(4);
 
-/// Limit on connecting, on each write, and on the time for which bytes stay unacknowledged.
-const TIMEOUT: Duration = Duration::from_secs(3);
-
 /// Largest number of arrivals in a [`WINDOW`], by the users' rule.
 fn allowed(per_s: f64) -> usize {
     (1.5 * per_s * WINDOW.as_secs_f64() + 5.0) as usize
@@ -116,10 +110,10 @@
             fleet.store.put("servers", &name, entry);
             fleet.servers.push(server);
         }
-        let addresses = daemon::addresses(daemons).await.expect("addresses");
-        let seeds: Vec<SocketAddr> = addresses.iter().take(3).map(|one| one.all[2]).collect();
-        for (number, addresses) in addresses.into_iter().enumerate() {
-            let daemon = Daemon::new(&folder, number, addresses, &seeds, store_address);
+        let ports: Vec<Ports> = (0..daemons).map(|_| Ports::choose().expect("ports")).collect();
+        let seeds: Vec<SocketAddr> = ports.iter().take(3).map(Ports::peers).collect();
+        for (number, ports) in ports.into_iter().enumerate() {
+            let daemon = Daemon::new(&folder, number, ports, &seeds, store_address);
             let mut daemon = daemon.expect("settings");
             daemon.start(Path::new(env!("CARGO_BIN_EXE_fireflyworks"))).expect("a daemon");
             fleet.daemons.push(daemon);
@@ -167,17 +161,12 @@
 /// Sends one request on a connection of its own; `None` if there is no whole response.
 async fn send(address: SocketAddr, path: &str, id: &str) -> Option<Answer> {
     let started_at = Instant::now();
-    let mut connection = Connection::open(address, Wire::Request, TIMEOUT, TIMEOUT).await.ok()?;
     let deadline = if path == "/s/x" { 3_000 } else { 1_000 };
-    let head = format!(
+    let request = format!(
         "POST {path} HTTP/1.1\r\nHost: h\r\nRequest-Id: {id}\r\nDeadline-Ms: {deadline}\r\n\
          Model: m\r\nToken-Count: 100,1000\r\nPrefix-Hash: {id}:100\r\nConnection: close\r\nContent-Length: 2\r\n\r\nhi"
     );
-    connection.write(head.as_bytes(), TIMEOUT).await.ok()?;
-    let reading = connection.read_response(64 << 10);
-    let response = timer::timeout(TIMEOUT, reading).await?.ok()?;
-    let mut decoder = Decoder::new(Framing::of_response(&response, "POST").ok()?);
-    while connection.read_part(&mut decoder).await.ok()?.is_some() {}
+    let response = client::send(address, &request).await?;
     let retry_after = response.fields.text("Retry-After").and_then(|text| text.parse().ok());
     Some(Answer { status: response.status, retry_after, took: started_at.elapsed() })
 }
--- a/crates/fireflyworks/tests/shutdown.rs
+++ b/crates/fireflyworks/tests/shutdown.rs
@@ -5,14 +5,13 @@
 //! booking runs and its caller gets no answer.
 
 use {
-    ffw_http::{
-        connection::Connection,
-        framing::{Decoder, Framing},
-    },
-    ffw_runtime::{executor, meter::Wire, timer},
+    ffw_http::connection::Connection,
+    ffw_runtime::{executor, timer},
     ffw_soak::{
-        daemon::{self, Daemon},
+        client,
+        daemon::{Daemon, Ports},
         store::Store,
+        wire::IO_TIMEOUT,
         worker::{Log, Role, Worker},
     },
     ffw_support::permit,
@@ -37,9 +36,6 @@
 /// Time for which the listener stays open after SIGTERM.
 const LISTEN_TIME: Duration = Duration::from_millis(3_200);
 
-/// Limit on connecting, on each write, and on the time for which bytes stay unacknowledged.
-const TIMEOUT: Duration = Duration::from_secs(5);
-
 struct Fixture {
     daemon: Daemon,
     store: Store,
@@ -74,9 +70,9 @@
         let entry = json!({"service": "app", "address": server.address, "zone": "a",
             "state": "ready", "slots": 16});
         store.put("servers", "server", entry);
-        let addresses = daemon::addresses(1).await.expect("addresses")[0];
-        let seeds = [addresses.all[2]];
-        let daemon = Daemon::new(&folder, 0, addresses, &seeds, store_address).expect("settings");
+        let ports = Ports::choose().expect("ports");
+        let seeds = [ports.peers()];
+        let daemon = Daemon::new(&folder, 0, ports, &seeds, store_address).expect("settings");
         let set_grace = |file: &mut serde_json::Value| {
             file["bounds"]["graceS"] = json!(GRACE.as_secs());
         };
@@ -126,11 +122,8 @@
 }
 
 async fn book(address: SocketAddr, id: &str) -> Booking {
-    let status = match Connection::open(address, Wire::Request, TIMEOUT, TIMEOUT).await {
-        Ok(mut connection) => book_on(&mut connection, id).await,
-        Err(_) => None,
-    };
-    Booking { id: id.to_owned(), status }
+    let answer = client::send(address, &request(id)).await;
+    Booking { id: id.to_owned(), status: answer.map(|head| head.status) }
 }
 
 fn request(id: &str) -> String {
@@ -140,16 +133,8 @@
     )
 }
 
-async fn book_on(connection: &mut Connection, id: &str) -> Option<u16> {
-    connection.write(request(id).as_bytes(), TIMEOUT).await.ok()?;
-    read_answer(connection).await
-}
-
-async fn read_answer(connection: &mut Connection) -> Option<u16> {
-    let head = timer::timeout(TIMEOUT, connection.read_response(64 << 10)).await?.ok()?;
-    let mut decoder = Decoder::new(Framing::of_response(&head, "POST").ok()?);
-    while connection.read_part(&mut decoder).await.ok()?.is_some() {}
-    Some(head.status)
+async fn open(address: SocketAddr) -> Connection {
+    client::open(address).await.expect("a connection")
 }
 
 async fn sleep_until(moment: Instant) {
@@ -212,21 +197,19 @@
             bookings
         });
         let kept = executor::spawn(async move {
-            let opening = Connection::open(address, Wire::Request, TIMEOUT, TIMEOUT);
-            let mut connection = opening.await.expect("a connection");
+            let mut connection = open(address).await;
             sleep_until(stopped_at + Duration::from_millis(2_000)).await;
-            book_on(&mut connection, "kept").await
+            client::send_on(&mut connection, &request("kept")).await.map(|head| head.status)
         });
         let half_sent = executor::spawn(async move {
             sleep_until(stopped_at + LISTEN_TIME - Duration::from_millis(100)).await;
-            let opening = Connection::open(address, Wire::Request, TIMEOUT, TIMEOUT);
-            let mut connection = opening.await.expect("a connection");
+            let mut connection = open(address).await;
             let request = request("half");
             let (first, rest) = request.split_at(30);
-            connection.write(first.as_bytes(), TIMEOUT).await.expect("written");
+            connection.write(first.as_bytes(), IO_TIMEOUT).await.expect("written");
             timer::sleep(Duration::from_millis(900)).await;
-            connection.write(rest.as_bytes(), TIMEOUT).await.expect("written");
-            read_answer(&mut connection).await
+            connection.write(rest.as_bytes(), IO_TIMEOUT).await.expect("written");
+            client::read_answer(&mut connection).await.map(|head| head.status)
         });
         for after in [1_000, 3_100, 3_300] {
             sleep_until(stopped_at + Duration::from_millis(after)).await;
