Let route wait for an address that is about to be released

Cause: `serve` tries an address that is in use again for three seconds, `route` ended at once. The wait moves into ffw_runtime::listener::bind, which both use.

--- a/crates/ffw-http/src/server.rs
+++ b/crates/ffw-http/src/server.rs
@@ -18,7 +18,7 @@
     std::{
         future::Future,
         io,
-        net::{Shutdown, SocketAddr},
+        net::Shutdown,
         time::{Duration, Instant},
     },
 };
@@ -85,14 +85,6 @@
     }
 }
 
-/// Binds a listener.
-///
-/// # Errors
-/// The address is in use, or not an address of this machine.
-pub async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
-    TcpListener::bind(address).await
-}
-
 /// Accepts connections until the tracker is closed, and answers each request with the response of
 /// `handler`. Connections that were let in before are served to their end.
 pub async fn serve<F, Fut>(listener: TcpListener, limits: Limits, tracker: Tracker, handler: F)
--- a/crates/ffw-runtime/src/listener.rs
+++ b/crates/ffw-runtime/src/listener.rs
@@ -5,6 +5,8 @@
 //! the connections that the system has established on its behalf, as their callers may have sent
 //! requests, and closes. Each piece of work holds a [`Token`]; the tracker is drained when the last
 //! one is gone. The listener holds one as well, so that nothing is let in after that.
+//!
+//! Binds listeners as well, and waits for an address that another process is about to release.
 
 use {
     crate::{executor, timer},
@@ -16,11 +18,18 @@
     },
     std::{
         io,
+        net::SocketAddr,
         sync::{Arc, Mutex, PoisonError},
-        time::Duration,
+        time::{Duration, Instant},
     },
 };
 
+/// Time for which binding an address that is in use is retried.
+const BIND_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Pause between two attempts to bind an address.
+const BIND_PAUSE: Duration = Duration::from_millis(50);
+
 /// Pause after a failed accept. Accepting fails, for example, while the process has no free file
 /// descriptor.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
@@ -92,6 +101,26 @@
     }
 }
 
+/// Binds a listener. An address that is in use is tried again for some seconds, as the previous
+/// process of the instance may not have released it yet.
+///
+/// # Errors
+/// The address stays in use, or is not an address of this machine.
+pub async fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let began = Instant::now();
+    loop {
+        let bound = TcpListener::bind(address).await;
+        if !bound.as_ref().is_err_and(is_in_use) || began.elapsed() >= BIND_TIMEOUT {
+            return bound;
+        }
+        timer::sleep(BIND_PAUSE).await;
+    }
+}
+
+fn is_in_use(err: &io::Error) -> bool {
+    err.kind() == io::ErrorKind::AddrInUse
+}
+
 /// Accepts connections until the tracker is closed, and then those that were established before the
 /// listener closes. `serve` gets each with a token, which it holds until the connection is served.
 /// A failed accept is logged with `name` and repeated after a pause.
--- a/crates/ffw-standin/src/main.rs
+++ b/crates/ffw-standin/src/main.rs
@@ -3,12 +3,9 @@
 use {
     clap::{Arg, ArgAction, ArgMatches, Command, value_parser},
     eyre::{Result, WrapErr as _, eyre},
-    ffw_http::{
-        client::{self, Call},
-        server,
-    },
+    ffw_http::client::{self, Call},
     ffw_protocol::instance::{Instance, Role, State},
-    ffw_runtime::listener::Tracker,
+    ffw_runtime::listener::{self, Tracker},
     ffw_standin::{
         caller::{Completion, Plain},
         engine::{self, Engine},
@@ -100,11 +97,11 @@
     let Some((name, matches)) = matches.subcommand() else { return Ok(ExitCode::from(2)) };
     match name {
         "platform" => {
-            let listener = server::bind(required(matches, "listen")?).await?;
+            let listener = listener::bind(required(matches, "listen")?).await?;
             platform::Platform::default().serve(listener, Tracker::default()).await;
         }
         "plain" => {
-            let listener = server::bind(required(matches, "listen")?).await?;
+            let listener = listener::bind(required(matches, "listen")?).await?;
             plain::Plain::default().serve(listener, Tracker::default()).await;
         }
         "engine" => run_engine(matches).await?,
@@ -131,7 +128,7 @@
         fences: matches.get_flag("fences"),
         ..engine::Settings::default()
     };
-    let listener = server::bind(listen).await?;
+    let listener = listener::bind(listen).await?;
     Engine::new(settings, listen).serve(listener, Tracker::default()).await;
     Ok(())
 }
--- a/crates/ffw-support/src/cluster.rs
+++ b/crates/ffw-support/src/cluster.rs
@@ -8,15 +8,16 @@
 use {
     crate::permit::{self, Permit},
     daemon::Daemon,
-    ffw_http::{
-        client::{self, Call},
-        server,
-    },
+    ffw_http::client::{self, Call},
     ffw_protocol::{
         declaration::Deployment,
         instance::{Instance, Role, State},
     },
-    ffw_runtime::{executor, listener::Tracker, timer},
+    ffw_runtime::{
+        executor,
+        listener::{self, Tracker},
+        timer,
+    },
     ffw_standin::{
         caller::{Answer, Completion, Plain as PlainCall},
         engine::{self, Engine},
@@ -330,7 +331,7 @@
 
 async fn bind() -> smol::net::TcpListener {
     let address = SocketAddr::from(([127, 0, 0, 1], 0));
-    server::bind(address).await.expect("a free port")
+    listener::bind(address).await.expect("a free port")
 }
 
 /// Starts a stand-in on a free loopback port.
--- a/crates/fireflyworks/src/command/route.rs
+++ b/crates/fireflyworks/src/command/route.rs
@@ -13,7 +13,6 @@
         owner, quarantine, relay,
     },
     ffw_decide::baseline::Policy,
-    ffw_http::server as listener,
     ffw_peer::{handshake::Secret, link::PeerConnections},
     ffw_protocol::instance::{Instance, Role, State},
     ffw_route::{
@@ -23,7 +22,7 @@
     },
     ffw_runtime::{
         executor,
-        listener::Tracker,
+        listener::{self, Tracker},
         shutdown::{self, Signal},
         timer,
     },
--- a/crates/fireflyworks/src/command/serve.rs
+++ b/crates/fireflyworks/src/command/serve.rs
@@ -14,12 +14,11 @@
         ledger, order, owner, quarantine, relay, report, sweep,
     },
     ffw_entry::{entry, health},
-    ffw_http::server,
     ffw_operator::service::Service,
     ffw_peer::{handshake::Secret, link::PeerConnections},
     ffw_runtime::{
         executor,
-        listener::Tracker,
+        listener::{self, Tracker},
         shutdown::{self, Signal},
         timer,
     },
@@ -33,9 +32,6 @@
     },
 };
 
-/// Time for which binding an address that is in use is retried.
-const BIND_TIMEOUT: Duration = Duration::from_secs(3);
-
 /// Time for which a shutdown retries to store the ledger records that are not stored yet.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -47,8 +43,7 @@
 const OPERATORS_TIMEOUT: Duration = Duration::from_secs(10);
 const PEERS_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Pause between two attempts to bind an address, and between two checks of a condition that a
-/// shutdown waits for.
+/// Pause between two checks of a condition that a shutdown waits for.
 const POLL_PERIOD: Duration = Duration::from_millis(50);
 
 /// Name, help and code of the command.
@@ -96,20 +91,10 @@
 }
 
 async fn bind(address: SocketAddr, flag: &str) -> Result<TcpListener> {
-    let began = Instant::now();
-    let mut bound = server::bind(address).await;
-    // The previous process of this instance may not have released the address yet.
-    while bound.as_ref().is_err_and(is_in_use) && began.elapsed() < BIND_TIMEOUT {
-        timer::sleep(POLL_PERIOD).await;
-        bound = server::bind(address).await;
-    }
+    let bound = listener::bind(address).await;
     bound.wrap_err_with(|| format!("binding --{flag} {address}"))
 }
 
-fn is_in_use(err: &std::io::Error) -> bool {
-    err.kind() == std::io::ErrorKind::AddrInUse
-}
-
 async fn serve(settings: Settings) -> Result<ExitCode> {
     let signals = shutdown::listen().wrap_err("installing signal handlers")?;
     let listeners = bind_all(&settings).await?;
