Test that serve's last refused attempt is no word on the earlier ones

Now the stand-in of plain servers can cut its responses off, and a_retry_that_is_refused_says_nothing_of_the_attempts_before plays one server that does and one that refuses connections.

--- a/crates/ffw-standin/src/plain.rs
+++ b/crates/ffw-standin/src/plain.rs
@@ -6,16 +6,23 @@
     ffw_http::server::{self, CallerConnection, Limits},
     ffw_protocol::error::Error,
     ffw_runtime::{listener::Tracker, timer},
-    http_types::{Method, Request, Response},
+    futures_lite::{AsyncRead, AsyncReadExt as _, io::BufReader},
+    http_types::{Body, Method, Request, Response},
     serde::{Deserialize, Serialize},
     serde_json::json,
     smol::net::TcpListener,
     std::{
+        io,
+        pin::Pin,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
+        task::{Context, Poll},
         time::Duration,
     },
 };
 
+/// Stated length of the body of a response that is cut, in bytes.
+const CUT_BODY_BYTES: usize = 100;
+
 /// Faults to inject.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -24,6 +31,8 @@
     pub work_ms: u64,
     /// Number of next calls that are run but whose response is delayed by 60 s.
     pub lost_answers: u32,
+    /// Whether the connection of each call is closed after the run, in the middle of the response.
+    pub cuts_answers: bool,
 }
 
 /// Number of runs of one call; calls are identified by their body.
@@ -93,24 +102,25 @@
         }
         let bytes = server::read_body(request, &Limits::default()).await?;
         let body: Arc<str> = String::from_utf8_lossy(&bytes).into();
-        let (work_ms, loses_response) = self.take_faults();
+        let faults = self.take_faults();
         self.record_run(&body);
-        timer::sleep(Duration::from_millis(work_ms)).await;
-        if loses_response {
+        timer::sleep(Duration::from_millis(faults.work_ms)).await;
+        if faults.lost_answers > 0 {
             timer::sleep(Duration::from_secs(60)).await;
         }
+        if faults.cuts_answers {
+            return Ok(cut_response());
+        }
         let answer = json!({ "path": path, "confirmed": &*body });
         Ok(server::json_response(200, &answer))
     }
 
-    /// The time of a call in milliseconds, and whether its response is lost.
-    fn take_faults(&self) -> (u64, bool) {
+    /// The faults of this call; `lost_answers` counts for the next calls as well.
+    fn take_faults(&self) -> Faults {
         let mut data = self.lock();
-        let loses_response = data.faults.lost_answers > 0;
-        if loses_response {
-            data.faults.lost_answers -= 1;
-        }
-        (data.faults.work_ms, loses_response)
+        let faults = data.faults;
+        data.faults.lost_answers = faults.lost_answers.saturating_sub(1);
+        faults
     }
 
     fn record_run(&self, body: &Arc<str>) {
@@ -121,3 +131,23 @@
         }
     }
 }
+
+/// A response whose body fails after its first bytes, on which the server closes the connection.
+fn cut_response() -> Response {
+    let mut response = Response::new(200);
+    let body = b"{".chain(FailingBody);
+    response.set_body(Body::from_reader(BufReader::new(body), Some(CUT_BODY_BYTES)));
+    response
+}
+
+struct FailingBody;
+
+impl AsyncRead for FailingBody {
+    fn poll_read(
+        self: Pin<&mut Self>,
+        _: &mut Context<'_>,
+        _: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        Poll::Ready(Err(io::ErrorKind::ConnectionReset.into()))
+    }
+}
--- a/crates/fireflyworks/tests/at_most_once.rs
+++ b/crates/fireflyworks/tests/at_most_once.rs
@@ -52,7 +52,9 @@
 fn concurrent_calls_with_one_key_run_once() {
     smol::block_on(async {
         let cluster = Cluster::start(Plan::new(BINARY)).await;
-        cluster.plains[0].service.set_faults(plain::Faults { work_ms: 200, lost_answers: 0 });
+        cluster.plains[0]
+            .service
+            .set_faults(plain::Faults { work_ms: 200, ..plain::Faults::default() });
         let calls = (0..8).map(|n| cluster.booking(n % 2, "group", Some("key")));
         let tasks: Vec<_> =
             calls.map(|call| executor::spawn(async move { call.send().await })).collect();
@@ -106,7 +108,9 @@
 fn an_unknown_outcome_stays_unknown_and_is_never_run_again() {
     smol::block_on(async {
         let cluster = Cluster::start(Plan::new(BINARY)).await;
-        cluster.plains[0].service.set_faults(plain::Faults { work_ms: 0, lost_answers: 1 });
+        cluster.plains[0]
+            .service
+            .set_faults(plain::Faults { lost_answers: 1, ..plain::Faults::default() });
         let first = cluster.booking(0, "group", Some("key")).send().await;
         assert_eq!((first.status, &*first.run), (504, "unknown"), "{first:?}");
         let second = cluster.booking(1, "group", Some("key")).send().await;
@@ -121,7 +125,9 @@
 fn a_call_whose_entry_was_killed_is_not_run_again() {
     smol::block_on(async {
         let mut cluster = Cluster::start(Plan::new(BINARY)).await;
-        cluster.plains[0].service.set_faults(plain::Faults { work_ms: 400, lost_answers: 0 });
+        cluster.plains[0]
+            .service
+            .set_faults(plain::Faults { work_ms: 400, ..plain::Faults::default() });
         let call = cluster.booking(1, "group", Some("key"));
         let call_task = executor::spawn(async move { call.send().await });
         timer::sleep(Duration::from_millis(200)).await;
@@ -169,7 +175,9 @@
 fn a_call_without_a_key_is_sent_once() {
     smol::block_on(async {
         let cluster = Cluster::start(Plan::new(BINARY)).await;
-        cluster.plains[0].service.set_faults(plain::Faults { work_ms: 0, lost_answers: 1 });
+        cluster.plains[0]
+            .service
+            .set_faults(plain::Faults { lost_answers: 1, ..plain::Faults::default() });
         let answer = cluster.booking(0, "group", None).send().await;
         assert_eq!((answer.status, &*answer.run), (504, "unknown"), "{answer:?}");
         assert_eq!(runs(&cluster, "group"), 1);
@@ -197,3 +205,25 @@
         }
     });
 }
+
+/// One of two servers cuts off its responses, the other refuses connections. Guards against *not
+/// run* for a call that ran at the first, because its last attempt did not reach the other.
+#[test]
+fn a_retry_that_is_refused_says_nothing_of_the_attempts_before() {
+    smol::block_on(async {
+        let cluster = Cluster::start(Plan { plains: 2, ..Plan::new(BINARY) }).await;
+        let faults = plain::Faults { cuts_answers: true, ..plain::Faults::default() };
+        cluster.plains[0].service.set_faults(faults);
+        cluster.plains[1].stop();
+        timer::sleep(Duration::from_millis(300)).await;
+        for n in 0..12 {
+            let body = format!("seats-{n}");
+            let mut call = cluster.booking(n % 2, &body, None);
+            call.path = "/services/booking/availability/today".into();
+            let answer = call.send().await;
+            assert!(answer.status >= 500, "{answer:?}");
+            let told = if runs(&cluster, &body) > 0 { "unknown" } else { "not run" };
+            assert_eq!(&*answer.run, told, "{answer:?}");
+        }
+    });
+}
--- a/crates/fireflyworks/tests/chaos.rs
+++ b/crates/fireflyworks/tests/chaos.rs
@@ -105,6 +105,7 @@
         5 => cluster.plains[0].service.set_faults(plain::Faults {
             work_ms: rng.gen_range(0..300),
             lost_answers: rng.gen_range(0..2),
+            ..plain::Faults::default()
         }),
         _ => cluster.platform.service.set_faults(platform::Faults::default()),
     }
--- a/crates/fireflyworks/tests/leaving.rs
+++ b/crates/fireflyworks/tests/leaving.rs
@@ -121,7 +121,8 @@
 fn a_booking_in_progress_is_answered_before_the_shutdown_ends() {
     smol::block_on(async {
         let mut cluster = Cluster::start(Plan::new(BINARY)).await;
-        let faults = ffw_standin::plain::Faults { work_ms: 1_500, lost_answers: 0 };
+        let faults =
+            ffw_standin::plain::Faults { work_ms: 1_500, ..ffw_standin::plain::Faults::default() };
         cluster.plains[0].service.set_faults(faults);
         let call = cluster.booking(1, "group", Some("key"));
         let call_task = executor::spawn(async move { call.send().await });
@@ -140,7 +141,8 @@
 fn a_repeated_signal_cuts_off_no_booking() {
     smol::block_on(async {
         let mut cluster = Cluster::start(Plan::new(BINARY)).await;
-        let faults = ffw_standin::plain::Faults { work_ms: 1_500, lost_answers: 0 };
+        let faults =
+            ffw_standin::plain::Faults { work_ms: 1_500, ..ffw_standin::plain::Faults::default() };
         cluster.plains[0].service.set_faults(faults);
         let call = cluster.booking(1, "group", Some("key"));
         let call_task = executor::spawn(async move { call.send().await });
