Let the servers of the router's tests refuse calls that are not the router's

Ruled out: a retry, a copy or a lost first answer of the router (its log has one place for each answer).

Servers of a fleet check by their name whether a request is for them; the one of these tests now refuses what the dialect of the tests does not write. The checks stay as they are. On the way, the router before three servers, which stood in five test files, becomes harness::router_before.

--- a/crates/ffw-route/tests/broken_streams.rs
+++ b/crates/ffw-route/tests/broken_streams.rs
@@ -12,7 +12,7 @@
     ffw_http::message::Request,
     ffw_protocol::instance::{Role, State},
     ffw_route::router::Router,
-    harness::{Backend, Received, Reply, Script, instance, response, router, send},
+    harness::{Backend, Received, Reply, Script, instance, response, router, router_before, send},
     rstest::rstest,
     std::sync::{
         Arc,
@@ -176,13 +176,9 @@
 #[case::a_head(Next::Text("HTTP/1.1 500 X\r\n\r\n"))]
 fn a_first_answer_that_is_no_stream_is_not_passed_on(#[case] next: Next) {
     smol::block_on(async {
-        let prefill: Script = Arc::new(|_, head| Reply::Bytes(response(head, 200, "", "handle")));
         let decode: Script = Arc::new(move |_, head| next_reply(head, next));
-        let (prefill, decode) = (Backend::start(prefill).await, Backend::start(decode).await);
-        let router = router(vec![
-            instance("decode", Role::Decode, &decode, State::Live),
-            instance("prefill", Role::Prefill, &prefill, State::Live),
-        ]);
+        let decode = Backend::start(decode).await;
+        let router = router_before(&decode, &decode).await;
         let received = ask(&router, "/stream/x", "1.1").await;
         assert_eq!(received.status, 502, "{}", received.body);
         assert!(!received.body.contains("error text"), "{}", received.body);
--- a/crates/ffw-route/tests/endless_answers.rs
+++ b/crates/ffw-route/tests/endless_answers.rs
@@ -11,7 +11,7 @@
     ffw_http::message::Request,
     ffw_protocol::instance::{Role, State},
     ffw_route::router::Router,
-    harness::{Backend, Reply, Script, instance, request, response, router},
+    harness::{Backend, Reply, Script, instance, request, router, router_before},
     rstest::rstest,
     std::sync::Arc,
 };
@@ -33,13 +33,8 @@
 }
 
 async fn start_streams(decode: Script) -> (Arc<Router>, Backend) {
-    let prefill: Script = Arc::new(|_, head| Reply::Bytes(response(head, 200, "", "handle")));
-    let (prefill, decode) = (Backend::start(prefill).await, Backend::start(decode).await);
-    let servers = vec![
-        instance("decode", Role::Decode, &decode, State::Live),
-        instance("prefill", Role::Prefill, &prefill, State::Live),
-    ];
-    (router(servers), decode)
+    let decode = Backend::start(decode).await;
+    (router_before(&decode, &decode).await, decode)
 }
 
 async fn start_plain(script: Script) -> (Arc<Router>, Backend) {
--- a/crates/ffw-route/tests/not_run.rs
+++ b/crates/ffw-route/tests/not_run.rs
@@ -10,12 +10,9 @@
 
 use {
     ffw_http::message::Request,
-    ffw_protocol::instance::{Role, State},
     ffw_route::router::Router,
     ffw_runtime::{executor, timer},
-    harness::{
-        Backend, Received, Reply, Script, instance, not_run, response, router, send, signed,
-    },
+    harness::{Backend, Received, Reply, Script, not_run, router_before, send, signed},
     proptest::{
         prelude::*,
         test_runner::{Config, TestRunner},
@@ -38,14 +35,8 @@
 
 /// A router with one server of each kind, of which those that run requests follow a script.
 async fn start(script: Script) -> Arc<Router> {
-    let prefill: Script = Arc::new(|_, head| Reply::Bytes(response(head, 200, "", "handle")));
-    let prefill = Backend::start(prefill).await;
     let (decode, plain) = (Backend::start(script.clone()).await, Backend::start(script).await);
-    router(vec![
-        instance("decode", Role::Decode, &decode, State::Live),
-        instance("plain", Role::Plain, &plain, State::Live),
-        instance("prefill", Role::Prefill, &prefill, State::Live),
-    ])
+    router_before(&plain, &decode).await
 }
 
 async fn ask(router: &Arc<Router>, path: &str, id: &str, timeout_ms: u64, body: usize) -> Received {
--- a/crates/ffw-route/tests/small_pieces.rs
+++ b/crates/ffw-route/tests/small_pieces.rs
@@ -8,9 +8,8 @@
 mod harness;
 
 use {
-    ffw_protocol::instance::{Role, State},
     ffw_runtime::{executor, meter::Wire, timer},
-    harness::{Backend, Reply, Script, instance, request, response, router, signed},
+    harness::{Backend, Reply, Script, request, router_before, signed},
     std::{
         sync::Arc,
         time::{Duration, Instant},
@@ -30,8 +29,6 @@
 fn other_requests_are_answered_while_bytes_come_without_end() {
     smol::block_on(async {
         for piece in ["1\r\nx\r\n", "1\r\n\n\r\n", "4\r\nid: \r\n", "2\r\n:\n\r\n"] {
-            let prefill: Script =
-                Arc::new(|_, head| Reply::Bytes(response(head, 200, "", "handle")));
             let decode: Script = Arc::new(move |_, head| {
                 let id = head.fields.text("Id").unwrap_or_default();
                 let head = format!(
@@ -40,13 +37,8 @@
                 Reply::Endless(head.into_bytes(), piece.repeat(400).into_bytes())
             });
             let plain: Script = Arc::new(|_, head| Reply::Bytes(signed(head, "done")));
-            let (prefill, decode) = (Backend::start(prefill).await, Backend::start(decode).await);
-            let plain = Backend::start(plain).await;
-            let router = router(vec![
-                instance("decode", Role::Decode, &decode, State::Live),
-                instance("plain", Role::Plain, &plain, State::Live),
-                instance("prefill", Role::Prefill, &prefill, State::Live),
-            ]);
+            let (plain, decode) = (Backend::start(plain).await, Backend::start(decode).await);
+            let router = router_before(&plain, &decode).await;
             let (received, examined) = (Wire::Request.bytes(), Wire::Request.examined());
             let streams: Vec<_> = (0..4)
                 .map(|_| {
@@ -77,7 +69,6 @@
 #[test]
 fn events_that_arrive_together_are_passed_on_together() {
     smol::block_on(async {
-        let prefill: Script = Arc::new(|_, head| Reply::Bytes(response(head, 200, "", "handle")));
         let decode: Script = Arc::new(|_, head| {
             let id = head.fields.text("Id").unwrap_or_default();
             let events = "id: 0\ndata: x\n\nid: 1\ndata: x\n\n";
@@ -86,11 +77,8 @@
             );
             Reply::Bytes(format!("{head}{:x}\r\n{events}\r\n", events.len()).into_bytes())
         });
-        let (prefill, decode) = (Backend::start(prefill).await, Backend::start(decode).await);
-        let router = router(vec![
-            instance("decode", Role::Decode, &decode, State::Live),
-            instance("prefill", Role::Prefill, &prefill, State::Live),
-        ]);
+        let decode = Backend::start(decode).await;
+        let router = router_before(&decode, &decode).await;
         let received = request(&router, "/stream/x").await;
         assert_eq!((received.status, received.is_whole), (200, false));
         assert!(received.body.contains("id: 1"), "{}", received.body);
--- a/crates/ffw-route/tests/support/harness.rs
+++ b/crates/ffw-route/tests/support/harness.rs
@@ -131,6 +131,12 @@
             let framing = Framing::of_request(&head).expect("a framing");
             let mut decoder = Decoder::new(framing);
             connection.read_body(&mut decoder, 1 << 20).await.expect("a body");
+            if !is_of_dialect(&head) {
+                // Another process may call a port that was free when this server got it.
+                let refusal = response(&head, 421, "", "");
+                connection.write(&refusal, TIMEOUT).await.ok();
+                return;
+            }
             let step = head.fields.text("Step").unwrap_or("run").to_owned();
             let number = {
                 let mut calls = self.calls.lock().expect("no panic");
@@ -244,19 +250,27 @@
     response(head, 503, "Not-Run: 1\r\n", "")
 }
 
+const PROBE_PATH: &str = "/probe";
+const ORDER_PATH: &str = "/order";
+
 /// Dialect of these servers.
 pub(crate) const DIALECT: Dialect = Dialect {
     parse_request,
     write_call,
     parse_response,
     parse_handle,
-    write_probe: |_| Request::new("GET", "/probe"),
+    write_probe: |_| Request::new("GET", PROBE_PATH),
     parse_report: |_| Ok(EngineReport { is_busy: false, sequence: 0 }),
-    write_order: |_: &Order<'_>| (Request::new("POST", "/order"), Vec::new()),
+    write_order: |_: &Order<'_>| (Request::new("POST", ORDER_PATH), Vec::new()),
     write_move,
     ready_path: "/ready",
 };
 
+/// Whether a request is one that [`DIALECT`] writes.
+fn is_of_dialect(head: &Request) -> bool {
+    head.fields.has("Step") || [PROBE_PATH, ORDER_PATH].contains(&&*head.target)
+}
+
 fn parse_request(head: &Request) -> Result<RequestInfo, Malformed> {
     Ok(RequestInfo {
         id: head.fields.text("Id").unwrap_or_default().into(),
@@ -458,6 +472,17 @@
     send(router, head.as_bytes()).await
 }
 
+/// A router before a plain server, a decode server and a server that prefills each prompt.
+pub(crate) async fn router_before(plain: &Backend, decode: &Backend) -> Arc<Router> {
+    let prefill: Script = Arc::new(|_, head| Reply::Bytes(response(head, 200, "", "handle")));
+    let prefill = Backend::start(prefill).await;
+    router(vec![
+        instance("decode", Role::Decode, decode, State::Live),
+        instance("plain", Role::Plain, plain, State::Live),
+        instance("prefill", Role::Prefill, &prefill, State::Live),
+    ])
+}
+
 /// Sends raw bytes and reads the response to its end.
 pub(crate) async fn send(router: &Arc<Router>, bytes: &[u8]) -> Received {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
--- a/crates/ffw-route/tests/unasked_answers.rs
+++ b/crates/ffw-route/tests/unasked_answers.rs
@@ -10,11 +10,8 @@
 
 use {
     ffw_http::message::Request,
-    ffw_protocol::instance::{Role, State},
     ffw_route::router::Router,
-    harness::{
-        Backend, Received, Reply, Script, instance, not_run, response, router, send, signed,
-    },
+    harness::{Backend, Received, Reply, Script, not_run, response, router_before, send, signed},
     rstest::rstest,
     std::{
         sync::{Arc, Mutex},
@@ -25,17 +22,6 @@
 /// Time that a server takes for the second request.
 const WORK_TIME: Duration = Duration::from_millis(80);
 
-/// A router before one server of each kind, of which those that run requests are `backend`.
-async fn start(backend: &Backend) -> Arc<Router> {
-    let prefill: Script = Arc::new(|_, head| Reply::Bytes(response(head, 200, "", "handle")));
-    let prefill = Backend::start(prefill).await;
-    router(vec![
-        instance("decode", Role::Decode, backend, State::Live),
-        instance("plain", Role::Plain, backend, State::Live),
-        instance("prefill", Role::Prefill, &prefill, State::Live),
-    ])
-}
-
 async fn ask(router: &Arc<Router>, path: &str, id: &str) -> Received {
     let head =
         format!("POST {path} HTTP/1.1\r\nHost: h\r\nId: {id}\r\nContent-Length: 2\r\n\r\nhi");
@@ -91,7 +77,7 @@
             Reply::Twice(again, WORK_TIME, body(head))
         });
         let backend = Backend::start(script).await;
-        let router = start(&backend).await;
+        let router = router_before(&backend, &backend).await;
         ask(&router, path, "first").await;
         let received = ask(&router, path, "second").await;
         let has_run = runs.lock().expect("no panic").contains(&"second".to_owned());
@@ -110,7 +96,7 @@
     smol::block_on(async {
         let script: Script = Arc::new(|_, head| Reply::Bytes(not_run(head)));
         let backend = Backend::start(script).await;
-        let router = start(&backend).await;
+        let router = router_before(&backend, &backend).await;
         let calls = |backend: &Backend| backend.calls().len();
         for _ in 0..2 {
             assert_eq!(ask(&router, path, "same").await.status, 503);
@@ -141,7 +127,7 @@
                 Reply::Late(WORK_TIME, body(head))
             });
             let backend = Backend::start_eager(greeting.as_bytes().to_vec(), script).await;
-            let router = start(&backend).await;
+            let router = router_before(&backend, &backend).await;
             for number in 0..10 {
                 let id = format!("r{number}");
                 let received = ask(&router, path, &id).await;
