--- a/crates/ffw-soak/src/caller.rs
+++ b/crates/ffw-soak/src/caller.rs
@@ -22,7 +22,7 @@
 };
 
 /// Timeout of the routes, which the requests state as their deadline as well.
-const ROUTE_TIMEOUT: Duration = Duration::from_millis(4_000);
+pub const ROUTE_TIMEOUT: Duration = Duration::from_millis(4_000);
 
 /// Time for which a caller waits for a connection, and then for the whole response: the timeout of
 /// the routes, and the time within which a request that has reached it must have ended.
@@ -67,8 +67,8 @@
     pub is_poisonous: bool,
     /// When it was sent.
     pub sent_at: Instant,
-    /// Whether neither a response head nor the end of the connection came in time.
-    pub has_timed_out: bool,
+    /// Time until the response was whole, the connection ended, or [`RESPONSE_TIMEOUT`] had passed.
+    pub took: Duration,
     /// Status of the response; `None` if no response head arrived.
     pub status: Option<u16>,
     /// Whether the body arrived completely.
@@ -143,7 +143,7 @@
             kind,
             is_poisonous,
             sent_at: Instant::now(),
-            has_timed_out: false,
+            took: Duration::ZERO,
             status: None,
             is_whole: false,
             body: String::new(),
@@ -155,9 +155,8 @@
         if let Some(connection) = open_connection.take() {
             outcome.sent_at = Instant::now();
             let sending = send_request(connection, &mut outcome);
-            let sent = timer::timeout(RESPONSE_TIMEOUT, sending).await;
-            outcome.has_timed_out = sent.is_none() && outcome.status.is_none();
-            let kept = sent.flatten();
+            let kept = timer::timeout(RESPONSE_TIMEOUT, sending).await.flatten();
+            outcome.took = outcome.sent_at.elapsed();
             open_connection = kept.filter(|_| !habits.only_bookings);
         }
         outcomes.record(outcome);
--- a/crates/ffw-soak/src/check.rs
+++ b/crates/ffw-soak/src/check.rs
@@ -5,7 +5,7 @@
 
 use {
     crate::{
-        caller::{Kind, Outcome, RESPONSE_TIMEOUT},
+        caller::{Kind, Outcome, RESPONSE_TIMEOUT, ROUTE_TIMEOUT},
         worker::{Crashing, EVENT_COUNT, Run},
     },
     std::{
@@ -168,7 +168,9 @@
         let end = outcome.sent_at + RESPONSE_TIMEOUT;
         disturbances.iter().any(|one| one.from < end && outcome.sent_at < one.until)
     };
-    for outcome in outcomes.iter().filter(|outcome| outcome.has_timed_out) {
+    let has_timed_out =
+        |outcome: &&Outcome| outcome.status.is_none() && outcome.took >= RESPONSE_TIMEOUT;
+    for outcome in outcomes.iter().filter(has_timed_out) {
         if !is_disturbed(outcome) {
             violations.push(format!("{} ({:?}) got no end in time", outcome.id, outcome.kind));
         }
@@ -262,8 +264,11 @@
 fn check_stable_phase(outcomes: &[Outcome], stable_since: Instant, violations: &mut Vec<String>) {
     let is_later = |outcome: &&Outcome| outcome.sent_at > stable_since && !outcome.is_poisonous;
     let later: Vec<&Outcome> = outcomes.iter().filter(is_later).collect();
+    let is_served = |outcome: &&Outcome| {
+        outcome.status == Some(200) && outcome.is_whole && outcome.took <= ROUTE_TIMEOUT
+    };
     let (served, unserved): (Vec<&Outcome>, Vec<&Outcome>) =
-        later.iter().partition(|outcome| outcome.status == Some(200) && outcome.is_whole);
+        later.iter().partition(|outcome| is_served(outcome));
     if (served.len() as f64) < later.len() as f64 * MIN_SERVED_SHARE || later.is_empty() {
         violations.push(format!(
             "{} of {} requests were served after the faults; the others: {}",
@@ -278,9 +283,10 @@
 fn counts_by_end(outcomes: &[&Outcome]) -> String {
     let mut counts: BTreeMap<String, usize> = BTreeMap::new();
     for outcome in outcomes {
-        let Outcome { kind, status, body, .. } = outcome;
+        let Outcome { kind, status, is_whole, body, .. } = outcome;
         let end = match status {
             None => "no response".to_owned(),
+            Some(200) if *is_whole => "200, late".to_owned(),
             Some(200) => format!("200, broken off after {} bytes", body.len()),
             Some(status) => format!("{status} {}", body.trim()),
         };
