Skip each interim response, whatever its status

A server that sent an interim response with a status other than 100, 102 or 103 before its answer: `route` passed the interim one on as the answer, without a body, and the answer itself was lost. `serve` took each interim response for the answer.

Cause: read_response knew three statuses by name and took all others for final; the HTTP library under client::send returns an interim response and reads no further.

Now each 1xx but 101 is skipped, up to eight in a row as before, and 101, which no request asks for, is malformed: 502, unknown. In client::send an interim response is a failure, so that the call counts as unknown.

Tests of ffw-route and ffw-http pass.

--- a/crates/ffw-http/src/client.rs
+++ b/crates/ffw-http/src/client.rs
@@ -95,6 +95,10 @@
     stream.set_nodelay(true).ok();
     let stream = Metered::new(stream, call.wire);
     match timer::timeout(call.time_limit, async_h1::connect(stream, request)).await {
+        // The library takes an interim response for the final one, and doesn't read on.
+        Some(Ok(response)) if response.status().is_informational() => {
+            Err(Fault::Broken(format!("an interim response {}", response.status())))
+        }
         Some(Ok(response)) => Ok(response),
         Some(Err(err)) => Err(Fault::Broken(err.to_string())),
         None => Err(Fault::Timeout(call.time_limit)),
--- a/crates/ffw-http/src/connection.rs
+++ b/crates/ffw-http/src/connection.rs
@@ -255,8 +255,8 @@
         }
     }
 
-    /// Reads the head of a response of at most `limit` bytes; up to eight interim responses 100,
-    /// 102 and 103 are skipped.
+    /// Reads the head of a response of at most `limit` bytes; up to eight interim responses are
+    /// skipped. No request asks for another protocol, so that a switch to one is malformed.
     ///
     /// # Errors
     /// See [`Fault`].
@@ -265,10 +265,11 @@
         loop {
             skipped += self.skip_empty_lines();
             if let Some((head, _)) = self.parse_head(Response::parse)? {
-                if !matches!(head.status, 100 | 102 | 103) {
-                    return Ok(head);
+                match head.status {
+                    101 => return Err(Malformed("the server switches protocols").into()),
+                    100..=199 => interim += 1,
+                    _ => return Ok(head),
                 }
-                interim += 1;
                 if interim > MAX_INTERIM_RESPONSES {
                     return Err(Fault::TooLarge);
                 }
--- a/crates/ffw-route/tests/plain.rs
+++ b/crates/ffw-route/tests/plain.rs
@@ -200,3 +200,25 @@
         );
     });
 }
+
+/// Interim responses of any status go before the response; one that switches protocols is none.
+#[rstest]
+#[case::continues("100 Continue", 200)]
+#[case::not_assigned("104 X", 200)]
+#[case::the_last_one("199 X", 200)]
+#[case::switches_protocols("101 Switching Protocols", 502)]
+fn an_interim_response_is_not_the_answer(#[case] interim: &'static str, #[case] status: u16) {
+    smol::block_on(async {
+        let reply = script(move |_, head| {
+            let id = head.fields.text("Id").unwrap_or_default();
+            let mut bytes = format!("HTTP/1.1 {interim}\r\nId: {id}\r\n\r\n").into_bytes();
+            bytes.extend(signed(head, "whole"));
+            Reply::Bytes(bytes)
+        });
+        let backend = Backend::start(reply).await;
+        let router = router(vec![instance("a", Role::Plain, &backend, State::Live)]);
+        let received = request(&router, "/once/x").await;
+        assert_eq!(received.status, status, "{received:?}");
+        assert_eq!(received.body == "whole", status == 200, "{received:?}");
+    });
+}
