Keep a cut stream from looking whole when its daemon ends

Two ways in which a caller got a stream that was not whole, or not only the stream, without seeing it:

A caller with HTTP/1.0 takes the end of the connection for that of the response. A stream that the relay gave up ended by a reset, but one that was open when the process ended (end of the grace period) or whose task panicked ended regularly: the caller took it for complete. The connection is now set to end by a reset as soon as the head is sent, and to end regularly once the last byte is; whatever ends it in between is seen as a cut.

An event whose id is no number passed the check of increasing ids, so that an error written as `id: x` and `error: text` was relayed and the stream ended as complete. Once an event had a number, an event without one ends the run.

Tests, failing before: a_stream_whose_daemon_ends_is_cut (HTTP/1.0; the case of HTTP/1.1 passed before), four new cases of only_events_of_the_stream_reach_the_caller.

--- a/crates/ffw-http/src/connection.rs
+++ b/crates/ffw-http/src/connection.rs
@@ -187,6 +187,11 @@
         sockopt::set_socket_linger(self.stream.get_ref(), Some(Duration::ZERO)).ok();
     }
 
+    /// Undoes [`Connection::reset_on_close`].
+    pub fn end_on_close(&self) {
+        sockopt::set_socket_linger(self.stream.get_ref(), None).ok();
+    }
+
     /// Waits for bytes and appends them to the buffer. Cancel-safe: dropping the call leaves the
     /// buffer unchanged.
     async fn fill(&mut self) -> Result<(), Fault> {
--- a/crates/ffw-route/src/stream/relay.rs
+++ b/crates/ffw-route/src/stream/relay.rs
@@ -102,15 +102,8 @@
 
     /// Ends the stream with an error: with an error response if nothing was sent yet, or else by
     /// closing the connection before the response is complete.
-    pub(super) fn fail(&mut self, error: Error) -> Outcome {
-        if !self.has_begun {
-            return Outcome::Failed(error);
-        }
-        if self.request.head.minor == 0 {
-            // HTTP/1.0 would take a regular close as the end of a complete response.
-            self.caller.reset_on_close();
-        }
-        Outcome::Cut
+    pub(super) fn fail(&self, error: Error) -> Outcome {
+        if self.has_begun { Outcome::Cut } else { Outcome::Failed(error) }
     }
 
     /// Relays the events of one run until it ends; advances the move of the run between two events.
@@ -215,11 +208,10 @@
         let (mut count, mut last_id) = (0, self.last_event_id);
         for id in ids {
             count += 1;
-            if let Ok(id) = id.trim().parse() {
-                if last_id.is_some_and(|last| id <= last) {
-                    return false;
-                }
-                last_id = Some(id);
+            match id.trim().parse() {
+                Ok(id) if last_id.is_none_or(|last| id > last) => last_id = Some(id),
+                Err(_) if last_id.is_none() => {}
+                _ => return false,
             }
         }
         self.events += count;
@@ -270,7 +262,11 @@
         if self.request.head.minor > 0 {
             bytes.extend_from_slice(b"0\r\n\r\n");
         }
-        self.caller.write(&bytes, UNREAD_TIMEOUT).await
+        self.caller.write(&bytes, UNREAD_TIMEOUT).await?;
+        if self.request.head.minor == 0 {
+            self.caller.end_on_close();
+        }
+        Ok(())
     }
 
     /// The head of the response, taken from the first run; empty if it was sent before.
@@ -291,6 +287,10 @@
                 caller::persistence_after(router, request),
             );
         } else {
+            // The end of the connection is that of the response. Until the response is complete,
+            // the connection must not end regularly, however it ends: not by a panic or by the end
+            // of the process either.
+            self.caller.reset_on_close();
             response::set_connection(&mut head, request, Persistence::Close);
         }
         head.to_bytes()
--- a/crates/ffw-route/tests/broken_streams.rs
+++ b/crates/ffw-route/tests/broken_streams.rs
@@ -12,11 +12,17 @@
     ffw_http::message::Request,
     ffw_protocol::instance::{Role, State},
     ffw_route::router::Router,
-    harness::{Backend, Received, Reply, Script, instance, response, router, router_before, send},
+    harness::{
+        Backend, Received, Reply, Script, instance, response, router, router_before, send,
+        send_and_stop,
+    },
     rstest::rstest,
-    std::sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicUsize, Ordering},
+        },
+        time::Duration,
     },
 };
 
@@ -42,6 +48,10 @@
 const STREAM: &str = "Content-Type: text/event-stream\r\n";
 const END: &str = "0\r\n\r\n";
 
+/// Time after which a daemon ends. The first run must have sent its events by then, and is silent
+/// for less than the time after which it counts as broken.
+const DAEMON_TIME: Duration = Duration::from_millis(900);
+
 /// What the second server answers.
 #[derive(Clone, Copy, Debug)]
 enum Next {
@@ -135,6 +145,7 @@
         Next::Text("id: 3\ndata: x\n\nerror: text\n\n"),
         Next::Text("<html>\n\n"),
         Next::Text("id: 3\ndata"),
+        Next::Text("id: x\nerror: text\n\n"),
         Next::Empty,
         Next::EmptyChunks,
         Next::EmptyUntilClose,
@@ -184,3 +195,23 @@
         assert!(!received.body.contains("error text"), "{}", received.body);
     });
 }
+
+/// The daemon ends, or the task of the connection panics, in the middle of a stream: its caller
+/// must not take what it got for the whole stream.
+#[rstest]
+fn a_stream_whose_daemon_ends_is_cut(#[values("1.1", "1.0")] version: &'static str) {
+    smol::block_on(async {
+        let first: Script = Arc::new(|_, head| {
+            let begun = chunked(head, STREAM, &events(0..EVENTS / 2), "");
+            Reply::Twice(begun, 2 * DAEMON_TIME, Vec::new())
+        });
+        let decode = Backend::start(first).await;
+        let router = router_before(&decode, &decode).await;
+        let head = format!(
+            "POST /stream/x HTTP/{version}\r\nHost: h\r\nId: r1\r\nContent-Length: 2\r\n\r\nhi"
+        );
+        let received = send_and_stop(&router, head.as_bytes(), DAEMON_TIME).await;
+        assert_eq!((received.status, received.is_whole), (200, false));
+        assert_eq!(received.body, events(0..EVENTS / 2));
+    });
+}
--- a/crates/ffw-route/tests/support/harness.rs
+++ b/crates/ffw-route/tests/support/harness.rs
@@ -497,16 +497,35 @@
 
 /// Sends raw bytes and reads the response to its end.
 pub(crate) async fn send(router: &Arc<Router>, bytes: &[u8]) -> Received {
+    let (mut connection, accepted) = connect().await;
+    executor::detach(caller::serve(router.clone(), accepted));
+    exchange(&mut connection, bytes).await
+}
+
+/// The same with a daemon that ends after a time.
+pub(crate) async fn send_and_stop(router: &Arc<Router>, bytes: &[u8], after: Duration) -> Received {
+    let (mut connection, accepted) = connect().await;
+    let serving = executor::spawn(caller::serve(router.clone(), accepted));
+    executor::detach(async move {
+        timer::sleep(after).await;
+        serving.cancel().await;
+    });
+    exchange(&mut connection, bytes).await
+}
+
+/// A caller's connection, and the router's end of it.
+async fn connect() -> (Connection, Connection) {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
     let address = listener.local_addr().expect("an address");
     let opening = Connection::open(address, Wire::Request, TIMEOUT, TIMEOUT);
-    let mut connection = opening.await.expect("a connection");
+    let connection = opening.await.expect("a connection");
     let (stream, _) = listener.accept().await.expect("a connection");
-    let accepted = Connection::new(stream, Wire::Request, TIMEOUT);
-    executor::detach(caller::serve(router.clone(), accepted));
+    (connection, Connection::new(stream, Wire::Request, TIMEOUT))
+}
+
+async fn exchange(connection: &mut Connection, bytes: &[u8]) -> Received {
     connection.write(bytes, TIMEOUT).await.expect("written");
-    let reading = read(&mut connection);
-    timer::timeout(Duration::from_secs(20), reading).await.expect("an answer in time")
+    timer::timeout(Duration::from_secs(20), read(connection)).await.expect("an answer in time")
 }
 
 async fn read(connection: &mut Connection) -> Received {
