--- a/crates/ffw-soak/src/worker/oddity.rs
+++ b/crates/ffw-soak/src/worker/oddity.rs
@@ -86,7 +86,7 @@
     }
 }
 
-/// Writes bytes until the connection is closed.
+/// Writes bytes until the connection is closed, or until [`ENDLESS_BLOCKS_MAX`] blocks were written.
 pub(super) async fn write_without_end(exchange: &mut Exchange, head: &[u8]) -> Option<()> {
     exchange.connection.write(head, IO_TIMEOUT).await.ok()?;
     let block = b"1\r\nx\r\n".repeat(ENDLESS_BLOCK);
