--- a/crates/ffw-route/src/caller.rs
+++ b/crates/ffw-route/src/caller.rs
@@ -1,7 +1,7 @@
 //! Serves a caller's connection: reads requests one after the other, matches each with a route and
 //! answers it.
 //!
-//! A request that a [`filter`] rejects is not sent to a backend server. Limits on heads, bodies and
+//! A request that a filter rejects is not sent to a backend server. Limits on heads, bodies and
 //! idle time bound what slow or idle callers can hold open. Refusals under load or during an outage
 //! carry a time after which the caller may retry.
 
--- a/crates/ffw-soak/src/plan.rs
+++ b/crates/ffw-soak/src/plan.rs
@@ -96,7 +96,7 @@
 const STEPS_PER_ODDITY: usize = 2;
 
 /// Adds odd answers, odd objects and silences of the store to a plan, one before each
-/// [`STEPS_PER_ODDITY`] steps, from a generator of their own.
+/// `STEPS_PER_ODDITY` steps, from a generator of their own.
 pub fn add_oddities(seed: u64, steps: Vec<Step>, servers: usize) -> Vec<Step> {
     let mut random = ChaCha8Rng::seed_from_u64(seed.rotate_left(32));
     let mut with_oddities = Vec::new();
