Take a server's load for what it is, however large its numbers

The requests that run and those that wait at a server were added as 32-bit numbers. A server that wrote numbers near the largest one counted as idle, as the sum wrapped, and drew requests; in a debug build the task of the request ended.

They are added as floating-point numbers now. Found by reading what other numbers of servers go through: limits, Retry-After, keep-alive times, event counts and deadlines hold their bounds already.

--- a/crates/ffw-route/src/dialect.rs
+++ b/crates/ffw-route/src/dialect.rs
@@ -83,6 +83,14 @@
     pub slots: u32,
 }
 
+impl ServerLoad {
+    /// Requests at the server for each that can run at once. The numbers may be any that the server
+    /// has written.
+    pub fn ratio(&self) -> f64 {
+        (f64::from(self.running) + f64::from(self.waiting)) / f64::from(self.slots.max(1))
+    }
+}
+
 /// What the head of a backend server's response states.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseInfo {
--- a/crates/ffw-route/src/plain.rs
+++ b/crates/ffw-route/src/plain.rs
@@ -233,9 +233,7 @@
     };
     let response = transport::call(router, &outgoing).await?;
     if let Some(load) = response.response_info.load {
-        let slots = f64::from(load.slots.max(1));
-        let load_ratio = f64::from(load.running + load.waiting) / slots;
-        router.balancer().record_load(identity::now(), &server.name, load_ratio);
+        router.balancer().record_load(identity::now(), &server.name, load.ratio());
     }
     response.into_full(router, RESPONSE_BYTES_MAX, request.deadline).await
 }
