Reproduce daemons that act on old state after lost answers

What callers saw: bookings run by the service from which the route had been moved, at several daemons at once, longer after the acknowledgement than the bound.

Three daemons as processes, a store behind a proxy, servers of two services. The proxy learns to lose bytes: connections that were open stay open and silent for good, new ones are sound.

With peers that are sound: they are behind as well, so that none can tell another.

--- a/crates/ffw-soak/src/proxy.rs
+++ b/crates/ffw-soak/src/proxy.rs
@@ -9,8 +9,8 @@
         io,
         net::SocketAddr,
         sync::{
-            Arc,
-            atomic::{AtomicU64, Ordering},
+            Arc, Mutex, PoisonError, Weak,
+            atomic::{AtomicBool, AtomicU64, Ordering},
         },
         time::Duration,
     },
@@ -33,9 +33,45 @@
     OneWay,
     /// All open connections are closed, and new ones are closed on arrival.
     Reset,
+    /// What is sent on open and new connections is lost. They stay open and silent for good, also
+    /// after the fault.
+    Loss,
+    /// The same, but what clients send still arrives.
+    LossOfAnswers,
 }
 
-const FAULTS: [Fault; 5] = [Fault::None, Fault::Delay, Fault::Silence, Fault::OneWay, Fault::Reset];
+const FAULTS: [Fault; 7] = [
+    Fault::None,
+    Fault::Delay,
+    Fault::Silence,
+    Fault::OneWay,
+    Fault::Reset,
+    Fault::Loss,
+    Fault::LossOfAnswers,
+];
+
+/// Whether a connection has lost bytes, after which nothing more can pass in that direction.
+#[derive(Debug, Default)]
+struct Losses {
+    to_target: AtomicBool,
+    to_client: AtomicBool,
+}
+
+impl Losses {
+    fn record(&self, fault: Fault) {
+        if fault == Fault::Loss {
+            self.to_target.store(true, Ordering::SeqCst);
+        }
+        if matches!(fault, Fault::Loss | Fault::LossOfAnswers) {
+            self.to_client.store(true, Ordering::SeqCst);
+        }
+    }
+
+    fn is_lost(&self, is_to_client: bool) -> bool {
+        let lost = if is_to_client { &self.to_client } else { &self.to_target };
+        lost.load(Ordering::SeqCst)
+    }
+}
 
 /// A proxy in front of one target address. Clones share the fault.
 #[derive(Clone, Debug)]
@@ -43,6 +79,8 @@
     /// Address on which the proxy listens.
     pub address: SocketAddr,
     fault: Arc<AtomicU64>,
+    /// The open connections, the oldest first.
+    open: Arc<Mutex<Vec<Weak<Losses>>>>,
 }
 
 impl Proxy {
@@ -52,7 +90,7 @@
     /// No port is free.
     pub async fn start(target: SocketAddr) -> io::Result<Proxy> {
         let (listener, address) = wire::bind().await?;
-        let proxy = Proxy { address, fault: Arc::default() };
+        let proxy = Proxy { address, fault: Arc::default(), open: Arc::default() };
         let proxy_clone = proxy.clone();
         executor::detach(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -66,6 +104,16 @@
     pub fn set_fault(&self, fault: Fault) {
         let index = FAULTS.iter().position(|entry| *entry == fault).unwrap_or(0);
         self.fault.store(index as u64, Ordering::SeqCst);
+        self.lose_open(fault, 1);
+    }
+
+    /// Lets one in `every` of the connections that are open lose what is sent on it from now on,
+    /// for good. New connections are sound. Does nothing for a fault that loses nothing.
+    pub fn lose_open(&self, fault: Fault, every: usize) {
+        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        open.retain(|losses| losses.strong_count() > 0);
+        let chosen = open.iter().step_by(every.max(1)).filter_map(Weak::upgrade);
+        chosen.for_each(|losses| losses.record(fault));
     }
 
     fn fault(&self) -> Fault {
@@ -76,9 +124,12 @@
         if self.fault() == Fault::Reset {
             return;
         }
+        let losses = Arc::new(Losses::default());
+        self.open.lock().unwrap_or_else(PoisonError::into_inner).push(Arc::downgrade(&losses));
+        losses.record(self.fault());
         let Ok(upstream) = TcpStream::connect(target).await else { return };
-        let to_upstream = self.copy(client.clone(), upstream.clone(), false);
-        let to_client = self.copy(upstream.clone(), client.clone(), true);
+        let to_upstream = self.copy(client.clone(), upstream.clone(), &losses, false);
+        let to_client = self.copy(upstream.clone(), client.clone(), &losses, true);
         smol::future::or(smol::future::or(to_upstream, to_client), self.reset_requested()).await;
         // Both streams are closed after the end of one direction or a reset, so that both peers see
         // the end of the connection.
@@ -93,10 +144,25 @@
         }
     }
 
-    async fn copy(&self, mut from: TcpStream, mut to: TcpStream, is_to_client: bool) {
+    async fn copy(
+        &self,
+        mut from: TcpStream,
+        mut to: TcpStream,
+        losses: &Losses,
+        is_to_client: bool,
+    ) {
         let mut buffer = vec![0; 16 << 10];
         loop {
-            let Ok(count @ 1..) = from.read(&mut buffer).await else { return };
+            let Ok(count @ 1..) = from.read(&mut buffer).await else {
+                // The end of a connection is lost too.
+                while is_to_client && losses.is_lost(is_to_client) {
+                    timer::sleep(POLL_INTERVAL).await;
+                }
+                return;
+            };
+            if losses.is_lost(is_to_client) {
+                continue;
+            }
             if self.fault() == Fault::Delay {
                 timer::sleep(Duration::from_millis(150)).await;
             }
--- /dev/null
+++ b/crates/fireflyworks/tests/lost_answers.rs
@@ -0,0 +1,218 @@
+//! Connections between daemons and store that lose what is sent on them and stay open, while new
+//! ones are sound, as when a firewall forgets its connections.
+//!
+//! Guards against daemons that take the silence of such a connection for "no change", and serve
+//! moved routes by their old service, or use leaving servers, for as long as a watch may last.
+
+use {
+    ffw_runtime::{executor, timer},
+    ffw_soak::{
+        client,
+        daemon::{Daemon, Ports},
+        proxy::{Fault, Proxy},
+        store::Store,
+        worker::{Log, Role, Run, Worker},
+    },
+    ffw_support::permit,
+    rstest::rstest,
+    serde_json::{Value, json},
+    std::{
+        fs,
+        net::SocketAddr,
+        num::NonZero,
+        path::Path,
+        time::{Duration, Instant},
+    },
+};
+
+/// Processor cores for each run.
+const CORES: NonZero<usize> = NonZero::new(2).expect("not zero");
+
+const DAEMONS: usize = 3;
+
+/// Time after the end of a disruption from which the users' rules hold again.
+const STABLE_TIME: Duration = Duration::from_secs(3);
+
+/// Time within which a change must be in force, in the bounds of the users' deployments.
+const APPLY_TIME: Duration = Duration::from_secs(2);
+
+/// Time from the start of the loss to the change.
+const CHANGE_DELAY: Duration = Duration::from_secs(1);
+
+/// Time for which requests are sent after the change must be in force.
+const CHECKED_TIME: Duration = Duration::from_secs(3);
+
+/// Pause between two requests to one daemon.
+const REQUEST_PAUSE: Duration = Duration::from_millis(50);
+
+/// What the operator or a server changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Change {
+    /// The route moves to the other service.
+    MovedRoute,
+    /// One of the two servers of the route's service is leaving.
+    LeavingServer,
+    /// One of the two servers is gone from the list.
+    RemovedServer,
+}
+
+/// Three daemons before a store, and two servers of one service with one of another.
+struct Fleet {
+    daemons: Vec<Daemon>,
+    store: Store,
+    store_proxy: Proxy,
+    servers: Vec<Worker>,
+    log: Log,
+}
+
+fn configuration(version: u64, service: &str) -> Value {
+    json!({
+        "version": version,
+        "routes": [{"name": "r", "host": "h", "pathPrefix": "/r/", "type": "non_idempotent",
+            "timeoutMs": 2000, "targetLatencyMs": 100, "priority": 1, "maxAttempts": 1,
+            "service": service}],
+        "services": [{"name": "old"}, {"name": "new"}],
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1_048_576,
+            "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+    })
+}
+
+fn entry(server: &Worker, state: &str) -> Value {
+    json!({"service": server.service, "address": server.address, "zone": "a", "state": state,
+        "slots": 16})
+}
+
+impl Fleet {
+    async fn start(name: &str) -> Fleet {
+        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("lost-answers-{name}"));
+        fs::create_dir_all(&folder).expect("a folder");
+        let (store, store_address) = Store::start().await.expect("a store");
+        let store_proxy = Proxy::start(store_address).await.expect("a proxy");
+        store.put("config", "main", configuration(1, "old"));
+        let log = Log::default();
+        let mut servers = Vec::new();
+        for (name, service) in [("old-1", "old"), ("old-2", "old"), ("new-1", "new")] {
+            let server = Worker::start(name, service, Role::Plain, &log).await.expect("a server");
+            store.put("servers", name, entry(&server, "ready"));
+            servers.push(server);
+        }
+        let ports: Vec<Ports> = (0..DAEMONS).map(|_| Ports::choose().expect("ports")).collect();
+        let seeds: Vec<SocketAddr> = ports.iter().map(Ports::peers).collect();
+        let mut daemons = Vec::new();
+        for (number, ports) in ports.into_iter().enumerate() {
+            let daemon = Daemon::new(&folder, number, ports, &seeds, store_proxy.address);
+            let mut daemon = daemon.expect("settings");
+            daemon.start(Path::new(env!("CARGO_BIN_EXE_fireflyworks"))).expect("a daemon");
+            daemons.push(daemon);
+        }
+        let fleet = Fleet { daemons, store, store_proxy, servers, log };
+        fleet.wait_until_known().await;
+        fleet
+    }
+
+    /// Waits until each daemon serves, and has had time to find the others.
+    async fn wait_until_known(&self) {
+        for daemon in &self.daemons {
+            let started_at = Instant::now();
+            while send(daemon.caller_address, "wait").await != Some(200) {
+                assert!(started_at.elapsed() < Duration::from_secs(15), "{} serves", daemon.name);
+                timer::sleep(Duration::from_millis(100)).await;
+            }
+        }
+        timer::sleep(Duration::from_secs(2)).await;
+    }
+
+    fn change(&self, change: Change) {
+        match change {
+            Change::MovedRoute => self.store.put("config", "main", configuration(4, "new")),
+            Change::LeavingServer => {
+                self.store.put("servers", "old-1", entry(&self.servers[0], "draining"));
+            }
+            Change::RemovedServer => assert!(self.store.remove("servers", "old-1")),
+        }
+    }
+
+    /// Sends requests to all daemons until a time.
+    async fn load_until(&self, end: Instant) {
+        let mut tasks = Vec::new();
+        for (number, daemon) in self.daemons.iter().enumerate() {
+            let address = daemon.caller_address;
+            tasks.push(executor::spawn(async move {
+                let mut sequence = 0;
+                while Instant::now() < end {
+                    sequence += 1;
+                    send(address, &format!("{number:x}-{sequence:x}")).await;
+                    timer::sleep(REQUEST_PAUSE).await;
+                }
+            }));
+        }
+        for task in tasks {
+            task.await;
+        }
+    }
+}
+
+/// Sends one request on a connection of its own; `None` if there is no whole response.
+async fn send(address: SocketAddr, id: &str) -> Option<u16> {
+    let request = format!(
+        "POST /r/x HTTP/1.1\r\nHost: h\r\nRequest-Id: {id}\r\nDeadline-Ms: 1000\r\n\
+         Connection: close\r\nContent-Length: 2\r\n\r\nhi"
+    );
+    Some(client::send(address, &request).await?.status)
+}
+
+/// Whether a change forbids a run.
+fn is_forbidden(change: Change, run: &Run) -> bool {
+    match change {
+        Change::MovedRoute => run.service == "old",
+        Change::LeavingServer | Change::RemovedServer => run.server == "old-1",
+    }
+}
+
+/// All connections between the daemons and the store lose what is sent for a time, both ways or from
+/// the store only, and a change comes meanwhile or soon after.
+#[rstest]
+#[case::both_ways("both-3000", Fault::Loss, 3_000)]
+#[case::answers("answers-3000", Fault::LossOfAnswers, 3_000)]
+#[case::answers_for_a_moment("answers-300", Fault::LossOfAnswers, 300)]
+fn a_change_is_in_force_although_all_open_connections_are_silent(
+    #[case] name: &str,
+    #[case] fault: Fault,
+    #[case] loss_ms: u64,
+    #[values(Change::MovedRoute, Change::LeavingServer, Change::RemovedServer)] change: Change,
+) {
+    smol::block_on(async {
+        let _permit = permit::acquire(CORES).await;
+        let fleet = Fleet::start(&format!("{name}-{change:?}")).await;
+        let lost_at = Instant::now();
+        let (loss_end, changed_at) =
+            (lost_at + Duration::from_millis(loss_ms), lost_at + CHANGE_DELAY);
+        let due_at = (loss_end + STABLE_TIME).max(changed_at + APPLY_TIME);
+        let acting = async {
+            fleet.store_proxy.set_fault(fault);
+            let (proxy, loss) = (fleet.store_proxy.clone(), loss_end - lost_at);
+            executor::detach(async move {
+                timer::sleep(loss).await;
+                proxy.set_fault(Fault::None);
+            });
+            timer::sleep(CHANGE_DELAY).await;
+            fleet.change(change);
+        };
+        smol::future::zip(acting, fleet.load_until(due_at + CHECKED_TIME)).await;
+        let late: Vec<u128> = fleet
+            .log
+            .runs()
+            .iter()
+            .filter(|run| run.received_at > due_at && is_forbidden(change, run))
+            .map(|run| (run.received_at - lost_at).as_millis())
+            .collect();
+        let due_ms = (due_at - lost_at).as_millis();
+        assert!(
+            late.is_empty(),
+            "{} requests as before the {change:?}, the last one {:?} ms after the start of the \
+             loss; it was due at {due_ms} ms",
+            late.len(),
+            late.last()
+        );
+    });
+}
