Tell how each change came from the store and how old the belief was

Each response that brings objects now has a line with its call, its cause, its connection, the time since it was sent, and the age of the belief that it replaces; a gauge gives that age for each kind that a daemon follows.

--- a/crates/ffw-control/src/daemon.rs
+++ b/crates/ffw-control/src/daemon.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         admission::AdmissionClient,
+        belief::Beliefs,
         freshness::{Arrival, Freshness},
         identity::Identity,
         ledger::Ledger,
@@ -82,6 +83,8 @@
     pub turn: AtomicU64,
     /// Requests in flight.
     pub open: AtomicU64,
+    /// What is believed about the objects that are followed in the store.
+    pub beliefs: Beliefs,
     freshness: Freshness,
     config_fetches: AtomicUsize,
     burn: Mutex<Counters>,
@@ -136,6 +139,7 @@
             policy: setup.policy,
             turn: AtomicU64::new(0),
             open: AtomicU64::new(0),
+            beliefs: Beliefs::default(),
             freshness: Freshness::default(),
             config_fetches: AtomicUsize::new(0),
             burn: Mutex::default(),
@@ -188,6 +192,12 @@
         self.freshness.record_confirmed(asked_at, &self.metrics);
     }
 
+    /// All metrics in the text format of Prometheus.
+    pub fn metrics_text(&self) -> Arc<str> {
+        self.beliefs.record_ages(&self.metrics.routed.belief_age);
+        self.metrics.text()
+    }
+
     /// How far the configuration in force may be behind the store.
     pub fn freshness(&self) -> &Freshness {
         &self.freshness
--- a/crates/ffw-control/src/metrics/routed.rs
+++ b/crates/ffw-control/src/metrics/routed.rs
@@ -63,6 +63,9 @@
     pub callers: IntGauge,
     /// Time of the store's last answer, in seconds since the Unix epoch, by kind of object.
     pub store_answered: IntGaugeVec,
+    /// Time since the store last showed that there is nothing newer than what this daemon believes,
+    /// in seconds, by kind of object.
+    pub belief_age: GaugeVec,
 }
 
 impl Routed {
@@ -113,6 +116,13 @@
                 ),
                 &["kind"],
             )?,
+            belief_age: GaugeVec::new(
+                Opts::new(
+                    "fireflyworks_belief_age_seconds",
+                    "Time since the store last showed nothing newer than what is believed",
+                ),
+                &["kind"],
+            )?,
         };
         registry.register(Box::new(routed.requests.clone()))?;
         registry.register(Box::new(routed.steps.clone()))?;
@@ -123,6 +133,7 @@
         registry.register(Box::new(routed.limited.clone()))?;
         registry.register(Box::new(routed.callers.clone()))?;
         registry.register(Box::new(routed.store_answered.clone()))?;
+        registry.register(Box::new(routed.belief_age.clone()))?;
         Ok(routed)
     }
 
--- a/crates/ffw-decide/src/lib.rs
+++ b/crates/ffw-decide/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod attempts;
 pub mod balance;
 pub mod baseline;
+pub mod belief;
 pub mod budget;
 pub mod burn;
 pub mod cache;
--- a/crates/ffw-protocol/src/lib.rs
+++ b/crates/ffw-protocol/src/lib.rs
@@ -2,6 +2,7 @@
 //! messages and ledger records. Nothing here does I/O or reads a clock.
 
 pub mod admission;
+pub mod belief;
 pub mod config;
 pub mod declaration;
 pub mod digest;
--- a/crates/ffw-route/src/server.rs
+++ b/crates/ffw-route/src/server.rs
@@ -91,7 +91,7 @@
     if path == "/metrics" {
         burn::update_gauges(&router.daemon);
         router.update_gauges();
-        return (200, router.daemon.metrics.text().to_string());
+        return (200, router.daemon.metrics_text().to_string());
     }
     if path != router.dialect.ready_path {
         return (404, "not found\n".to_owned());
