Don't take a body that ends with its connection for empty

What callers of serve saw: a success without a body, framed as whole, where the server of a declared service states neither a length nor chunks, as when it stops after the head of its response and closes.

Cause: the HTTP library gives such a response no body, and a body of none has the length 0. Such a response is a failure of unknown outcome now; one without a body by its status, or to HEAD, is whole. Reading such a body would need another client and is left.

--- a/crates/ffw-http/src/client.rs
+++ b/crates/ffw-http/src/client.rs
@@ -11,7 +11,7 @@
         timer,
     },
     futures_lite::AsyncReadExt as _,
-    http_types::{Method, Request, Response, Url},
+    http_types::{Method, Request, Response, StatusCode, Url},
     serde::{Serialize, de::DeserializeOwned},
     smol::net::TcpStream,
     std::{net::SocketAddr, sync::Arc, time::Duration},
@@ -83,7 +83,8 @@
 /// Sends a call and waits for the head of the response. The body is left to [`read_body`].
 ///
 /// # Errors
-/// A fault that shows whether bytes of the request may have been sent.
+/// A fault that shows whether bytes of the request may have been sent. A response that may have a
+/// body must state its end by a length or by chunks.
 pub async fn send(call: &Call) -> Result<Response, Fault> {
     let request = build_request(call)?;
     let connecting = timer::timeout(CONNECT_TIMEOUT, TcpStream::connect(call.address));
@@ -99,12 +100,26 @@
         Some(Ok(response)) if response.status().is_informational() => {
             Err(Fault::Broken(format!("an interim response {}", response.status())))
         }
+        // The library takes a body that ends with its connection for an empty one.
+        Some(Ok(response)) if !states_end(&response, call.method) => {
+            Err(Fault::Broken("the response states no end of its body".into()))
+        }
         Some(Ok(response)) => Ok(response),
         Some(Err(err)) => Err(Fault::Broken(err.to_string())),
         None => Err(Fault::Timeout(call.time_limit)),
     }
 }
 
+/// Whether a response has no body, or states where its body ends.
+fn states_end(response: &Response, method: Method) -> bool {
+    let has_no_body = method == Method::Head
+        || matches!(response.status(), StatusCode::NoContent | StatusCode::NotModified);
+    let is_chunked = response
+        .header("transfer-encoding")
+        .is_some_and(|codings| codings.last().as_str() == "chunked");
+    has_no_body || is_chunked || response.header("content-length").is_some()
+}
+
 fn build_request(call: &Call) -> Result<Request, Fault> {
     let text = format!("http://{}{}", call.address, call.path);
     let url = Url::parse(&text).map_err(|err| Fault::Unreached(format!("invalid path: {err}")))?;
