Bound the age of what a daemon believes about the store

Cause: a belief without an age. A daemon waits for changes by a watch of 25 s and takes its silence for 'no change'. If the answer's way back is lost while the connection stays open, the version comes by the next call, up to 26.5 s later. The probe that went with each watch showed that the store had read it, on another connection. All daemons behind the same loss are equally old, so that no peer can tell another.

Change: each kind that is followed has an age, the time since a call was sent whose response showed nothing newer, bounded by the shorter of configApplyMs and drainMs. A checker for each data centre asks by calls that don't wait, each on a connection of its own; the others ask the checker, and the store if that brings nothing. A confirmation counts for the same state in the same era only. A reader that misses what such a call found lists anew on a new connection.

--- a/crates/ffw-control/src/belief.rs
+++ b/crates/ffw-control/src/belief.rs
@@ -1,22 +1,142 @@
 //! What this daemon believes about the objects that it follows in the store, and how old that is.
+//!
+//! A reader of each kind waits for changes. Its silence is no evidence, as the connection on which it
+//! waits may have gone silent for good; so the age of each belief is kept below a bound by calls that
+//! don't wait, on connections of their own. The first daemon of a data centre in rendezvous order,
+//! its checker, makes them on behalf of the others, which ask it. A reader that has not read what
+//! such a call has found starts anew.
 
 use {
-    ffw_decide::belief::Belief,
-    ffw_protocol::belief::Kind,
-    ffw_runtime::clock,
+    crate::{daemon::Daemon, relay},
+    ffw_decide::belief::{self, Belief, Step},
+    ffw_peer::link::Answering,
+    ffw_protocol::{
+        belief::{Confirmation, Kind},
+        error::Result,
+        instance::Instance,
+        time::Moment,
+    },
+    ffw_runtime::{clock, executor, timer},
+    log::{debug, warn},
     prometheus::GaugeVec,
+    smol::channel::{self, Receiver, Sender},
     std::{
-        sync::{Mutex, MutexGuard, PoisonError},
+        future::Future,
+        pin::Pin,
+        sync::{
+            Arc, Mutex, MutexGuard, PoisonError,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
         time::Duration,
     },
 };
 
+/// Bound on the age of a belief unless the deployment states one.
+pub const BOUND_DEFAULT: Duration = Duration::from_secs(2);
+
+/// Shortest bound, so that a wrong setting makes no flood of calls.
+const BOUND_MIN: Duration = Duration::from_millis(500);
+
+/// Parts of the bound: the longest pause without a look at the ages, and the time for an answer
+/// before a question is asked again.
+const PAUSES_PER_BOUND: u32 = 8;
+
+/// Parts of the bound: the time in which the reader of a kind must have begun to read a change that
+/// a call has found. Both may come at the same moment.
+const LEADS_PER_BOUND: u32 = 32;
+
+/// Parts of the bound: the pause after a question to the store or the checker.
+const QUESTIONS_PER_BOUND: u32 = 16;
+
+/// Longest pause of a reader between two reads.
+pub const READER_PAUSE_MAX: Duration = Duration::from_millis(500);
+
+/// What the store answers to the question whether there is anything newer than a revision.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// No object of the kind has changed.
+    Unchanged {
+        /// The store's revision, of all kinds.
+        revision: u64,
+        /// Its era.
+        era: u64,
+        /// When the call was sent, on the clock of [`clock::boot_time`].
+        asked_at: Moment,
+    },
+    /// Objects have changed, the last one at this revision or a later one.
+    Changed(u64),
+    /// The store can't tell, as its history does not reach back so far.
+    HistoryGone,
+}
+
+/// Future answer to such a question.
+pub type Asked = Pin<Box<dyn Future<Output = Result<Answer>> + Send>>;
+
+/// Asks the store whether objects of a kind have changed after a revision, without waiting for a
+/// change, on a connection of its own. If no answer comes within the given time, it asks again on
+/// another one.
+pub type Ask = Box<dyn Fn(Kind, u64, Duration) -> Asked + Send + Sync>;
+
 /// The beliefs of a daemon. Times are of [`clock::boot_time`], which also counts the time for which
 /// the machine was suspended.
 #[derive(Debug, Default)]
 pub struct Beliefs {
     /// In the order of [`Kind::ALL`].
     beliefs: [Mutex<Belief>; Kind::ALL.len()],
+    /// In the same order.
+    readers: [Reader; Kind::ALL.len()],
+    /// Bound on the ages, in milliseconds; 0 for [`BOUND_DEFAULT`].
+    bound_ms: AtomicU64,
+    /// Daemons that know the call for confirmations.
+    answering: Answering,
+}
+
+/// The state of the task that reads one kind from the store.
+#[derive(Debug)]
+pub struct Reader {
+    /// Revision up to which it has read; 0 before its first list.
+    revision: AtomicU64,
+    /// Whether it waits for the store to begin its answer to a watch.
+    is_waiting: AtomicBool,
+    restart: (Sender<()>, Receiver<()>),
+}
+
+impl Default for Reader {
+    fn default() -> Reader {
+        let restart = channel::bounded(1);
+        Reader { revision: AtomicU64::default(), is_waiting: AtomicBool::default(), restart }
+    }
+}
+
+impl Reader {
+    /// Revision up to which it has read; 0 before its first list.
+    pub fn revision(&self) -> u64 {
+        self.revision.load(Ordering::SeqCst)
+    }
+
+    /// Records up to which revision it has read.
+    pub fn record_read(&self, revision: u64) {
+        self.revision.store(revision, Ordering::SeqCst);
+    }
+
+    /// Records whether it waits for the store to begin its answer to a watch.
+    pub fn record_waiting(&self, is_waiting: bool) {
+        self.is_waiting.store(is_waiting, Ordering::SeqCst);
+    }
+
+    /// Makes it list all objects of its kind again.
+    pub fn restart(&self) {
+        self.restart.0.try_send(()).ok();
+    }
+
+    /// A channel that receives a message when it has to list all objects again.
+    pub fn restarts(&self) -> Receiver<()> {
+        self.restart.1.clone()
+    }
+
+    fn is_waiting(&self) -> bool {
+        self.is_waiting.load(Ordering::SeqCst)
+    }
 }
 
 impl Beliefs {
@@ -25,11 +145,32 @@
         self.beliefs[kind as usize].lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The state of the task that reads a kind.
+    pub fn reader(&self, kind: Kind) -> &Reader {
+        &self.readers[kind as usize]
+    }
+
     /// Time since the belief about a kind was last confirmed; `None` if it never was.
     pub fn age(&self, kind: Kind) -> Option<Duration> {
         self.of(kind).age(clock::boot_time())
     }
 
+    /// Sets the bound on the ages; a shorter one than [`BOUND_MIN`] counts as that.
+    pub fn set_bound(&self, bound: Duration) {
+        let millis = u64::try_from(bound.max(BOUND_MIN).as_millis()).unwrap_or(u64::MAX);
+        self.bound_ms.store(millis, Ordering::SeqCst);
+    }
+
+    /// How old each belief is, for another daemon. Those that were never confirmed are left out.
+    pub fn confirmations(&self) -> Vec<Confirmation> {
+        let of_kind = |kind| {
+            let belief = self.of(kind);
+            let age = belief.age(clock::boot_time())?;
+            Some(Confirmation { kind, span: belief.span(), age })
+        };
+        Kind::ALL.into_iter().filter_map(of_kind).collect()
+    }
+
     /// Sets a gauge to the age of each belief, in seconds. A kind that was never confirmed has no
     /// series.
     pub fn record_ages(&self, gauge: &GaugeVec) {
@@ -39,4 +180,146 @@
             }
         }
     }
+
+    fn bound(&self) -> Duration {
+        match self.bound_ms.load(Ordering::SeqCst) {
+            0 => BOUND_DEFAULT,
+            millis => Duration::from_millis(millis),
+        }
+    }
+
+    /// Kinds whose reader waits for changes, with the ages of their beliefs, the oldest first. The
+    /// other readers are about to read.
+    fn waiting(&self) -> Vec<(Duration, Kind)> {
+        let waiting = Kind::ALL.into_iter().filter(|kind| self.reader(*kind).is_waiting());
+        let mut ages: Vec<(Duration, Kind)> =
+            waiting.filter_map(|kind| Some((self.age(kind)?, kind))).collect();
+        ages.sort_by(|a, b| b.cmp(a));
+        ages
+    }
+}
+
+/// Keeps the beliefs younger than their bound, and confirms the configuration when a request names
+/// something that it lacks, for as long as the daemon runs.
+pub async fn run(daemon: Arc<Daemon>, ask: Ask) {
+    smol::future::or(keep_confirmed(&daemon, &ask), confirm_on_demand(&daemon, &ask)).await;
+}
+
+async fn keep_confirmed(daemon: &Arc<Daemon>, ask: &Ask) {
+    loop {
+        let bound = daemon.beliefs.bound();
+        let checker = find_checker(daemon);
+        let oldest = daemon.beliefs.waiting().first().map_or(Duration::ZERO, |(age, _)| *age);
+        let pause = match (belief::step(oldest, bound, checker.is_none()), checker) {
+            (Step::Wait(pause), _) => pause.min(bound / PAUSES_PER_BOUND),
+            (Step::AskChecker, Some(checker)) => {
+                ask_checker(daemon, &checker, bound / PAUSES_PER_BOUND).await;
+                bound / QUESTIONS_PER_BOUND
+            }
+            (Step::AskStore | Step::AskChecker, _) => match check(daemon, ask, bound).await {
+                Ok(()) => bound / QUESTIONS_PER_BOUND,
+                Err(error) => {
+                    debug!("event=beliefs_unconfirmed error=\"{error}\"");
+                    bound / PAUSES_PER_BOUND * 2
+                }
+            },
+        };
+        timer::sleep(pause).await;
+    }
+}
+
+/// Asks the store each time that a confirmation of the configuration is wanted.
+async fn confirm_on_demand(daemon: &Arc<Daemon>, ask: &Ask) {
+    let kind = Kind::Configuration;
+    loop {
+        daemon.freshness().confirmation_wanted().await;
+        let bound = daemon.beliefs.bound();
+        if daemon.beliefs.reader(kind).revision() == 0 {
+            // Its first list confirms it.
+            timer::sleep(bound / PAUSES_PER_BOUND * 2).await;
+            continue;
+        }
+        if let Err(error) = ask_store(daemon, ask, kind, bound).await {
+            warn!("event=config_unconfirmed error=\"{error}\"");
+            daemon.beliefs.reader(kind).restart();
+        }
+    }
+}
+
+/// The daemon that asks the store on behalf of this one; `None` if this daemon asks itself.
+fn find_checker(daemon: &Daemon) -> Option<Instance> {
+    let first = relay::relays_of(daemon, &daemon.identity.data_centre).into_iter().next();
+    first.filter(|first| first.name != daemon.identity.instance)
+}
+
+/// Takes over the confirmations of the checker.
+async fn ask_checker(daemon: &Arc<Daemon>, checker: &Instance, limit: Duration) {
+    // The age that the answer states was taken later.
+    let asked_at = clock::boot_time();
+    let (answering, address) = (&daemon.beliefs.answering, checker.address);
+    let asked = answering.call(&daemon.peers, address, limit, async move |peer, context| {
+        peer.confirmations(context).await
+    });
+    let confirmations = match asked.await {
+        Ok(confirmations) => confirmations,
+        Err(error) => {
+            debug!("event=checker_unreachable peer={} error=\"{error}\"", checker.name);
+            return;
+        }
+    };
+    for Confirmation { kind, span, age } in confirmations {
+        let confirmed_at = asked_at - age;
+        let is_merged = daemon.beliefs.of(kind).merge(span, confirmed_at);
+        if is_merged && kind == Kind::Configuration {
+            daemon.freshness().record_confirmed_elsewhere(confirmed_at);
+        }
+    }
+}
+
+/// Asks the store about the kinds whose beliefs are old. An answer that names a revision up to which
+/// another kind has been read confirms that one as well, so that mostly one call is enough.
+async fn check(daemon: &Arc<Daemon>, ask: &Ask, bound: Duration) -> Result<()> {
+    for (_, kind) in daemon.beliefs.waiting() {
+        let age = daemon.beliefs.age(kind).unwrap_or_default();
+        if belief::step(age, bound, true) == Step::AskStore {
+            ask_store(daemon, ask, kind, bound).await?;
+        }
+    }
+    Ok(())
+}
+
+/// Asks the store whether a kind has changed, and sees to it that its reader reads the change.
+async fn ask_store(daemon: &Arc<Daemon>, ask: &Ask, kind: Kind, bound: Duration) -> Result<()> {
+    let since = daemon.beliefs.of(kind).span().until;
+    match ask(kind, since, bound / PAUSES_PER_BOUND).await? {
+        Answer::Unchanged { revision, era, asked_at } => {
+            daemon.beliefs.of(kind).record_unchanged(era, since, revision, asked_at);
+            for kind in Kind::ALL {
+                let is_confirmed = daemon.beliefs.of(kind).record_revision(era, revision, asked_at);
+                if is_confirmed && kind == Kind::Configuration {
+                    daemon.record_config_confirmed(asked_at);
+                }
+            }
+        }
+        Answer::Changed(revision) => {
+            let (daemon, lead) = (daemon.clone(), bound / LEADS_PER_BOUND);
+            executor::detach(async move { check_reader(&daemon, kind, revision, lead).await });
+        }
+        Answer::HistoryGone => daemon.beliefs.reader(kind).restart(),
+    }
+    Ok(())
+}
+
+/// Restarts a reader that still waits after a time, although there is a change up to a revision.
+async fn check_reader(daemon: &Daemon, kind: Kind, revision: u64, lead: Duration) {
+    let reader = daemon.beliefs.reader(kind);
+    timer::sleep(lead).await;
+    if !reader.is_waiting() && reader.revision() < revision {
+        // It pauses, and asks next, or it receives an answer.
+        timer::sleep(READER_PAUSE_MAX + lead).await;
+    }
+    if reader.is_waiting() && reader.revision() < revision {
+        warn!("event=watch_silent kind={kind} revision={revision}");
+        reader.restart();
+    }
 }
--- a/crates/ffw-control/src/calls.rs
+++ b/crates/ffw-control/src/calls.rs
@@ -18,7 +18,7 @@
     let (for_hold, for_records, for_grants) = (shared(), shared(), shared());
     let (for_burn, for_status) = (shared(), shared());
     let (for_evidence, for_holds, for_lift) = (shared(), shared(), shared());
-    let for_permits = shared();
+    let (for_permits, for_confirmations) = (shared(), shared());
     Handlers {
         admit: Box::new(move |call| {
             let daemon = for_admit.clone();
@@ -44,6 +44,7 @@
         quarantined: Box::new(move |()| ready(for_holds.quarantines.holds())),
         lift_quarantine: Box::new(move |part| ready(quarantine::lift(&for_lift, part))),
         take_permits: Box::new(move |ask| ready(rate::account::grant(&for_permits, &ask))),
+        confirmations: Box::new(move |()| ready(for_confirmations.beliefs.confirmations())),
     }
 }
 
--- a/crates/ffw-control/src/freshness.rs
+++ b/crates/ffw-control/src/freshness.rs
@@ -101,6 +101,13 @@
         self.wake();
     }
 
+    /// As [`Freshness::record_confirmed`], by a call of another daemon, which says nothing of this
+    /// daemon's way to the store.
+    pub fn record_confirmed_elsewhere(&self, asked_at: Moment) {
+        let knowledge = &mut self.lock().knowledge;
+        knowledge.confirmed_at = knowledge.confirmed_at.max(Some(asked_at));
+    }
+
     /// Records whether the store answers calls about the configuration.
     pub fn record_store_lost(&self, is_lost: bool) {
         self.lock().knowledge.is_store_lost = is_lost;
--- a/crates/ffw-control/src/rate.rs
+++ b/crates/ffw-control/src/rate.rs
@@ -12,6 +12,7 @@
     crate::{daemon::Daemon, identity},
     account::Accounts,
     ffw_decide::permits::Stock,
+    ffw_peer::link::Answering,
     ffw_protocol::{
         instance::Role,
         rate::{Stated, Statement},
@@ -20,7 +21,6 @@
     ffw_runtime::executor,
     log::info,
     std::{
-        net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
@@ -36,7 +36,7 @@
     /// Accounts that this daemon uses alone while it reaches no owner.
     isolated: Accounts,
     /// Daemons that have answered a request for permits, and so know the call.
-    answering: Mutex<Vec<SocketAddr>>,
+    answering: Answering,
 }
 
 #[derive(Debug)]
--- a/crates/ffw-control/src/rate/request.rs
+++ b/crates/ffw-control/src/rate/request.rs
@@ -2,7 +2,7 @@
 //! account.
 
 use {
-    super::{account, lock, record_stated, take},
+    super::{account, record_stated, take},
     crate::{daemon::Daemon, identity, owner, suspect},
     ffw_decide::rate_limit::Granted,
     ffw_peer::service::PeerClient,
@@ -123,25 +123,14 @@
 
 async fn call(daemon: &Arc<Daemon>, owner: &Instance, ask: Ask) -> Grant {
     let (address, stated) = (owner.address, ask.stated);
-    let is_known = lock(&daemon.rates.answering).contains(&address);
+    let answering = &daemon.rates.answering;
+    let is_known = answering.has_answered(address);
     let calling = async move |peer: PeerClient, context| peer.take_permits(context, ask).await;
-    // A peer of an earlier build closes the connection on a call that it does not know.
-    let answer = if is_known {
-        daemon.peers.call(address, ASK_TIMEOUT, calling).await
-    } else {
-        daemon.peers.call_apart(address, ASK_TIMEOUT, calling).await
-    };
-    match answer {
-        Ok(grant) => {
-            if !is_known {
-                lock(&daemon.rates.answering).push(address);
-            }
-            grant
-        }
+    match answering.call(&daemon.peers, address, ASK_TIMEOUT, calling).await {
+        Ok(grant) => grant,
         Err(error) => {
             debug!("event=permits_not_granted peer={} error=\"{error}\"", owner.name);
             if is_known {
-                lock(&daemon.rates.answering).retain(|answering| *answering != address);
                 suspect::suspect(daemon, &owner.name, address);
             }
             account::refusal(stated)
--- a/crates/ffw-control/src/relay.rs
+++ b/crates/ffw-control/src/relay.rs
@@ -227,7 +227,7 @@
 }
 
 /// The daemons of a data centre that watch the platform.
-fn relays_of(daemon: &Daemon, data_centre: &Arc<str>) -> Vec<Instance> {
+pub(crate) fn relays_of(daemon: &Daemon, data_centre: &Arc<str>) -> Vec<Instance> {
     let ranked = daemon.view.ranked(data_centre);
     let suspects = daemon.suspects.names();
     let local = ranked.iter().filter(|listed| listed.data_centre == *data_centre);
--- a/crates/ffw-decide/src/belief.rs
+++ b/crates/ffw-decide/src/belief.rs
@@ -2,13 +2,46 @@
 //!
 //! The load pattern is a fleet of daemons that wait for changes on connections any of which may have
 //! gone silent, so that no news is no evidence. A belief therefore has an age: the time since a call
-//! was sent whose response showed that there was nothing newer.
+//! was sent whose response showed that there was nothing newer. Before the age reaches its bound, the
+//! daemon asks: one daemon of each data centre, the checker, asks the store on behalf of the others,
+//! and those that get no news of it in time ask the store themselves.
 
 use {
     ffw_protocol::{belief::Span, time::Moment},
     std::time::Duration,
 };
 
+/// Age from which a checker asks the store, and the other daemons ask their checker, in eighths of
+/// the bound.
+const ASK_EIGHTHS: u32 = 3;
+
+/// Age from which a daemon that gets nothing newer from its checker asks the store, in eighths of
+/// the bound. What is left is for a call that is lost, a second one, and a list of the objects.
+const ASK_ALONE_EIGHTHS: u32 = 5;
+
+/// What a daemon does to keep its beliefs younger than a bound.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Nothing for this time.
+    Wait(Duration),
+    /// Ask the checker of its data centre how old its beliefs are.
+    AskChecker,
+    /// Ask the store whether there is anything newer.
+    AskStore,
+}
+
+/// Decides on a belief of an age. `is_checker` states whether the daemon has no other one to ask.
+pub fn step(age: Duration, bound: Duration, is_checker: bool) -> Step {
+    let (ask_at, ask_alone_at) = (bound / 8 * ASK_EIGHTHS, bound / 8 * ASK_ALONE_EIGHTHS);
+    if age < ask_at {
+        Step::Wait(ask_at - age)
+    } else if is_checker || age >= ask_alone_at {
+        Step::AskStore
+    } else {
+        Step::AskChecker
+    }
+}
+
 /// What a daemon believes about one kind of objects.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Belief {
@@ -43,6 +76,46 @@
             self.span.since = since;
         }
         self.span.until = self.span.until.max(until);
+        self.confirm(asked_at);
+    }
+
+    /// Records the response to a call sent at `asked_at`: nothing changed after the revision `since`
+    /// up to `until`. A response of another era says nothing about this belief.
+    pub fn record_unchanged(&mut self, era: u64, since: u64, until: u64, asked_at: Moment) {
+        if era != self.span.era {
+            return;
+        }
+        // Otherwise objects have been read meanwhile that are newer than the question.
+        if self.span.since <= since {
+            self.span.until = self.span.until.max(until);
+        }
+        self.confirm(asked_at);
+    }
+
+    /// Records that the store was at `revision` when it answered a call sent at `asked_at`, for
+    /// whatever kind; returns whether that confirms this belief.
+    pub fn record_revision(&mut self, era: u64, revision: u64, asked_at: Moment) -> bool {
+        let is_newest = self.span.until > 0 && self.span.era == era && revision <= self.span.until;
+        if is_newest {
+            self.confirm(asked_at);
+        }
+        is_newest
+    }
+
+    /// Takes over another daemon's confirmation; returns whether it is of the same state. One of an
+    /// older state confirms nothing, nor does one of a newer state, which is still to be read.
+    pub fn merge(&mut self, other: Span, confirmed_at: Moment) -> bool {
+        let overlaps = other.since <= self.span.until && self.span.since <= other.until;
+        if self.span.until == 0 || other.era != self.span.era || !overlaps {
+            return false;
+        }
+        self.span.since = self.span.since.min(other.since);
+        self.span.until = self.span.until.max(other.until);
+        self.confirm(confirmed_at);
+        true
+    }
+
+    fn confirm(&mut self, asked_at: Moment) {
         self.confirmed_at = self.confirmed_at.max(Some(asked_at));
     }
 }
--- a/crates/ffw-peer/src/handler.rs
+++ b/crates/ffw-peer/src/handler.rs
@@ -4,6 +4,7 @@
     crate::service::{Burn, Peer, RenewalReply, Status, Updates, Versions},
     ffw_protocol::{
         admission::{Ask, Attempt, Renewal, Verdict},
+        belief::Confirmation,
         config::Version,
         ledger::{Record, Segment},
         quarantine::{Evidence, Exchange, Hold},
@@ -70,6 +71,8 @@
     pub lift_quarantine: Handler<u64, bool>,
     /// Handles [`Peer::take_permits`].
     pub take_permits: Handler<rate::Ask, rate::Grant>,
+    /// Handles [`Peer::confirmations`].
+    pub confirmations: Handler<(), Vec<Confirmation>>,
 }
 
 #[derive(Clone)]
@@ -139,4 +142,8 @@
     async fn take_permits(self, _: Context, ask: rate::Ask) -> rate::Grant {
         (self.handlers.take_permits)(ask).await
     }
+
+    async fn confirmations(self, _: Context) -> Vec<Confirmation> {
+        (self.handlers.confirmations)(()).await
+    }
 }
--- a/crates/ffw-peer/src/link.rs
+++ b/crates/ffw-peer/src/link.rs
@@ -161,6 +161,50 @@
     }
 }
 
+/// Peers that have answered a call that daemons of earlier builds do not know.
+#[derive(Debug, Default)]
+pub struct Answering(Mutex<Vec<SocketAddr>>);
+
+impl Answering {
+    /// Whether a peer has answered its latest call.
+    pub fn has_answered(&self, address: SocketAddr) -> bool {
+        self.lock().binary_search(&address).is_ok()
+    }
+
+    /// Makes such a call: on a connection of its own until the peer has answered one, as a peer of
+    /// an earlier build closes the connection, on which other calls may be waiting.
+    ///
+    /// # Errors
+    /// As [`PeerConnections::call`].
+    pub async fn call<T, F, Fut>(
+        &self,
+        peers: &PeerConnections,
+        address: SocketAddr,
+        limit: Duration,
+        call: F,
+    ) -> Result<T>
+    where
+        F: FnOnce(PeerClient, Context) -> Fut,
+        Fut: Future<Output = std::result::Result<T, RpcError>>,
+    {
+        let result = match self.has_answered(address) {
+            true => peers.call(address, limit, call).await,
+            false => peers.call_apart(address, limit, call).await,
+        };
+        let mut answering = self.lock();
+        match (answering.binary_search(&address), result.is_ok()) {
+            (Err(index), true) => answering.insert(index, address),
+            (Ok(index), false) => drop(answering.remove(index)),
+            _ => {}
+        }
+        result
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<SocketAddr>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 fn unavailable(address: SocketAddr, message: &str) -> Error {
     Error::new(Kind::PeerUnavailable, format!("peer {address}: {message}"))
 }
--- a/crates/ffw-peer/src/service.rs
+++ b/crates/ffw-peer/src/service.rs
@@ -3,6 +3,7 @@
 use {
     ffw_protocol::{
         admission::{Ask, Attempt, AttemptKey, Renewal, Verdict},
+        belief::Confirmation,
         config::Version,
         instance::Instance,
         ledger::{Record, Segment},
@@ -175,4 +176,7 @@
     /// Asks for permits for requests to a backend server with a rate limit. Daemons of earlier
     /// builds do not know this call.
     async fn take_permits(ask: rate::Ask) -> rate::Grant;
+    /// Returns how old the receiver's beliefs about the objects of the store are. Daemons of
+    /// earlier builds do not know this call.
+    async fn confirmations() -> Vec<Confirmation>;
 }
--- a/crates/ffw-peer/tests/wire_layout.rs
+++ b/crates/ffw-peer/tests/wire_layout.rs
@@ -11,6 +11,7 @@
             Ask, Attempt, AttemptKey, Basis, Failed, Failing, Grant, Phase, Progress, Reason,
             Release, Renewal, Server, Update, Verdict,
         },
+        belief::{self, Confirmation, Span},
         config::Version,
         digest, id,
         instance::{Instance, Role, State},
@@ -36,11 +37,13 @@
 quarantined 11 4 cb30e9181723
 lift_quarantine 12 12 3fab3e934c0c
 take_permits 13 91 5b7606807518
+confirmations 14 4 01b4f6bd5d6a
 admitted 0 148 bdeb152e10e9
 renewed 1 92 6647698c50de
 updates 3 200 ce92ef26b9ac
 evidence 10 99 c5df4ec88559
 permits 13 54 c40b47965728
+confirmed 14 52 24dbfe0b3323
 ";
 
 fn attempt() -> Attempt {
@@ -187,6 +190,14 @@
     }
 }
 
+fn confirmation() -> Confirmation {
+    Confirmation {
+        kind: belief::Kind::Servers,
+        span: Span { era: 1, since: 2, until: 3 },
+        age: Duration::from_millis(4),
+    }
+}
+
 fn line(name: &str, message: &impl Serialize) -> String {
     let bytes = bincode::serialize(message).expect("serializable");
     let number = u32::from_le_bytes([bytes[0], bytes[1], bytes[2], bytes[3]]);
@@ -210,6 +221,7 @@
         line("quarantined", &PeerRequest::Quarantined {}),
         line("lift_quarantine", &PeerRequest::LiftQuarantine { part: 5 }),
         line("take_permits", &PeerRequest::TakePermits { ask: permits() }),
+        line("confirmations", &PeerRequest::Confirmations {}),
     ]
     .concat()
 }
@@ -235,6 +247,7 @@
         line("updates", &PeerResponse::News(updates)),
         line("evidence", &PeerResponse::ExchangeEvidence(Some(evidence()))),
         line("permits", &PeerResponse::TakePermits(granted())),
+        line("confirmed", &PeerResponse::Confirmations(vec![confirmation()])),
     ]
     .concat()
 }
--- a/crates/ffw-protocol/src/belief.rs
+++ b/crates/ffw-protocol/src/belief.rs
@@ -3,7 +3,7 @@
 
 use {
     serde::{Deserialize, Serialize},
-    std::fmt,
+    std::{fmt, time::Duration},
 };
 
 /// Kind of objects that a daemon follows in the store.
@@ -47,3 +47,14 @@
     /// The latest one.
     pub until: u64,
 }
+
+/// A daemon's belief about one kind, as it tells it to another daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Confirmation {
+    /// Kind of objects.
+    pub kind: Kind,
+    /// Where the state that it believes in is known to hold.
+    pub span: Span,
+    /// Time since a call of the store was sent whose response showed nothing newer.
+    pub age: Duration,
+}
--- a/crates/fireflyworks/src/command/route.rs
+++ b/crates/fireflyworks/src/command/route.rs
@@ -108,6 +108,7 @@
     let handlers = calls::handlers(&daemon);
     executor::detach(ffw_peer::server::serve(peers, secret, handlers, call_tracker.clone()));
     let store = Arc::new(Store::new(settings.store));
+    daemon.beliefs.set_bound(belief_age_max(&settings));
     follow::start(&daemon, &store);
     let announcing =
         executor::spawn(announce::announce(store.clone(), daemon.clone(), own_instance(&settings)));
@@ -152,6 +153,7 @@
                 let changed = settings.differences(&new).join(",");
                 info!("event=reloaded changed={changed} before={settings:?} now={new:?}");
                 router.configure(limits(&new));
+                router.daemon.beliefs.set_bound(belief_age_max(&new));
                 settings = new;
                 is_invalid = false;
             }
@@ -178,6 +180,12 @@
     }
 }
 
+/// Bound on the age of what the daemon believes about the store: whatever it acts on must be known
+/// within the shorter of both limits.
+fn belief_age_max(settings: &Settings) -> Duration {
+    settings.apply_limit.min(settings.leaving_limit)
+}
+
 fn limits(settings: &Settings) -> Limits {
     Limits {
         retry_ratio: settings.retry_ratio,
