Answer or refuse what can't end in the grace period

Cause: a plain request was taken if 1.5 s were left, whatever its own limit, and the end of the process told nobody. Now, from 2.8 s after SIGTERM on, three quarters of its limit must fit into what is left, or it is refused as not run; and what still runs 150 ms before the end is answered as unknown, if its caller has got nothing yet.

Three tests with a real process failed before: two requests half sent at SIGTERM that are complete 2 s before the end, no answer in place of 503, and work of 12 s, no answer in place of 504. Pipelined requests were sound before, as were the three earlier tests of the file, which are unchanged.

--- a/crates/ffw-route/src/caller/filter.rs
+++ b/crates/ffw-route/src/caller/filter.rs
@@ -88,17 +88,18 @@
     let pool = route.pool(router.next_choice_number()).cloned().ok_or_else(|| {
         rejected(Error::new(Kind::NoBackend, format!("route {} has no pool", route.name)))
     })?;
-    if !router.can_finish(route.is_stream) {
-        let error =
-            Error::new(Kind::Draining, "this daemon shuts down before the request could finish");
-        return Err(rejected(error.retry_after(DRAINING_RETRY_AFTER)));
-    }
-    router.record_request(&pool);
     let limit = route.timeout().min(request_info.timeout.unwrap_or(Duration::MAX));
     // The caller must receive the response before it stops waiting. Of a short limit,
     // at most a twentieth is subtracted.
     let limit = limit - RESPONSE_TRANSIT_TIME.min(limit / 20);
     let deadline = started_at + limit;
+    let time_left = deadline.saturating_duration_since(Instant::now());
+    if !router.can_finish(route.is_stream, time_left) {
+        let error =
+            Error::new(Kind::Draining, "this daemon shuts down before the request could finish");
+        return Err(rejected(error.retry_after(DRAINING_RETRY_AFTER)));
+    }
+    router.record_request(&pool);
     let head = head.clone();
     let request =
         RoutedRequest { head, body, request_info, route, pool, snapshot, started_at, deadline };
--- a/crates/ffw-route/src/plain.rs
+++ b/crates/ffw-route/src/plain.rs
@@ -54,6 +54,9 @@
 const PERMIT_RETRY_MIN: Duration = Duration::from_millis(50);
 const PERMIT_RETRY_MAX: Duration = Duration::from_secs(5);
 
+/// Message to callers whose requests still run when this process ends.
+pub(crate) const ENDING: &str = "this daemon shuts down before the request has finished";
+
 /// A whole response for the caller.
 pub(crate) struct PlainResponse {
     pub(crate) head: Response,
@@ -69,7 +72,12 @@
     request: &RoutedRequest,
 ) -> Result<PlainResponse, Error> {
     let attempts = Attempts::default();
-    let served = run_attempts(router, request, &attempts).await;
+    let running = run_attempts(router, request, &attempts);
+    let ending = async {
+        router.requests_ending().await;
+        Err(Error::new(Kind::Timeout, ENDING))
+    };
+    let served = smol::future::or(running, ending).await;
     served.map_err(|error| attempts.qualify(error))
 }
 
--- a/crates/ffw-route/src/router.rs
+++ b/crates/ffw-route/src/router.rs
@@ -13,6 +13,7 @@
     ffw_protocol::instance::Role,
     ffw_runtime::timer,
     log::info,
+    smol::channel::{self, Receiver, Sender},
     std::{
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
@@ -42,6 +43,8 @@
     choice_counter: AtomicU64,
     in_flight: AtomicUsize,
     buffered_bytes: AtomicUsize,
+    /// Closed, without a message, when the requests that still run have to end.
+    ending: (Sender<()>, Receiver<()>),
 }
 
 /// Limits that the settings of the deployment give.
@@ -69,6 +72,16 @@
 /// sent before.
 const SLACK_SHARE: f64 = 0.7;
 
+/// Time after the signal to shut down from which a request is accepted only if most of its time limit
+/// is over before the process ends; callers reach another daemon by then.
+const LONG_REQUEST_TIME: Duration = Duration::from_millis(2_800);
+
+/// Share of its time limit that a request may need.
+const NEEDED_SHARE: f64 = 0.75;
+
+/// Time before the end of the process at which requests that still run are answered.
+pub const LAST_ANSWER_TIME: Duration = Duration::from_millis(150);
+
 /// Time that must remain before the process ends for a stream to be accepted.
 const STREAM_FINISH_TIME: Duration = Duration::from_millis(5_500);
 
@@ -102,6 +115,7 @@
             choice_counter: AtomicU64::new(u64::from(rand::random::<u32>())),
             in_flight: AtomicUsize::new(0),
             buffered_bytes: AtomicUsize::new(0),
+            ending: channel::bounded(1),
         })
     }
 
@@ -187,11 +201,28 @@
         self.budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Whether a request that arrives now can be answered before this process ends.
-    pub fn can_finish(&self, is_stream: bool) -> bool {
-        let needed = if is_stream { STREAM_FINISH_TIME } else { PLAIN_FINISH_TIME };
-        !self.daemon.is_draining()
-            || self.daemon.draining_for() + needed < self.limits().shutdown_grace
+    /// Whether a request that is complete now, with this time left, can be answered before this
+    /// process ends.
+    pub fn can_finish(&self, is_stream: bool, time_left: Duration) -> bool {
+        if !self.daemon.is_draining() {
+            return true;
+        }
+        let usual = if is_stream { STREAM_FINISH_TIME } else { PLAIN_FINISH_TIME };
+        let draining_for = self.daemon.draining_for();
+        let is_late = draining_for >= LONG_REQUEST_TIME;
+        let needed = if is_late { usual.max(time_left.mul_f64(NEEDED_SHARE)) } else { usual };
+        draining_for + needed < self.limits().shutdown_grace.saturating_sub(LAST_ANSWER_TIME)
+    }
+
+    /// Ends the requests that still run: each whose caller has got nothing yet is answered with an
+    /// error.
+    pub fn end_requests(&self) {
+        self.ending.0.close();
+    }
+
+    /// Waits until [`Router::end_requests`] is called.
+    pub async fn requests_ending(&self) {
+        self.ending.1.recv().await.ok();
     }
 
     /// Next number of a counter with a random start, by which pools and servers are chosen. The
--- a/crates/ffw-route/src/stream.rs
+++ b/crates/ffw-route/src/stream.rs
@@ -18,6 +18,7 @@
 use {
     crate::{
         caller::{self, RoutedRequest},
+        plain::ENDING,
         response::Persistence,
         router::Router,
     },
@@ -63,6 +64,9 @@
 /// Retry-After of a failed stream, unless the owner's refusal states another one.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Message to callers whose streams have not begun by their deadline.
+const OVERDUE: &str = "the deadline of the request has passed";
+
 /// How a stream ended.
 pub(crate) enum Outcome {
     /// The caller has received the whole response.
@@ -89,18 +93,24 @@
             watcher.closed().await;
             None
         };
-        timer::timeout(time_left, smol::future::or(running, caller_closed)).await
+        let ending = async {
+            timer::timeout(time_left, router.requests_ending()).await.map_or(OVERDUE, |()| ENDING)
+        };
+        let ended = async { Ok(smol::future::or(running, caller_closed).await) };
+        smol::future::or(ended, async { Err(ending.await) }).await
     };
     let id = &request.request_info.id;
     match result {
-        Some(Some(end)) => end,
-        Some(None) => {
+        Ok(Some(end)) => end,
+        Ok(None) => {
             debug!("event=caller_gone request={id}");
             Outcome::Cut
         }
-        None => {
-            info!("event=stream_overdue request={id} begun={}", stream.relay.has_begun());
-            let message = "the deadline of the request has passed";
+        Err(message) => {
+            info!(
+                "event=stream_overdue request={id} begun={} cause=\"{message}\"",
+                stream.relay.has_begun()
+            );
             stream.fail(Error::new(Kind::Timeout, message).retry_after(RETRY_AFTER))
         }
     }
--- a/crates/fireflyworks/src/command/route.rs
+++ b/crates/fireflyworks/src/command/route.rs
@@ -199,7 +199,7 @@
 
 /// Reports not ready, serves requests that still arrive for [`router::INGRESS_DRAIN_TIME`], and
 /// then waits until each connection that was let in has ended. Returns at the latest when the grace
-/// period is over. Further signals to stop change nothing.
+/// period is over; requests that still run then are answered shortly before. Further signals to stop change nothing.
 async fn shut_down(router: &Router, callers: &Tracker) {
     info!("event=shutdown_begun open={}", router.in_flight());
     router.daemon.drain();
@@ -207,8 +207,11 @@
     timer::sleep(router::INGRESS_DRAIN_TIME.min(grace)).await;
     callers.close();
     info!("event=listener_closed open={} connections={}", router.in_flight(), callers.open());
-    let time_left = grace.saturating_sub(router.daemon.draining_for());
+    let last_answers_at = grace.saturating_sub(router::LAST_ANSWER_TIME);
+    let time_left = last_answers_at.saturating_sub(router.daemon.draining_for());
     if timer::timeout(time_left, callers.drained()).await.is_none() {
         warn!("event=shutdown_overdue open={} connections={}", router.in_flight(), callers.open());
+        router.end_requests();
+        timer::timeout(router::LAST_ANSWER_TIME, callers.drained()).await;
     }
 }
--- a/crates/fireflyworks/tests/shutdown.rs
+++ b/crates/fireflyworks/tests/shutdown.rs
@@ -15,8 +15,9 @@
         worker::{Log, Role, Worker},
     },
     ffw_support::permit,
+    rstest::rstest,
     rustix::process::Signal,
-    serde_json::json,
+    serde_json::{Value, json},
     smol::Task,
     std::{
         fs,
@@ -50,21 +51,30 @@
     status: Option<u16>,
 }
 
+fn configuration() -> Value {
+    json!({
+        "version": 1,
+        "routes": [{"name": "r", "host": "h", "pathPrefix": "/r/", "type": "non_idempotent",
+            "timeoutMs": 4000, "targetLatencyMs": 100, "priority": 1, "maxAttempts": 1,
+            "service": "app"}],
+        "services": [{"name": "app"}],
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1_048_576,
+            "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+    })
+}
+
+fn configuration_with_limit(timeout_ms: u64) -> Value {
+    let mut configuration = configuration();
+    configuration["routes"][0]["timeoutMs"] = json!(timeout_ms);
+    configuration
+}
+
 impl Fixture {
     async fn start(name: &str) -> Fixture {
         let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("shutdown-{name}"));
         fs::create_dir_all(&folder).expect("a folder");
         let (store, store_address) = Store::start().await.expect("a store");
-        let configuration = json!({
-            "version": 1,
-            "routes": [{"name": "r", "host": "h", "pathPrefix": "/r/", "type": "non_idempotent",
-                "timeoutMs": 4000, "targetLatencyMs": 100, "priority": 1, "maxAttempts": 1,
-                "service": "app"}],
-            "services": [{"name": "app"}],
-            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1_048_576,
-                "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-        });
-        store.put("config", "main", configuration);
+        store.put("config", "main", configuration());
         let log = Log::default();
         let server = Worker::start("server", "app", Role::Plain, &log).await.expect("a server");
         let entry = json!({"service": "app", "address": server.address, "zone": "a",
@@ -73,7 +83,7 @@
         let ports = Ports::choose().expect("ports");
         let seeds = [ports.peers()];
         let daemon = Daemon::new(&folder, 0, ports, &seeds, store_address).expect("settings");
-        let set_grace = |file: &mut serde_json::Value| {
+        let set_grace = |file: &mut Value| {
             file["bounds"]["graceS"] = json!(GRACE.as_secs());
         };
         daemon.change_settings(set_grace).expect("settings");
@@ -229,6 +239,110 @@
     });
 }
 
+/// What a caller has sent of its request when the listener closes.
+#[derive(Clone, Copy, Debug)]
+enum Sent {
+    HalfHead,
+    Head,
+}
+
+/// A request that began before the listener closed is complete only late in the grace period, and
+/// its server takes longer than what is left of that. Guards against a request that is passed on
+/// and cut off without an answer.
+#[rstest]
+#[case::half_a_head(Sent::HalfHead)]
+#[case::a_head_without_its_body(Sent::Head)]
+fn a_request_that_is_complete_late_in_the_grace_period_is_not_run(#[case] sent: Sent) {
+    smol::block_on(async {
+        let _permit = permit::acquire(CORES).await;
+        let mut fixture = Fixture::start(&format!("late-{sent:?}")).await;
+        fixture.store.put("config", "main", configuration_with_limit(14_000));
+        fixture.spawn();
+        fixture.wait_until_it_serves().await;
+        fixture.server.set_plain_time(Duration::from_millis(3_500));
+        let stopped_at = Instant::now();
+        fixture.daemon.signal(Signal::TERM);
+        sleep_until(stopped_at + LISTEN_TIME - Duration::from_millis(100)).await;
+        let mut connection = open(fixture.daemon.caller_address).await;
+        let request = request("late").replace("Deadline-Ms: 4000", "Deadline-Ms: 14000");
+        let head = request.len() - "hi".len();
+        let (first, rest) = match sent {
+            Sent::HalfHead => request.split_at(head / 2),
+            Sent::Head => request.split_at(head),
+        };
+        connection.write(first.as_bytes(), IO_TIMEOUT).await.expect("written");
+        sleep_until(stopped_at + Duration::from_millis(5_500)).await;
+        connection.write(rest.as_bytes(), IO_TIMEOUT).await.expect("written");
+        let status = client::read_answer(&mut connection).await.map(|head| head.status);
+        fixture.wait_for_end(stopped_at).await;
+        assert_eq!(status, Some(503));
+        assert!(!fixture.log.runs().iter().any(|run| run.id == "late"), "the request ran");
+    });
+}
+
+/// A request that came right after SIGTERM still runs when the grace period is over. Guards
+/// against the end of its connection without a word.
+#[test]
+fn work_that_outlasts_the_grace_period_is_answered_as_unknown() {
+    smol::block_on(async {
+        let _permit = permit::acquire(CORES).await;
+        let mut fixture = Fixture::start("outlasting").await;
+        fixture.store.put("config", "main", configuration_with_limit(14_000));
+        fixture.spawn();
+        fixture.wait_until_it_serves().await;
+        fixture.server.set_plain_time(Duration::from_secs(12));
+        let stopped_at = Instant::now();
+        fixture.daemon.signal(Signal::TERM);
+        let address = fixture.daemon.caller_address;
+        let request = request("long").replace("Deadline-Ms: 4000", "Deadline-Ms: 14000");
+        let mut connection = open(address).await;
+        connection.write(request.as_bytes(), IO_TIMEOUT).await.expect("written");
+        let reading = connection.read_response(1 << 16);
+        let head = timer::timeout(GRACE, reading).await.expect("an answer in time");
+        assert_eq!(head.expect("an answer").status, 504);
+        fixture.wait_for_end(stopped_at).await;
+    });
+}
+
+/// Requests wait behind others on their connections when SIGTERM comes. Each that ran is answered;
+/// the others are not run.
+#[test]
+fn pipelined_requests_are_answered_or_not_run() {
+    smol::block_on(async {
+        let _permit = permit::acquire(CORES).await;
+        let mut fixture = Fixture::start("pipelined").await;
+        fixture.spawn();
+        fixture.wait_until_it_serves().await;
+        fixture.server.set_plain_time(Duration::from_millis(400));
+        let stopped_at = Instant::now() + Duration::from_millis(300);
+        let mut callers = Vec::new();
+        for number in 0..6 {
+            let address = fixture.daemon.caller_address;
+            callers.push(executor::spawn(async move {
+                let mut connection = open(address).await;
+                let ids: Vec<String> = (0..4).map(|n| format!("{number}-{n}")).collect();
+                let requests: String = ids.iter().map(|id| request(id)).collect();
+                connection.write(requests.as_bytes(), IO_TIMEOUT).await.expect("written");
+                let mut bookings = Vec::new();
+                for id in ids {
+                    let answer = client::read_answer(&mut connection).await;
+                    bookings.push(Booking { id, status: answer.map(|head| head.status) });
+                }
+                bookings
+            }));
+        }
+        sleep_until(stopped_at).await;
+        fixture.daemon.signal(Signal::TERM);
+        let mut bookings = Vec::new();
+        for caller in callers {
+            bookings.extend(caller.await);
+        }
+        fixture.wait_for_end(stopped_at).await;
+        assert!(bookings.iter().any(|booking| booking.status.is_none()), "all were answered");
+        fixture.check(&bookings);
+    });
+}
+
 /// SIGTERM arrives while the process starts, before or while it writes its entry. The entry must
 /// not be left behind.
 #[test]
