--- a/crates/ffw-peer/src/link.rs
+++ b/crates/ffw-peer/src/link.rs
@@ -13,11 +13,12 @@
         meter::{Metered, Wire},
         timer,
     },
+    log::info,
     smol::net::TcpStream,
     std::{
         future::Future,
         net::SocketAddr,
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        sync::{Arc, Mutex, MutexGuard, PoisonError, Weak},
         time::{Duration, Instant},
     },
     tarpc::{
@@ -31,10 +32,34 @@
 /// Time to connect to a peer, including the handshake.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Time without any answer, though calls were made, after which a connection is not used for
+/// further calls: its answers may be lost while it stays open.
+const SILENCE_LIMIT: Duration = Duration::from_millis(1_000);
+
 #[derive(Clone, Debug)]
 struct Link {
     address: SocketAddr,
     client: PeerClient,
+    /// When the first call was made since the last answer; `None` if there was none.
+    unanswered_since: Arc<Mutex<Option<Instant>>>,
+}
+
+impl Link {
+    fn record_call(&self) {
+        self.unanswered().get_or_insert_with(Instant::now);
+    }
+
+    fn record_answer(&self) {
+        *self.unanswered() = None;
+    }
+
+    fn is_silent(&self) -> bool {
+        self.unanswered().is_some_and(|since| since.elapsed() >= SILENCE_LIMIT)
+    }
+
+    fn unanswered(&self) -> MutexGuard<'_, Option<Instant>> {
+        self.unanswered_since.lock().unwrap_or_else(PoisonError::into_inner)
+    }
 }
 
 /// Open connections to peers, in order of address. Clones share the connections.
@@ -55,24 +80,35 @@
     ///
     /// # Errors
     /// [`Kind::PeerUnavailable`]. If the call itself failed, the connection is dropped and the next
-    /// call opens a new one; if it timed out, the connection stays.
+    /// call opens a new one; if it timed out, the connection stays unless it has brought no answer
+    /// for [`SILENCE_LIMIT`].
     pub async fn call<T, F, Fut>(&self, address: SocketAddr, limit: Duration, call: F) -> Result<T>
     where
         F: FnOnce(PeerClient, Context) -> Fut,
         Fut: Future<Output = std::result::Result<T, RpcError>>,
     {
-        let client = self.client(address).await?;
+        let link = self.link(address).await?;
         let mut context = context::current();
         context.deadline = Instant::now() + limit;
-        let result = timer::timeout(limit, call(client, context)).await;
+        link.record_call();
+        let result = timer::timeout(limit, call(link.client.clone(), context)).await;
         match result {
-            Some(Ok(value)) => Ok(value),
+            Some(Ok(value)) => {
+                link.record_answer();
+                Ok(value)
+            }
             Some(Err(err)) => {
                 self.drop_link(address);
                 Err(unavailable(address, &err.to_string()))
             }
-            // The connection to a slow peer stays open, because other calls may be waiting on it.
-            None => Err(unavailable(address, "no answer in time")),
+            None => {
+                // Other calls may be waiting on it, and keep it open for themselves.
+                if link.is_silent() {
+                    info!("event=peer_silent peer={address}");
+                    self.drop_one(&Arc::downgrade(&link.unanswered_since));
+                }
+                Err(unavailable(address, "no answer in time"))
+            }
         }
     }
 
@@ -105,9 +141,9 @@
         }
     }
 
-    async fn client(&self, address: SocketAddr) -> Result<PeerClient> {
-        if let Some(client) = self.open_client(address) {
-            return Ok(client);
+    async fn link(&self, address: SocketAddr) -> Result<Link> {
+        if let Some(link) = self.open_link(address) {
+            return Ok(link);
         }
         let connecting = timer::timeout(CONNECT_TIMEOUT, self.connect(address)).await;
         let (client, dispatch) = match connecting {
@@ -117,15 +153,16 @@
         };
         let mut links = self.lock();
         match links.binary_search_by_key(&address, |link| link.address) {
-            Ok(index) => Ok(links[index].client.clone()),
+            Ok(index) => Ok(links[index].clone()),
             Err(index) => {
-                links.insert(index, Link { address, client: client.clone() });
-                let pool = self.clone();
+                let link = Link { address, client, unanswered_since: Arc::default() };
+                links.insert(index, link.clone());
+                let (pool, ended) = (self.clone(), Arc::downgrade(&link.unanswered_since));
                 executor::detach(async move {
                     dispatch.await;
-                    pool.drop_link(address);
+                    pool.drop_one(&ended);
                 });
-                Ok(client)
+                Ok(link)
             }
         }
     }
@@ -145,10 +182,15 @@
         Ok((created.client, async move { drop(dispatch.await) }))
     }
 
-    fn open_client(&self, address: SocketAddr) -> Option<PeerClient> {
+    fn open_link(&self, address: SocketAddr) -> Option<Link> {
         let links = self.lock();
         let index = links.binary_search_by_key(&address, |link| link.address).ok()?;
-        Some(links[index].client.clone())
+        Some(links[index].clone())
+    }
+
+    /// Removes one connection; another one to its peer that has taken its place stays.
+    fn drop_one(&self, unanswered_since: &Weak<Mutex<Option<Instant>>>) {
+        self.lock().retain(|link| Arc::as_ptr(&link.unanswered_since) != unanswered_since.as_ptr());
     }
 
     /// Removes the connection to an address, if there is one.
--- a/crates/ffw-peer/tests/repeated_answers.rs
+++ b/crates/ffw-peer/tests/repeated_answers.rs
@@ -1,7 +1,7 @@
-//! A peer that answers a call again, or late, on the connection that all calls to it share.
+//! A peer that answers a call again, late or never on the connection that all calls to it share.
 //!
-//! Guards against the answer to an earlier call that is taken for that to a later one. The shape of
-//! a call is that of [`PeerClient::offer_config`], whose answer is a number.
+//! Guards against the answer to an earlier call that is taken for that to a later one, and against
+//! a connection whose answers are lost and that stays in use. The shape of a call is that of [`PeerClient::offer_config`], whose answer is a number.
 
 use {
     bincode::Options as _,
@@ -15,7 +15,10 @@
     futures_lite::{AsyncReadExt as _, AsyncWriteExt as _},
     rstest::rstest,
     smol::net::{TcpListener, TcpStream},
-    std::{net::SocketAddr, time::Duration},
+    std::{
+        net::SocketAddr,
+        time::{Duration, Instant},
+    },
     tarpc::{ClientMessage, Response},
 };
 
@@ -27,12 +30,14 @@
 const LATE_AFTER: Duration = Duration::from_millis(150);
 
 /// Which answers a peer sends again.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Again {
     /// Each answer a second time, at once.
     Twice,
     /// Before each answer all earlier ones.
     Earlier,
+    /// Each answer once; on the first connection only the first answer.
+    LostOnFirst,
 }
 
 fn secret() -> Secret {
@@ -44,18 +49,21 @@
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
     let address = listener.local_addr().expect("an address");
     executor::detach(async move {
+        let mut is_first = true;
         while let Ok((mut stream, _)) = listener.accept().await {
+            let loses = is_first && again == Again::LostOnFirst;
+            is_first = false;
             executor::detach(async move {
                 let side = Side::Server;
                 handshake::authenticate(&mut stream, &secret(), side).await.expect("a peer");
-                answer_calls(stream, again, late_first).await;
+                answer_calls(stream, again, late_first, loses).await;
             });
         }
     });
     address
 }
 
-async fn answer_calls(mut stream: TcpStream, again: Again, late_first: bool) {
+async fn answer_calls(mut stream: TcpStream, again: Again, late_first: bool, loses: bool) {
     let mut sent: Vec<Vec<u8>> = Vec::new();
     while let Some((id, number)) = read_call(&mut stream).await {
         if late_first && sent.is_empty() {
@@ -65,6 +73,8 @@
         let answer = Response { request_id: id, message };
         let answer = bincode::DefaultOptions::new().serialize(&answer).expect("an answer");
         match again {
+            Again::LostOnFirst if loses && !sent.is_empty() => continue,
+            Again::LostOnFirst => sent = vec![answer],
             Again::Twice => sent = vec![answer.clone(), answer],
             Again::Earlier => sent.push(answer),
         }
@@ -164,3 +174,18 @@
         }
     });
 }
+
+/// The answers on an open connection are lost from some time on, while it stays open and a new one
+/// is sound. Calls that are made all the while must reach the peer again soon.
+#[test]
+fn a_connection_whose_answers_are_lost_is_replaced() {
+    smol::block_on(async {
+        let address = start(Again::LostOnFirst, false).await;
+        let peers = PeerConnections::new(secret());
+        assert_eq!(offer(&peers, address, 1, LIMIT).await.ok(), Some(1));
+        let lost_at = Instant::now();
+        while offer(&peers, address, 2, LATE_AFTER).await.is_err() {
+            assert!(lost_at.elapsed() < Duration::from_secs(2), "the connection stays in use");
+        }
+    });
+}
