--- a/crates/fireflyworks/tests/lost_answers.rs
+++ b/crates/fireflyworks/tests/lost_answers.rs
@@ -18,6 +18,7 @@
     serde_json::{Value, json},
     std::{
         fs,
+        future::Future,
         net::SocketAddr,
         num::NonZero,
         path::Path,
@@ -169,6 +170,34 @@
     }
 }
 
+impl Fleet {
+    /// Makes a change [`CHANGE_DELAY`] after now, while a loss goes on that is over after
+    /// `loss_time`, and requests are sent. Checks that it is in force when it must be.
+    async fn check(&self, change: Change, loss_time: Duration, loss: impl Future<Output = ()>) {
+        let lost_at = Instant::now();
+        let due_at = lost_at + (loss_time + STABLE_TIME).max(CHANGE_DELAY + APPLY_TIME);
+        let changing = async {
+            timer::sleep(CHANGE_DELAY).await;
+            self.change(change);
+        };
+        let acting = smol::future::zip(loss, changing);
+        smol::future::zip(acting, self.load_until(due_at + CHECKED_TIME)).await;
+        let runs = self.log.runs();
+        let is_late = |run: &&Run| run.received_at > due_at && is_forbidden(change, run);
+        let late: Vec<&Run> = runs.iter().filter(is_late).collect();
+        let since_loss = |at: Instant| (at - lost_at).as_millis();
+        assert!(
+            late.is_empty(),
+            "{} requests as before the {change:?}, the last one {:?} ms after the start of the \
+             loss; it was due at {} ms",
+            late.len(),
+            late.last().map(|run| since_loss(run.received_at)),
+            since_loss(due_at)
+        );
+        assert!(runs.iter().any(|run| run.received_at > due_at), "nothing was served");
+    }
+}
+
 /// All connections between the daemons and the store lose what is sent for a time, both ways or from
 /// the store only, and a change comes meanwhile or soon after.
 #[rstest]
@@ -184,35 +213,46 @@
     smol::block_on(async {
         let _permit = permit::acquire(CORES).await;
         let fleet = Fleet::start(&format!("{name}-{change:?}")).await;
-        let lost_at = Instant::now();
-        let (loss_end, changed_at) =
-            (lost_at + Duration::from_millis(loss_ms), lost_at + CHANGE_DELAY);
-        let due_at = (loss_end + STABLE_TIME).max(changed_at + APPLY_TIME);
-        let acting = async {
+        let loss_time = Duration::from_millis(loss_ms);
+        let loss = async {
             fleet.store_proxy.set_fault(fault);
-            let (proxy, loss) = (fleet.store_proxy.clone(), loss_end - lost_at);
-            executor::detach(async move {
-                timer::sleep(loss).await;
-                proxy.set_fault(Fault::None);
-            });
-            timer::sleep(CHANGE_DELAY).await;
-            fleet.change(change);
+            timer::sleep(loss_time).await;
+            fleet.store_proxy.set_fault(Fault::None);
         };
-        smol::future::zip(acting, fleet.load_until(due_at + CHECKED_TIME)).await;
-        let late: Vec<u128> = fleet
-            .log
-            .runs()
-            .iter()
-            .filter(|run| run.received_at > due_at && is_forbidden(change, run))
-            .map(|run| (run.received_at - lost_at).as_millis())
-            .collect();
-        let due_ms = (due_at - lost_at).as_millis();
-        assert!(
-            late.is_empty(),
-            "{} requests as before the {change:?}, the last one {:?} ms after the start of the \
-             loss; it was due at {due_ms} ms",
-            late.len(),
-            late.last()
-        );
+        fleet.check(change, loss_time, loss).await;
+    });
+}
+
+/// Some of the open connections fall silent, others don't.
+#[rstest]
+fn a_change_is_in_force_although_some_open_connections_are_silent(
+    #[values(2, 3)] every: usize,
+    #[values(Change::MovedRoute, Change::LeavingServer)] change: Change,
+) {
+    smol::block_on(async {
+        let _permit = permit::acquire(CORES).await;
+        let fleet = Fleet::start(&format!("some-{every}-{change:?}")).await;
+        let loss = async { fleet.store_proxy.lose_open(Fault::LossOfAnswers, every) };
+        fleet.check(change, Duration::ZERO, loss).await;
+    });
+}
+
+/// Open connections fall silent again and again, also those that were opened to find out.
+#[rstest]
+fn a_change_is_in_force_although_connections_fall_silent_again_and_again(
+    #[values(Fault::Loss, Fault::LossOfAnswers)] fault: Fault,
+) {
+    const LOSSES: u32 = 8;
+    const PERIOD: Duration = Duration::from_millis(500);
+    smol::block_on(async {
+        let _permit = permit::acquire(CORES).await;
+        let fleet = Fleet::start(&format!("again-{fault:?}")).await;
+        let loss = async {
+            for _ in 0..LOSSES {
+                fleet.store_proxy.lose_open(fault, 1);
+                timer::sleep(PERIOD).await;
+            }
+        };
+        fleet.check(Change::MovedRoute, (LOSSES - 1) * PERIOD, loss).await;
     });
 }
