--- a/crates/ffw-soak/src/check.rs
+++ b/crates/ffw-soak/src/check.rs
@@ -51,6 +51,8 @@
     pub server: String,
     /// When the store had applied the write.
     pub written_at: Instant,
+    /// Time after the write from which the server must get no requests.
+    pub bound: Duration,
 }
 
 /// A change of the service of the plain routes, written while no fault kept the daemons from seeing
@@ -192,7 +194,7 @@
     for removal in removals {
         let late = runs.iter().find(|run| {
             run.server == removal.server
-                && run.received_at.saturating_duration_since(removal.written_at) > DRAIN_BOUND
+                && run.received_at.saturating_duration_since(removal.written_at) > removal.bound
         });
         if let Some(run) = late {
             let delay_ms =
--- a/crates/ffw-soak/src/main.rs
+++ b/crates/ffw-soak/src/main.rs
@@ -28,6 +28,7 @@
             "Also send streams with a prompt part under which decode servers crash",
         ))
         .arg(flag("oddities", "Also draw odd answers, odd objects and silences of the store"))
+        .arg(flag("losses", "Also lose what is sent on connections to the store"))
         .arg(flag("only-restarts", "Restart the daemons one after the other, without any fault"))
         .arg(flag("rate-limits", "Also let plain servers state rate limits"))
         .arg(option("store-delay-ms", "0", "Time by which each response of the store is late"))
@@ -47,6 +48,7 @@
             restores: matches.get_flag("restores"),
             crashing_part: matches.get_flag("crashing-part"),
             oddities: matches.get_flag("oddities"),
+            losses: matches.get_flag("losses"),
             only_restarts: matches.get_flag("only-restarts"),
             rate_limits: matches.get_flag("rate-limits"),
             store_delay: Duration::from_millis(number(&matches, "store-delay-ms")?),
--- a/crates/ffw-soak/src/plan.rs
+++ b/crates/ffw-soak/src/plan.rs
@@ -47,6 +47,10 @@
     /// The configuration moves the plain routes, and the store falls silent: it never answers what
     /// it is asked in a time. Once the daemons have recovered, the routes move again.
     StoreSilence(Duration),
+    /// What is sent on one in so many of the connections to the store that are open is lost for good;
+    /// if on all of them, also on new ones for a time. The plain routes move meanwhile, and a plain
+    /// server leaves.
+    StoreLoss(Fault, usize, Duration),
     /// The store sends each response once more, for a time.
     StoreRepeats(Duration),
     /// Another writer leaves odd objects in the store; the number varies them.
@@ -121,6 +125,24 @@
     }
 }
 
+/// Number of steps after each loss.
+const STEPS_PER_LOSS: usize = 4;
+
+/// Adds losses on the connections to the store to a plan, one before each [`STEPS_PER_LOSS`] steps,
+/// from a generator of their own.
+pub fn add_losses(seed: u64, steps: Vec<Step>) -> Vec<Step> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed.rotate_left(16));
+    let mut with_losses = Vec::new();
+    for chunk in steps.chunks(STEPS_PER_LOSS) {
+        let fault = [Fault::Loss, Fault::LossOfAnswers][random.gen_range(0..2)];
+        let every = [1, 1, 2, 3][random.gen_range(0..4)];
+        let duration = Duration::from_millis(random.gen_range(100..4_000));
+        with_losses.push(Step::StoreLoss(fault, every, duration));
+        with_losses.extend_from_slice(chunk);
+    }
+    with_losses
+}
+
 /// Pause between two restarts of a plan that consists of restarts.
 const RESTART_PAUSE: Duration = Duration::from_millis(750);
 
--- a/crates/ffw-soak/src/run.rs
+++ b/crates/ffw-soak/src/run.rs
@@ -59,6 +59,8 @@
     /// Whether there are odd answers, odd objects and silences of the store, in addition to the
     /// steps.
     pub oddities: bool,
+    /// Whether what is sent on connections to the store is lost at times, in addition to the steps.
+    pub losses: bool,
     /// Whether the plan consists of restarts alone, under steady bookings. None that ran may be
     /// without its answer.
     pub only_restarts: bool,
@@ -209,6 +211,9 @@
         if self.options.restores {
             steps = plan::add_restores(seed, steps);
         }
+        if self.options.losses {
+            steps = plan::add_losses(seed, steps);
+        }
         if self.options.oddities {
             steps = plan::add_oddities(seed, steps, self.servers.len());
         }
--- a/crates/ffw-soak/src/run/steps.rs
+++ b/crates/ffw-soak/src/run/steps.rs
@@ -1,7 +1,7 @@
 //! The steps of a plan: faults, restarts, and changes by the operator.
 
 use {
-    super::{Harness, objects},
+    super::{Harness, STEP_PAUSE, objects},
     crate::{
         check::{self, Disturbance, Removal, Reroute},
         daemon::SHUTDOWN_GRACE_S,
@@ -36,6 +36,12 @@
 /// Time after the end of a fault for which the daemons still count as disturbed by it.
 const DISTURBANCE_MARGIN: Duration = Duration::from_secs(4);
 
+/// Time without a disruption from which the users' rules hold.
+const STABLE_TIME: Duration = Duration::from_secs(3);
+
+/// Time after a loss for which requests are checked, beyond [`STABLE_TIME`].
+const CHECKED_TIME: Duration = Duration::from_secs(2);
+
 impl Harness {
     /// Records that a fault affects the daemons for a time.
     pub(super) fn record_disturbance(&mut self, duration: Duration) {
@@ -46,9 +52,8 @@
         // Daemons that are disturbed may miss later bounds: route changes are checked only up to
         // now, and removals whose bound has not passed yet are not checked.
         self.reroutes.iter_mut().for_each(|reroute| reroute.until = reroute.until.min(now));
-        self.removals.retain(|removal| {
-            now.saturating_duration_since(removal.written_at) > check::DRAIN_BOUND
-        });
+        self.removals
+            .retain(|removal| now.saturating_duration_since(removal.written_at) > removal.bound);
     }
 
     fn is_disturbed(&self) -> bool {
@@ -100,10 +105,17 @@
             Step::Full(index, duration) => {
                 set_flag_for(duration, &self.servers[index].worker.is_full)
             }
-            Step::Replace(index, is_announced) => self.replace(index, is_announced).await?,
+            Step::Replace(index, is_announced) => {
+                let is_checked = !self.is_disturbed();
+                let removal = self.replace(index, is_announced, check::DRAIN_BOUND).await?;
+                self.removals.extend(Some(removal).filter(|_| is_checked));
+            }
             Step::MoveRoutes => self.move_routes(),
             Step::Odd(index, oddity, duration) => self.answer_oddly(index, oddity, duration),
             Step::StoreSilence(duration) => self.silence_store(duration).await,
+            Step::StoreLoss(fault, every, duration) => {
+                self.lose_on_store(fault, every, duration).await?;
+            }
             Step::StoreRepeats(duration) => {
                 let store = self.store.clone();
                 store.set_repeat_after(REPEAT_TIME);
@@ -157,6 +169,36 @@
         self.move_routes();
     }
 
+    /// Loses what is sent on connections to the store; the routes move and a server leaves in the
+    /// middle of it. Both must be known once the daemons have been undisturbed for a time.
+    async fn lose_on_store(
+        &mut self,
+        fault: Fault,
+        every: usize,
+        duration: Duration,
+    ) -> Result<()> {
+        while self.is_disturbed() {
+            timer::sleep(STEP_PAUSE).await;
+            self.restart_exited()?;
+        }
+        let lost_until = Instant::now() + duration;
+        match every {
+            1 => self.store_proxy.set_fault(fault),
+            _ => self.store_proxy.lose_open(fault, every),
+        }
+        self.record_disturbance(duration);
+        timer::sleep(duration / 2).await;
+        let recovered_in = lost_until + STABLE_TIME - Instant::now();
+        self.move_routes();
+        self.check_reroute(check::CONFIG_BOUND.max(recovered_in));
+        let removal = self.replace(0, false, check::DRAIN_BOUND.max(recovered_in)).await?;
+        self.removals.push(removal);
+        timer::sleep(duration / 2).await;
+        self.store_proxy.set_fault(Fault::None);
+        timer::sleep(STABLE_TIME + CHECKED_TIME).await;
+        Ok(())
+    }
+
     /// Writes odd objects of each kind that the daemons read, in place of earlier ones.
     fn put_odd_objects(&self, number: u32) {
         for kind in [objects::SERVER_KIND, "config", "fireflyworks-daemons", "fireflyworks-leases"]
@@ -168,7 +210,13 @@
         }
     }
 
-    async fn replace(&mut self, index: usize, is_announced: bool) -> Result<()> {
+    /// Replaces a server; the old one must get no requests a time after it has left.
+    async fn replace(
+        &mut self,
+        index: usize,
+        is_announced: bool,
+        bound: Duration,
+    ) -> Result<Removal> {
         let (service, role) = {
             let worker = &self.servers[index].worker;
             (worker.service.clone(), worker.role)
@@ -181,10 +229,7 @@
         } else {
             self.store.remove(objects::SERVER_KIND, &name);
         }
-        if !self.is_disturbed() {
-            self.removals.push(Removal { server: name, written_at: Instant::now() });
-        }
-        Ok(())
+        Ok(Removal { server: name, written_at: Instant::now(), bound })
     }
 
     fn move_routes(&mut self) {
@@ -193,16 +238,17 @@
         self.service = if self.service == "app-a" { "app-b" } else { "app-a" };
         self.configure();
         if !self.is_disturbed() {
-            let until = now + Duration::from_secs(3_600);
-            self.reroutes.push(Reroute {
-                service: self.service.into(),
-                written_at: Instant::now(),
-                // A response that was due before the change may come first.
-                bound: check::CONFIG_BOUND + self.options.store_delay * 2,
-                until,
-            });
+            // A response that was due before the change may come first.
+            self.check_reroute(check::CONFIG_BOUND + self.options.store_delay * 2);
         }
     }
+
+    /// Lets the latest move of the routes be checked from a time after now on.
+    fn check_reroute(&mut self, bound: Duration) {
+        let written_at = Instant::now();
+        let until = written_at + Duration::from_secs(3_600);
+        self.reroutes.push(Reroute { service: self.service.into(), written_at, bound, until });
+    }
 }
 
 fn set_fault_for(duration: Duration, proxy: Proxy, fault: Fault) {
--- a/crates/fireflyworks/tests/soak.rs
+++ b/crates/fireflyworks/tests/soak.rs
@@ -25,6 +25,7 @@
     restores: bool,
     crashing_part: bool,
     oddities: bool,
+    losses: bool,
     only_restarts: bool,
     rate_limits: bool,
     store_delay_ms: u64,
@@ -34,6 +35,7 @@
     restores: false,
     crashing_part: false,
     oddities: false,
+    losses: false,
     only_restarts: false,
     rate_limits: false,
     store_delay_ms: 0,
@@ -80,6 +82,13 @@
     check_run_of(4, seed, 12, Extra { oddities: true, ..PLAIN });
 }
 
+/// What is sent on connections between daemons and store is lost while routes move and servers leave.
+/// Guards against daemons that take a silent connection for one without a change.
+#[test]
+fn changes_are_in_force_although_bytes_are_lost() {
+    check_run_of(4, 1, 4, Extra { losses: true, ..PLAIN });
+}
+
 /// The daemons restart one after the other under steady bookings. Guards against a booking that runs
 /// and whose answer is cut off by the end of its daemon.
 #[test]
@@ -112,6 +121,7 @@
         restores: extra.restores,
         crashing_part: extra.crashing_part,
         oddities: extra.oddities,
+        losses: extra.losses,
         only_restarts: extra.only_restarts,
         rate_limits: extra.rate_limits,
         store_delay: Duration::from_millis(extra.store_delay_ms),
