Ask no second time for a configuration that an answer has brought

A request on an unknown route waits for a confirmation. An answer that brought a newer configuration put it in force without confirming it, so that the request asked again until the watch had caught up, each time by a call.

--- a/crates/ffw-control/src/belief.rs
+++ b/crates/ffw-control/src/belief.rs
@@ -63,8 +63,13 @@
         /// When the call was sent, on the clock of [`clock::boot_time`].
         asked_at: Moment,
     },
-    /// Objects have changed, the last one at this revision or a later one.
-    Changed(u64),
+    /// Objects have changed.
+    Changed {
+        /// Revision of the last change, or an earlier one after the question's.
+        revision: u64,
+        /// When the call was sent, if what it brought was taken over.
+        taken_over: Option<Moment>,
+    },
     /// The store can't tell, as its history does not reach back so far.
     HistoryGone,
 }
@@ -301,7 +306,10 @@
                 }
             }
         }
-        Answer::Changed(revision) => {
+        Answer::Changed { revision, taken_over } => {
+            if let Some(asked_at) = taken_over {
+                daemon.record_config_confirmed(asked_at);
+            }
             let (daemon, lead) = (daemon.clone(), bound / LEADS_PER_BOUND);
             executor::detach(async move { check_reader(&daemon, kind, revision, lead).await });
         }
