Let the test of an endless line send one

As with the endless event: line_without_end sent its stream without a length and without chunks, which the HTTP library takes for empty, and passed because an empty stream and a line that is too long give the same error. The line comes in chunks now, as engines send it.

--- a/crates/ffw-backend/tests/line_without_end.rs
+++ b/crates/ffw-backend/tests/line_without_end.rs
@@ -15,10 +15,12 @@
 const TIMEOUT: Duration = Duration::from_secs(5);
 
 async fn send_without_end(mut stream: TcpStream) {
-    let head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: ";
+    let head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\
+        Transfer-Encoding: chunked\r\n\r\n6\r\ndata: \r\n";
+    let chunk = [&b"1000\r\n"[..], &[b'x'; 0x1000], b"\r\n"].concat();
     let mut sent = stream.write_all(head).await;
     while sent.is_ok() {
-        sent = stream.write_all(&[b'x'; 4_096]).await;
+        sent = stream.write_all(&chunk).await;
     }
 }
 
