--- a/crates/ffw-control/src/belief.rs
+++ b/crates/ffw-control/src/belief.rs
@@ -65,9 +65,9 @@
     },
     /// Objects have changed.
     Changed {
-        /// Revision of the last change, or an earlier one after the question's.
+        /// Revision of the last change; if that is not known, an earlier one after the question's.
         revision: u64,
-        /// When the call was sent, if what it brought was taken over.
+        /// When the call was sent, if the configuration that it brought was put in force.
         taken_over: Option<Moment>,
     },
     /// The store can't tell, as its history does not reach back so far.
@@ -210,6 +210,7 @@
     smol::future::or(keep_confirmed(&daemon, &ask), confirm_on_demand(&daemon, &ask)).await;
 }
 
+/// Asks the checker or the store each time that the oldest belief needs it.
 async fn keep_confirmed(daemon: &Arc<Daemon>, ask: &Ask) {
     loop {
         let bound = daemon.beliefs.bound();
@@ -251,7 +252,7 @@
     }
 }
 
-/// The daemon that asks the store on behalf of this one; `None` if this daemon asks itself.
+/// The daemon that asks the store on behalf of this one; `None` if this daemon asks for itself.
 fn find_checker(daemon: &Daemon) -> Option<Instance> {
     let first = relay::relays_of(daemon, &daemon.identity.data_centre).into_iter().next();
     first.filter(|first| first.name != daemon.identity.instance)
