Give up a response that falls silent in its middle before beliefs are too old

A watch's answer begins, so its reader no longer counts as waiting and its kind is not checked; the rest of the answer is lost, and the reader waits for 2 s, as long as the whole bound. A large version is on its way for most of a second, so this is a likely place for a loss. The answer to a check can fall silent in the same way.

Cause: the class of the incident, a belief without an age: the time for further bytes was a constant that knew nothing of the bound.

Change: it follows from the bound, a quarter of it, and doubles with each silence in a row up to the 2 s of before, so that a store that pauses within its responses is still read. A check has an eighth of the bound, and a second try.

--- a/crates/ffw-control/src/belief.rs
+++ b/crates/ffw-control/src/belief.rs
@@ -8,7 +8,7 @@
 
 use {
     crate::{daemon::Daemon, relay},
-    ffw_decide::belief::{self, Belief, Step},
+    ffw_decide::belief::{self, Belief, Step, Timeouts},
     ffw_peer::link::Answering,
     ffw_protocol::{
         belief::{Confirmation, Kind},
@@ -78,9 +78,8 @@
 pub type Asked = Pin<Box<dyn Future<Output = Result<Answer>> + Send>>;
 
 /// Asks the store whether objects of a kind have changed after a revision, without waiting for a
-/// change, on a connection of its own. If no answer comes within the given time, it asks again on
-/// another one.
-pub type Ask = Box<dyn Fn(Kind, u64, Duration) -> Asked + Send + Sync>;
+/// change, on a connection of its own. If that one falls silent, it asks again on another one.
+pub type Ask = Box<dyn Fn(Kind, u64, Timeouts) -> Asked + Send + Sync>;
 
 /// The beliefs of a daemon. Times are of [`clock::boot_time`], which also counts the time for which
 /// the machine was suspended.
@@ -186,7 +185,8 @@
         }
     }
 
-    fn bound(&self) -> Duration {
+    /// Bound on the ages.
+    pub fn bound(&self) -> Duration {
         match self.bound_ms.load(Ordering::SeqCst) {
             0 => BOUND_DEFAULT,
             millis => Duration::from_millis(millis),
@@ -297,7 +297,7 @@
 /// Asks the store whether a kind has changed, and sees to it that its reader reads the change.
 async fn ask_store(daemon: &Arc<Daemon>, ask: &Ask, kind: Kind, bound: Duration) -> Result<()> {
     let since = daemon.beliefs.of(kind).span().until;
-    match ask(kind, since, bound / PAUSES_PER_BOUND).await? {
+    match ask(kind, since, Timeouts::of_question(bound)).await? {
         Answer::Unchanged { revision, era, asked_at } => {
             daemon.beliefs.of(kind).record_unchanged(era, since, revision, asked_at);
             for kind in Kind::ALL {
--- a/crates/ffw-decide/src/belief.rs
+++ b/crates/ffw-decide/src/belief.rs
@@ -42,6 +42,38 @@
     }
 }
 
+/// How long a read of the store waits before it takes its connection for silent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timeouts {
+    /// Time without a response after which the read is sent again on another connection, while the
+    /// first one stays open.
+    pub response: Duration,
+    /// Time without further bytes of a response after which its connection is given up.
+    pub idle: Duration,
+}
+
+impl Timeouts {
+    /// Those for a store of which nothing is known.
+    pub const LONGEST: Timeouts =
+        Timeouts { response: Duration::from_millis(1_500), idle: Duration::from_secs(2) };
+
+    /// Those of a question to the store whether there is anything newer; the answer is short.
+    pub fn of_question(bound: Duration) -> Timeouts {
+        Timeouts { response: bound / 8, idle: bound / 8 }
+    }
+
+    /// Those of a reader of which the last `silences` reads fell silent. They leave time to read
+    /// again before the bound, and grow with each silence in a row, as a store may be as slow.
+    pub fn of_reader(bound: Duration, silences: u32) -> Timeouts {
+        let Timeouts { response, idle } = Timeouts::LONGEST;
+        let growth = 1 << silences.min(GROWTHS_MAX);
+        Timeouts { response, idle: idle.min(bound / 4 * growth) }
+    }
+}
+
+/// Largest number of times that the timeouts of a reader double.
+const GROWTHS_MAX: u32 = 8;
+
 /// What a daemon believes about one kind of objects.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Belief {
--- a/crates/ffw-decide/tests/belief.rs
+++ b/crates/ffw-decide/tests/belief.rs
@@ -3,7 +3,7 @@
 //! Guards against a silent connection, an older state or another era that counts as a confirmation.
 
 use {
-    ffw_decide::belief::{self, Belief, Step},
+    ffw_decide::belief::{self, Belief, Step, Timeouts},
     ffw_protocol::{belief::Span, time::Moment},
     rstest::rstest,
     std::time::Duration,
@@ -102,3 +102,22 @@
     assert!(!belief.record_revision(0, 0, at(1)));
     assert_eq!(belief.age(at(2)), None);
 }
+
+/// A response that stops in its middle, its repetition that stops as well, and a third read are over
+/// before the bound.
+#[rstest]
+#[case::small(2_000)]
+#[case::large(4_000)]
+fn two_responses_that_fall_silent_leave_time_for_a_third(#[case] bound_ms: u64) {
+    let bound = Duration::from_millis(bound_ms);
+    let silent = (0..2).map(|silences| Timeouts::of_reader(bound, silences).idle);
+    assert!(silent.sum::<Duration>() <= bound / 8 * 7);
+}
+
+/// A store that pauses within its responses is read in the end.
+#[test]
+fn the_timeouts_of_a_reader_grow_with_each_silence() {
+    let of_reader = |silences| Timeouts::of_reader(BOUND, silences);
+    assert!((0..40).all(|silences| of_reader(silences).idle <= of_reader(silences + 1).idle));
+    assert_eq!(of_reader(40), Timeouts::LONGEST);
+}
--- a/crates/ffw-soak/src/proxy.rs
+++ b/crates/ffw-soak/src/proxy.rs
@@ -38,9 +38,12 @@
     Loss,
     /// The same, but what clients send still arrives.
     LossOfAnswers,
+    /// The same, but the first half of the next chunk to a client still arrives, so that a response
+    /// falls silent in its middle.
+    LossWithinAnswers,
 }
 
-const FAULTS: [Fault; 7] = [
+const FAULTS: [Fault; 8] = [
     Fault::None,
     Fault::Delay,
     Fault::Silence,
@@ -48,6 +51,7 @@
     Fault::Reset,
     Fault::Loss,
     Fault::LossOfAnswers,
+    Fault::LossWithinAnswers,
 ];
 
 /// Whether a connection has lost bytes, after which nothing more can pass in that direction.
@@ -55,6 +59,8 @@
 struct Losses {
     to_target: AtomicBool,
     to_client: AtomicBool,
+    /// Whether bytes to the client will be lost from the middle of the next chunk on.
+    within_next: AtomicBool,
 }
 
 impl Losses {
@@ -65,6 +71,18 @@
         if matches!(fault, Fault::Loss | Fault::LossOfAnswers) {
             self.to_client.store(true, Ordering::SeqCst);
         }
+        if fault == Fault::LossWithinAnswers {
+            self.within_next.store(true, Ordering::SeqCst);
+        }
+    }
+
+    /// The number of bytes of a chunk to the client, of `count` bytes, that still arrive.
+    fn begin_within(&self, count: usize) -> usize {
+        if !self.within_next.swap(false, Ordering::SeqCst) {
+            return count;
+        }
+        self.to_client.store(true, Ordering::SeqCst);
+        count / 2
     }
 
     fn is_lost(&self, is_to_client: bool) -> bool {
@@ -153,7 +171,7 @@
     ) {
         let mut buffer = vec![0; 16 << 10];
         loop {
-            let Ok(count @ 1..) = from.read(&mut buffer).await else {
+            let Ok(mut count @ 1..) = from.read(&mut buffer).await else {
                 // The end of a connection is lost too.
                 while is_to_client && losses.is_lost(is_to_client) {
                     timer::sleep(POLL_INTERVAL).await;
@@ -163,6 +181,9 @@
             if losses.is_lost(is_to_client) {
                 continue;
             }
+            if is_to_client {
+                count = losses.begin_within(count);
+            }
             if self.fault() == Fault::Delay {
                 timer::sleep(Duration::from_millis(150)).await;
             }
