Send the list after a silence again in time if it is lost too

A moved route was served by its old service until 4.5 s, a removed server got requests until 6.0 s; due at 3.0 s.

Cause: a list is sent a second time only after 1.5 s, three quarters of the bound of 2 s, also when it is there to mend a silence of which most of the bound has gone by. Being late by that much, it also counted as an outage of the store, after which removals are held back.

Change: after a silence, a list is sent again after an eighth of the bound, and after twice as long with each further silence in a row. The first list of a kind, and one after an outage, are sent again after 1.5 s as before.

--- a/crates/ffw-decide/src/belief.rs
+++ b/crates/ffw-decide/src/belief.rs
@@ -67,7 +67,10 @@
     pub fn of_reader(bound: Duration, silences: u32) -> Timeouts {
         let Timeouts { response, idle } = Timeouts::LONGEST;
         let growth = 1 << silences.min(GROWTHS_MAX);
-        Timeouts { response, idle: idle.min(bound / 4 * growth) }
+        Timeouts {
+            response: if silences == 0 { response } else { response.min(bound / 16 * growth) },
+            idle: idle.min(bound / 4 * growth),
+        }
     }
 }
 
--- a/crates/ffw-soak/src/store.rs
+++ b/crates/ffw-soak/src/store.rs
@@ -66,6 +66,8 @@
     repeat_after_ms: Arc<AtomicU64>,
     /// Whether calls that arrive are never answered, and earlier ones not yet.
     is_silent: Arc<AtomicBool>,
+    /// Number of further lists that are never answered.
+    unanswered_lists: Arc<AtomicU64>,
     reads: Arc<AtomicU64>,
 }
 
@@ -189,6 +191,11 @@
         self.is_silent.store(is_silent, Ordering::SeqCst);
     }
 
+    /// Leaves the next lists unanswered, on connections that stay open. Other calls are answered.
+    pub fn leave_lists_unanswered(&self, count: u64) {
+        self.unanswered_lists.store(count, Ordering::SeqCst);
+    }
+
     /// Number of reads, watches included, that have arrived.
     pub fn reads(&self) -> u64 {
         self.reads.load(Ordering::SeqCst)
@@ -211,6 +218,7 @@
         }
         let (status, body) = match (&*exchange.head.method, name) {
             ("GET", None) if query.contains("watch=") => self.watch(&kind, query).await,
+            ("GET", None) if self.is_list_lost() => return smol::future::pending().await,
             ("GET", None) => (200, self.list(&kind)),
             ("GET", Some(name)) => self.get(&kind, &name),
             ("DELETE", Some(name)) => match self.remove(&kind, &name) {
@@ -238,6 +246,11 @@
         Some(exchange)
     }
 
+    fn is_list_lost(&self) -> bool {
+        let (order, lists) = (Ordering::SeqCst, &self.unanswered_lists);
+        lists.fetch_update(order, order, |count| count.checked_sub(1)).is_ok()
+    }
+
     fn list(&self, kind: &str) -> Value {
         let state = self.lock();
         let of_kind = state.objects.iter().filter(|object| object.kind == kind);
--- a/crates/fireflyworks/tests/lost_answers.rs
+++ b/crates/fireflyworks/tests/lost_answers.rs
@@ -256,3 +256,21 @@
         fleet.check(Change::MovedRoute, (LOSSES - 1) * PERIOD, loss).await;
     });
 }
+
+/// The next response on each open connection falls silent in its middle, and the first lists that
+/// are asked for in its place are lost too.
+#[rstest]
+fn a_change_is_in_force_although_responses_fall_silent_in_their_middle(
+    #[values(Change::MovedRoute, Change::LeavingServer, Change::RemovedServer)] change: Change,
+    #[values(0, DAEMONS as u64)] lost_lists: u64,
+) {
+    smol::block_on(async {
+        let _permit = permit::acquire(CORES).await;
+        let fleet = Fleet::start(&format!("within-{change:?}-{lost_lists}")).await;
+        let loss = async {
+            fleet.store_proxy.lose_open(Fault::LossWithinAnswers, 1);
+            fleet.store.leave_lists_unanswered(lost_lists);
+        };
+        fleet.check(change, Duration::ZERO, loss).await;
+    });
+}
