--- a/crates/ffw-soak/src/store.rs
+++ b/crates/ffw-soak/src/store.rs
@@ -45,6 +45,12 @@
     era: u64,
 }
 
+/// Takes one off a number; returns whether there was one left.
+fn take(number: &AtomicU64) -> bool {
+    let order = Ordering::SeqCst;
+    number.fetch_update(order, order, |count| count.checked_sub(1)).is_ok()
+}
+
 /// The objects of a store at one revision.
 #[derive(Clone, Debug)]
 pub struct Snapshot {
@@ -68,6 +74,8 @@
     is_silent: Arc<AtomicBool>,
     /// Number of further lists that are never answered.
     unanswered_lists: Arc<AtomicU64>,
+    /// Number of further writes that are never answered, nor executed.
+    unanswered_writes: Arc<AtomicU64>,
     reads: Arc<AtomicU64>,
 }
 
@@ -196,6 +204,11 @@
         self.unanswered_lists.store(count, Ordering::SeqCst);
     }
 
+    /// Neither executes nor answers the next writes, on connections that stay open.
+    pub fn leave_writes_unanswered(&self, count: u64) {
+        self.unanswered_writes.store(count, Ordering::SeqCst);
+    }
+
     /// Number of reads, watches included, that have arrived.
     pub fn reads(&self) -> u64 {
         self.reads.load(Ordering::SeqCst)
@@ -218,9 +231,12 @@
         }
         let (status, body) = match (&*exchange.head.method, name) {
             ("GET", None) if query.contains("watch=") => self.watch(&kind, query).await,
-            ("GET", None) if self.is_list_lost() => return smol::future::pending().await,
+            ("GET", None) if take(&self.unanswered_lists) => return smol::future::pending().await,
             ("GET", None) => (200, self.list(&kind)),
             ("GET", Some(name)) => self.get(&kind, &name),
+            (method, _) if method != "GET" && take(&self.unanswered_writes) => {
+                return smol::future::pending().await;
+            }
             ("DELETE", Some(name)) => match self.remove(&kind, &name) {
                 true => (200, json!({})),
                 false => (404, json!({})),
@@ -246,11 +262,6 @@
         Some(exchange)
     }
 
-    fn is_list_lost(&self) -> bool {
-        let (order, lists) = (Ordering::SeqCst, &self.unanswered_lists);
-        lists.fetch_update(order, order, |count| count.checked_sub(1)).is_ok()
-    }
-
     fn list(&self, kind: &str) -> Value {
         let state = self.lock();
         let of_kind = state.objects.iter().filter(|object| object.kind == kind);
