Test late bytes and disturbed daemons beside daemons that are behind

Bytes between daemons and store are held back and delivered late, both ways or from the store only, for 3 s and 0.3 s; and one daemon is killed and starts again, is stopped for a time, or reads its settings again while all answers of the store are lost, so that it can only learn what the others believe.

The load of lost_answers goes to the addresses of the daemons now, so that a test may restart one meanwhile.

--- a/crates/fireflyworks/tests/lost_answers.rs
+++ b/crates/fireflyworks/tests/lost_answers.rs
@@ -15,6 +15,7 @@
     },
     ffw_support::permit,
     rstest::rstest,
+    rustix::process::Signal,
     serde_json::{Value, json},
     std::{
         fs,
@@ -31,6 +32,8 @@
 
 const DAEMONS: usize = 3;
 
+const PROGRAM: &str = env!("CARGO_BIN_EXE_fireflyworks");
+
 /// Time after the end of a disruption from which the users' rules hold again.
 const STABLE_TIME: Duration = Duration::from_secs(3);
 
@@ -60,6 +63,8 @@
 /// Three daemons before a store, and two servers of one service with one of another.
 struct Fleet {
     daemons: Vec<Daemon>,
+    /// Addresses for callers, of all daemons.
+    callers: Vec<SocketAddr>,
     store: Store,
     store_proxy: Proxy,
     servers: Vec<Worker>,
@@ -99,14 +104,15 @@
         }
         let ports: Vec<Ports> = (0..DAEMONS).map(|_| Ports::choose().expect("ports")).collect();
         let seeds: Vec<SocketAddr> = ports.iter().map(Ports::peers).collect();
+        let callers = ports.iter().map(Ports::callers).collect();
         let mut daemons = Vec::new();
         for (number, ports) in ports.into_iter().enumerate() {
             let daemon = Daemon::new(&folder, number, ports, &seeds, store_proxy.address);
             let mut daemon = daemon.expect("settings");
-            daemon.start(Path::new(env!("CARGO_BIN_EXE_fireflyworks"))).expect("a daemon");
+            daemon.start(Path::new(PROGRAM)).expect("a daemon");
             daemons.push(daemon);
         }
-        let fleet = Fleet { daemons, store, store_proxy, servers, log };
+        let fleet = Fleet { daemons, callers, store, store_proxy, servers, log };
         fleet.wait_until_known().await;
         fleet
     }
@@ -136,8 +142,7 @@
     /// Sends requests to all daemons until a time.
     async fn load_until(&self, end: Instant) {
         let mut tasks = Vec::new();
-        for (number, daemon) in self.daemons.iter().enumerate() {
-            let address = daemon.caller_address;
+        for (number, address) in self.callers.iter().copied().enumerate() {
             tasks.push(executor::spawn(async move {
                 let mut sequence = 0;
                 while Instant::now() < end {
@@ -223,6 +228,82 @@
     });
 }
 
+/// Bytes between the daemons and the store are held back and arrive late, both ways or from the
+/// store only: an answer of before must neither count as a confirmation nor replace a newer version.
+#[rstest]
+#[case::both_ways("held", Fault::Silence, 3_000)]
+#[case::answers("held-answers", Fault::OneWay, 3_000)]
+#[case::answers_for_a_moment("held-answers-300", Fault::OneWay, 300)]
+fn a_change_is_in_force_although_bytes_arrive_late(
+    #[case] name: &str,
+    #[case] fault: Fault,
+    #[case] hold_ms: u64,
+    #[values(Change::MovedRoute, Change::LeavingServer)] change: Change,
+) {
+    smol::block_on(async {
+        let _permit = permit::acquire(CORES).await;
+        let fleet = Fleet::start(&format!("{name}-{change:?}")).await;
+        let hold_time = Duration::from_millis(hold_ms);
+        let holding = async {
+            fleet.store_proxy.set_fault(fault);
+            timer::sleep(hold_time).await;
+            fleet.store_proxy.set_fault(Fault::None);
+        };
+        fleet.check(change, hold_time, holding).await;
+    });
+}
+
+/// How a daemon is disturbed while the others act on old state.
+#[derive(Clone, Copy, Debug)]
+enum Disturbance {
+    /// It is killed and starts again, beside others that are behind.
+    Restart,
+    /// It is stopped for a time and continues.
+    Pause,
+    /// It reads its settings again.
+    Reload,
+}
+
+/// One daemon starts, continues or reads its settings again while all answers of the store are lost,
+/// so that it can learn of nothing but what the others believe.
+#[rstest]
+fn a_change_is_in_force_at_a_daemon_that_was_disturbed_meanwhile(
+    #[values(Disturbance::Restart, Disturbance::Pause, Disturbance::Reload)]
+    disturbance: Disturbance,
+    #[values(Change::MovedRoute, Change::LeavingServer)] change: Change,
+) {
+    const LOSS_TIME: Duration = Duration::from_secs(3);
+    smol::block_on(async {
+        let _permit = permit::acquire(CORES).await;
+        let mut fleet = Fleet::start(&format!("{disturbance:?}-{change:?}")).await;
+        let mut disturbed = fleet.daemons.remove(0);
+        let proxy = fleet.store_proxy.clone();
+        let loss = async {
+            proxy.set_fault(Fault::LossOfAnswers);
+            match disturbance {
+                Disturbance::Restart => {
+                    disturbed.signal(Signal::KILL);
+                    timer::sleep(LOSS_TIME / 2).await;
+                    disturbed.take_exit_code();
+                    disturbed.start(Path::new(PROGRAM)).expect("a daemon");
+                }
+                Disturbance::Pause => {
+                    disturbed.signal(Signal::STOP);
+                    timer::sleep(LOSS_TIME / 2).await;
+                    disturbed.signal(Signal::CONT);
+                }
+                Disturbance::Reload => {
+                    timer::sleep(LOSS_TIME / 2).await;
+                    disturbed.signal(Signal::HUP);
+                }
+            }
+            timer::sleep(LOSS_TIME / 2).await;
+            proxy.set_fault(Fault::None);
+        };
+        fleet.check(change, LOSS_TIME, loss).await;
+    });
+}
+
 /// Some of the open connections fall silent, others don't.
 #[rstest]
 fn a_change_is_in_force_although_some_open_connections_are_silent(
