--- a/crates/ffw-route/tests/cut_heads.rs
+++ b/crates/ffw-route/tests/cut_heads.rs
@@ -209,3 +209,24 @@
         }
     });
 }
+
+/// Only the status line came, or a part of the fields, and then the empty line that ends a head: it
+/// says nothing of whose answer it is, and names no body.
+#[rstest]
+fn a_head_without_its_fields_is_a_failure(
+    #[values(
+        "HTTP/1.1 200 X\r\n\r\n",
+        "HTTP/1.0 200 X\r\n\r\n",
+        "HTTP/1.1 200 X\r\nId: r1\r\n\r\n"
+    )]
+    head: &'static str,
+    #[values("/once/x", "/again/x", "/stream/x")] path: &str,
+) {
+    smol::block_on(async {
+        let script: Script = Arc::new(move |_, _| Reply::Close(head.into()));
+        let plain = Backend::start(script.clone()).await;
+        let decode = Backend::start(script).await;
+        let router = router_before(&plain, &decode).await;
+        check(&request(&router, path).await, 0);
+    });
+}
--- a/crates/fireflyworks/tests/shutdown.rs
+++ b/crates/fireflyworks/tests/shutdown.rs
@@ -362,3 +362,44 @@
         }
     });
 }
+
+/// A caller sends a body in chunks, one each 100 ms, when SIGTERM comes. What is complete in time is
+/// answered; what is not complete at the end of the grace period has not run, or gets no 2xx.
+#[rstest]
+#[case::complete_in_time(25, Some(200))]
+#[case::never_complete(200, None)]
+fn an_upload_across_a_stop_is_answered_or_not_run(
+    #[case] chunks: usize,
+    #[case] expected: Option<u16>,
+) {
+    smol::block_on(async {
+        let _permit = permit::acquire(CORES).await;
+        let mut fixture = Fixture::start(&format!("upload-{chunks}")).await;
+        fixture.store.put("config", "main", configuration_with_limit(14_000));
+        fixture.spawn();
+        fixture.wait_until_it_serves().await;
+        let mut connection = open(fixture.daemon.caller_address).await;
+        let head = "POST /r/x HTTP/1.1\r\nHost: h\r\nRequest-Id: upload\r\nDeadline-Ms: 14000\r\n\
+                    Transfer-Encoding: chunked\r\n\r\n";
+        connection.write(head.as_bytes(), IO_TIMEOUT).await.expect("written");
+        let uploading = executor::spawn(async move {
+            let chunk = format!("1000\r\n{}\r\n", "x".repeat(0x1000));
+            for _ in 0..chunks {
+                connection.write(chunk.as_bytes(), IO_TIMEOUT).await.ok()?;
+                timer::sleep(Duration::from_millis(100)).await;
+            }
+            connection.write(b"0\r\n\r\n", IO_TIMEOUT).await.ok()?;
+            client::read_answer(&mut connection).await.map(|head| head.status)
+        });
+        timer::sleep(Duration::from_millis(500)).await;
+        let stopped_at = Instant::now();
+        fixture.daemon.signal(Signal::TERM);
+        fixture.wait_for_end(stopped_at).await;
+        let status = uploading.await;
+        let has_run = fixture.log.runs().iter().any(|run| run.id == "upload");
+        match expected {
+            Some(expected) => assert_eq!(status, Some(expected)),
+            None => assert!(!has_run, "ran, and was answered {status:?}"),
+        }
+    });
+}
