Log beliefs that are older than their bound, and cut responses in the soak

The gauge of ages shows a belief that was too old only to whoever asks at that moment; on-call engineers have the logs.

Evidence: lost_answers an_overdue_belief_and_its_next_confirmation_are_logged passes (it looks for the new lines; not run without them); the two cases of changes_are_in_force_although_bytes_are_lost pass. No logic changes.

--- a/crates/ffw-control/src/belief.rs
+++ b/crates/ffw-control/src/belief.rs
@@ -17,11 +17,12 @@
         time::Moment,
     },
     ffw_runtime::{clock, executor, timer},
-    log::{debug, warn},
+    log::{debug, info, warn},
     prometheus::GaugeVec,
     smol::channel::{self, Receiver, Sender},
     std::{
         future::Future,
+        mem,
         pin::Pin,
         sync::{
             Arc, Mutex, MutexGuard, PoisonError,
@@ -207,7 +208,35 @@
 /// Keeps the beliefs younger than their bound, and confirms the configuration when a request names
 /// something that it lacks, for as long as the daemon runs.
 pub async fn run(daemon: Arc<Daemon>, ask: Ask) {
-    smol::future::or(keep_confirmed(&daemon, &ask), confirm_on_demand(&daemon, &ask)).await;
+    let confirming =
+        smol::future::or(keep_confirmed(&daemon, &ask), confirm_on_demand(&daemon, &ask));
+    smol::future::or(confirming, log_overdue(&daemon)).await;
+}
+
+/// Logs each belief that has become older than the bound, and its next confirmation. Never returns.
+async fn log_overdue(daemon: &Daemon) {
+    let mut overdue = [false; Kind::ALL.len()];
+    loop {
+        let bound = daemon.beliefs.bound();
+        for kind in Kind::ALL {
+            let Some(age) = daemon.beliefs.age(kind) else { continue };
+            let (age_ms, bound_ms) = (age.as_millis(), bound.as_millis());
+            let reader = daemon.beliefs.reader(kind);
+            let (revision, is_waiting) = (reader.revision(), reader.is_waiting());
+            match (mem::replace(&mut overdue[kind as usize], age > bound), age > bound) {
+                (false, true) => warn!(
+                    "event=belief_overdue kind={kind} age_ms={age_ms} bound_ms={bound_ms} \
+                     revision={revision} watch_open={is_waiting}"
+                ),
+                (true, false) => info!(
+                    "event=belief_confirmed kind={kind} age_ms={age_ms} bound_ms={bound_ms} \
+                     revision={revision}"
+                ),
+                _ => {}
+            }
+        }
+        timer::sleep(bound / PAUSES_PER_BOUND).await;
+    }
 }
 
 /// Asks the checker or the store each time that the oldest belief needs it.
--- a/crates/ffw-soak/src/daemon.rs
+++ b/crates/ffw-soak/src/daemon.rs
@@ -146,10 +146,14 @@
         Some(status.code().unwrap_or(0))
     }
 
+    /// What its processes have logged so far, in this run and in earlier ones in the same folder.
+    pub fn log(&self) -> String {
+        fs::read_to_string(&self.log).unwrap_or_default()
+    }
+
     /// The last line that the process has logged.
     pub fn last_log_line(&self) -> String {
-        let log = fs::read_to_string(&self.log).unwrap_or_default();
-        log.lines().last().unwrap_or_default().to_owned()
+        self.log().lines().last().unwrap_or_default().to_owned()
     }
 
     /// Whether a process was started whose exit has not been seen by
--- a/crates/ffw-soak/src/main.rs
+++ b/crates/ffw-soak/src/main.rs
@@ -29,6 +29,7 @@
         ))
         .arg(flag("oddities", "Also draw odd answers, odd objects and silences of the store"))
         .arg(flag("losses", "Also lose what is sent on connections to the store"))
+        .arg(flag("cut-answers", "Also lose the rest of responses of the store"))
         .arg(flag("only-restarts", "Restart the daemons one after the other, without any fault"))
         .arg(flag("rate-limits", "Also let plain servers state rate limits"))
         .arg(option("store-delay-ms", "0", "Time by which each response of the store is late"))
@@ -49,6 +50,7 @@
             crashing_part: matches.get_flag("crashing-part"),
             oddities: matches.get_flag("oddities"),
             losses: matches.get_flag("losses"),
+            cut_answers: matches.get_flag("cut-answers"),
             only_restarts: matches.get_flag("only-restarts"),
             rate_limits: matches.get_flag("rate-limits"),
             store_delay: Duration::from_millis(number(&matches, "store-delay-ms")?),
--- a/crates/ffw-soak/src/plan.rs
+++ b/crates/ffw-soak/src/plan.rs
@@ -129,12 +129,12 @@
 const STEPS_PER_LOSS: usize = 4;
 
 /// Adds losses on the connections to the store to a plan, one before each [`STEPS_PER_LOSS`] steps,
-/// from a generator of their own.
-pub fn add_losses(seed: u64, steps: Vec<Step>) -> Vec<Step> {
+/// from a generator of their own. `faults` are those to draw from.
+pub fn add_losses(seed: u64, steps: Vec<Step>, faults: &[Fault]) -> Vec<Step> {
     let mut random = ChaCha8Rng::seed_from_u64(seed.rotate_left(16));
     let mut with_losses = Vec::new();
     for chunk in steps.chunks(STEPS_PER_LOSS) {
-        let fault = [Fault::Loss, Fault::LossOfAnswers][random.gen_range(0..2)];
+        let fault = faults[random.gen_range(0..faults.len())];
         let every = [1, 1, 2, 3][random.gen_range(0..4)];
         let duration = Duration::from_millis(random.gen_range(100..4_000));
         with_losses.push(Step::StoreLoss(fault, every, duration));
--- a/crates/ffw-soak/src/run.rs
+++ b/crates/ffw-soak/src/run.rs
@@ -61,6 +61,9 @@
     pub oddities: bool,
     /// Whether what is sent on connections to the store is lost at times, in addition to the steps.
     pub losses: bool,
+    /// Whether responses of the store fall silent in their middle at times, in addition to the
+    /// steps.
+    pub cut_answers: bool,
     /// Whether the plan consists of restarts alone, under steady bookings. None that ran may be
     /// without its answer.
     pub only_restarts: bool,
@@ -212,7 +215,10 @@
             steps = plan::add_restores(seed, steps);
         }
         if self.options.losses {
-            steps = plan::add_losses(seed, steps);
+            steps = plan::add_losses(seed, steps, &[Fault::Loss, Fault::LossOfAnswers]);
+        }
+        if self.options.cut_answers {
+            steps = plan::add_losses(seed, steps, &[Fault::LossWithinAnswers]);
         }
         if self.options.oddities {
             steps = plan::add_oddities(seed, steps, self.servers.len());
--- a/crates/fireflyworks/tests/lost_answers.rs
+++ b/crates/fireflyworks/tests/lost_answers.rs
@@ -355,3 +355,25 @@
         fleet.check(change, Duration::ZERO, loss).await;
     });
 }
+
+/// Guards against a belief that is older than its bound without a word in the logs.
+#[test]
+fn an_overdue_belief_and_its_next_confirmation_are_logged() {
+    const LOSS_TIME: Duration = Duration::from_secs(3);
+    smol::block_on(async {
+        let _permit = permit::acquire(CORES).await;
+        let fleet = Fleet::start("overdue").await;
+        let logged_before: Vec<usize> =
+            fleet.daemons.iter().map(|daemon| daemon.log().len()).collect();
+        fleet.store_proxy.set_fault(Fault::LossOfAnswers);
+        timer::sleep(LOSS_TIME).await;
+        fleet.store_proxy.set_fault(Fault::None);
+        timer::sleep(STABLE_TIME).await;
+        for (daemon, before) in fleet.daemons.iter().zip(logged_before) {
+            let log = daemon.log().split_off(before);
+            let overdue = log.find("event=belief_overdue kind=configuration");
+            let confirmed = log.rfind("event=belief_confirmed kind=configuration");
+            assert!(overdue.is_some() && confirmed > overdue, "{}", daemon.name);
+        }
+    });
+}
--- a/crates/fireflyworks/tests/soak.rs
+++ b/crates/fireflyworks/tests/soak.rs
@@ -26,6 +26,7 @@
     crashing_part: bool,
     oddities: bool,
     losses: bool,
+    cut_answers: bool,
     only_restarts: bool,
     rate_limits: bool,
     store_delay_ms: u64,
@@ -36,6 +37,7 @@
     crashing_part: false,
     oddities: false,
     losses: false,
+    cut_answers: false,
     only_restarts: false,
     rate_limits: false,
     store_delay_ms: 0,
@@ -84,9 +86,11 @@
 
 /// What is sent on connections between daemons and store is lost while routes move and servers leave.
 /// Guards against daemons that take a silent connection for one without a change.
-#[test]
-fn changes_are_in_force_although_bytes_are_lost() {
-    check_run_of(4, 1, 4, Extra { losses: true, ..PLAIN });
+#[rstest]
+#[case::of_whole_responses(1, Extra { losses: true, ..PLAIN })]
+#[case::of_the_rest_of_responses(2, Extra { cut_answers: true, ..PLAIN })]
+fn changes_are_in_force_although_bytes_are_lost(#[case] seed: u64, #[case] extra: Extra) {
+    check_run_of(4, seed, 4, extra);
 }
 
 /// The daemons restart one after the other under steady bookings. Guards against a booking that runs
@@ -122,6 +126,7 @@
         crashing_part: extra.crashing_part,
         oddities: extra.oddities,
         losses: extra.losses,
+        cut_answers: extra.cut_answers,
         only_restarts: extra.only_restarts,
         rate_limits: extra.rate_limits,
         store_delay: Duration::from_millis(extra.store_delay_ms),
