Move the decisions on a daemon's own entry out of platform/

The three places that turned a fault of the store into an error share one.

No behaviour changes, but for a removal of an entry that is gone already, which is no failure in the logs. `restored_store` (16) and `lost_writes` (2) pass; the first checks now that the entry was there.

--- a/crates/ffw-control/src/lib.rs
+++ b/crates/ffw-control/src/lib.rs
@@ -3,6 +3,7 @@
 //! burn rates of the error budgets.
 
 pub mod admission;
+pub mod announce;
 pub mod belief;
 pub mod burn;
 pub mod calls;
--- a/crates/fireflyworks/src/command/route.rs
+++ b/crates/fireflyworks/src/command/route.rs
@@ -8,7 +8,7 @@
     clap::{Arg, ArgMatches, Command},
     eyre::{Result, WrapErr as _},
     ffw_control::{
-        calls,
+        announce, calls,
         daemon::{Daemon, Mode, Setup},
         owner, quarantine, relay,
     },
@@ -27,7 +27,7 @@
         timer,
     },
     fireflyworks_platform::{
-        announce, dialect::DIALECT, follow, lease, settings::Settings, store::Store,
+        announce::storage, dialect::DIALECT, follow, lease, settings::Settings, store::Store,
     },
     log::{LevelFilter, info, warn},
     smol::channel::Receiver,
@@ -110,9 +110,10 @@
     let store = Arc::new(Store::new(settings.store));
     daemon.beliefs.set_bound(belief_age_max(&settings));
     follow::start(&daemon, &store);
-    let announcing =
-        executor::spawn(announce::announce(store.clone(), daemon.clone(), own_instance(&settings)));
-    executor::detach(announce::remove_unreachable_daemons(store.clone(), daemon.clone()));
+    let entries = storage(&store);
+    let own = own_instance(&settings);
+    let announcing = executor::spawn(announce::announce(entries.clone(), daemon.clone(), own));
+    executor::detach(announce::remove_unreachable(entries.clone(), daemon.clone()));
     executor::detach(relay::run_without_platform(daemon.clone()));
     executor::detach(owner::run_owned_shards(daemon.clone()));
     executor::detach(quarantine::run(daemon.clone()));
@@ -124,7 +125,7 @@
     executor::detach(server::serve(router.clone(), callers, caller_tracker.clone()));
     reload_until_stop(&router, settings.clone(), &signals).await;
     shut_down(&router, &caller_tracker).await;
-    announce::withdraw(&store, &settings.instance, announcing).await;
+    announce::withdraw(&entries, &settings.instance, announcing).await;
     call_tracker.close();
     let is_answered = timer::timeout(LAST_CALLS_TIMEOUT, call_tracker.drained()).await.is_some();
     info!("event=shutdown_done open={} calls_answered={is_answered}", router.in_flight());
