--- a/crates/ffw-decide/src/lib.rs
+++ b/crates/ffw-decide/src/lib.rs
@@ -22,5 +22,6 @@
 pub mod quarantine;
 pub mod rate_limit;
 pub mod rendezvous;
+pub mod resend;
 pub mod retry;
 pub mod shard;
