Test a rate limit while the daemons' lists differ

The test of daemons that come and go plays it: all open connections to the store lose their answers each 700 ms, while daemons are killed, paused and started again.

--- a/crates/fireflyworks/tests/rate_limit.rs
+++ b/crates/fireflyworks/tests/rate_limit.rs
@@ -9,6 +9,7 @@
     ffw_soak::{
         client,
         daemon::{Daemon, Ports},
+        proxy::{Fault, Proxy},
         store::Store,
         worker::{Log, Role, Worker},
     },
@@ -58,6 +59,8 @@
     daemons: Vec<Daemon>,
     servers: Vec<Worker>,
     store: Store,
+    /// Between the daemons and the store.
+    store_proxy: Proxy,
     log: Log,
     /// Path of the requests.
     path: &'static str,
@@ -92,9 +95,11 @@
         fs::create_dir_all(&folder).expect("a folder");
         let (store, store_address) = Store::start().await.expect("a store");
         store.put("config", "main", configuration());
+        let store_proxy = Proxy::start(store_address).await.expect("a proxy");
         let log = Log::default();
         let path = if roles.contains(&Role::Plain) { "/r/x" } else { "/s/x" };
-        let mut fleet = Fleet { daemons: Vec::new(), servers: Vec::new(), store, log, path };
+        let mut fleet =
+            Fleet { daemons: Vec::new(), servers: Vec::new(), store, store_proxy, log, path };
         for (number, role) in roles.iter().enumerate() {
             let name = format!("server-{number}");
             let service = if *role == Role::Plain { "app" } else { "llm" };
@@ -113,7 +118,7 @@
         let ports: Vec<Ports> = (0..daemons).map(|_| Ports::choose().expect("ports")).collect();
         let seeds: Vec<SocketAddr> = ports.iter().take(3).map(Ports::peers).collect();
         for (number, ports) in ports.into_iter().enumerate() {
-            let daemon = Daemon::new(&folder, number, ports, &seeds, store_address);
+            let daemon = Daemon::new(&folder, number, ports, &seeds, fleet.store_proxy.address);
             let mut daemon = daemon.expect("settings");
             daemon.start(Path::new(env!("CARGO_BIN_EXE_fireflyworks"))).expect("a daemon");
             fleet.daemons.push(daemon);
@@ -233,12 +238,28 @@
 }
 
 /// Daemons are killed, paused and started again, one after the other, while a server states a limit
-/// that changes.
-#[test]
-fn a_limit_holds_while_daemons_come_and_go() {
+/// that changes. The answers of the store may be lost again and again on all connections that are
+/// open, so that the daemons' lists of each other, by which they find the owner of the server's
+/// account, differ for a time.
+#[rstest]
+#[case::beside_a_sound_store("churn", None)]
+#[case::while_answers_of_the_store_are_lost("churn-lost", Some(Duration::from_millis(700)))]
+fn a_limit_holds_while_daemons_come_and_go(
+    #[case] name: &str,
+    #[case] loss_period: Option<Duration>,
+) {
     smol::block_on(async {
         let _permit = permit::acquire(CORES).await;
-        let mut fleet = Fleet::start("churn", 4, 2).await;
+        let mut fleet = Fleet::start(name, 4, 2).await;
+        let proxy = fleet.store_proxy.clone();
+        let _losing = loss_period.map(|period| {
+            executor::spawn(async move {
+                loop {
+                    proxy.lose_open(Fault::LossOfAnswers, 1);
+                    timer::sleep(period).await;
+                }
+            })
+        });
         let limit = 8.0;
         fleet.servers[0].set_rate_limit(Some(limit));
         let stated_at = Instant::now();
