Test silences beside a stopped daemon, and in several data centres

Six daemons in three data centres, with all open connections to the store silent, both ways, from the store only or in the middle of a response; and three daemons of which one stands still, in turn each, as it may be the checker of the others.

Beside it: the parts of the bound have names in ffw-decide, and the functions of the lease share the type of a call's future with those of the entries.

--- a/crates/ffw-decide/src/belief.rs
+++ b/crates/ffw-decide/src/belief.rs
@@ -19,6 +19,18 @@
 /// the bound. What is left is for a call that is lost, a second one, and a list of the objects.
 const ASK_ALONE_EIGHTHS: u32 = 5;
 
+/// Parts of the bound: both timeouts of a question.
+const QUESTIONS_PER_BOUND: u32 = 8;
+
+/// Parts of the bound: the time for further bytes of a response to a reader that has met no silence.
+const IDLE_TIMES_PER_BOUND: u32 = 4;
+
+/// Parts of the bound: half the time for the response to a list that follows a single silence.
+const RESPONSE_TIMES_PER_BOUND: u32 = 16;
+
+/// Largest number of times that the timeouts of a reader double.
+const DOUBLINGS_MAX: u32 = 8;
+
 /// What a daemon does to keep its beliefs younger than a bound.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Step {
@@ -59,24 +71,23 @@
 
     /// Those of a question to the store whether there is anything newer; the answer is short.
     pub fn of_question(bound: Duration) -> Timeouts {
-        Timeouts { response: bound / 8, idle: bound / 8 }
+        let limit = bound / QUESTIONS_PER_BOUND;
+        Timeouts { response: limit, idle: limit }
     }
 
     /// Those of a reader of which the last `silences` reads fell silent. They leave time to read
     /// again before the bound, and grow with each silence in a row, as a store may be as slow.
     pub fn of_reader(bound: Duration, silences: u32) -> Timeouts {
         let Timeouts { response, idle } = Timeouts::LONGEST;
-        let growth = 1 << silences.min(GROWTHS_MAX);
-        Timeouts {
-            response: if silences == 0 { response } else { response.min(bound / 16 * growth) },
-            idle: idle.min(bound / 4 * growth),
+        let growth = 1 << silences.min(DOUBLINGS_MAX);
+        let idle = idle.min(bound / IDLE_TIMES_PER_BOUND * growth);
+        if silences == 0 {
+            return Timeouts { response, idle };
         }
+        Timeouts { response: response.min(bound / RESPONSE_TIMES_PER_BOUND * growth), idle }
     }
 }
 
-/// Largest number of times that the timeouts of a reader double.
-const GROWTHS_MAX: u32 = 8;
-
 /// What a daemon believes about one kind of objects.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Belief {
--- a/crates/ffw-route/src/lease.rs
+++ b/crates/ffw-route/src/lease.rs
@@ -5,16 +5,13 @@
 //! lease. The fencing number goes out with each order.
 
 use {
+    ffw_control::announce::StoreFuture,
     ffw_decide::lease::{Stored, Tracker, Write},
-    ffw_protocol::error::Result,
     ffw_runtime::clock,
     log::{info, warn},
-    std::{fmt, future::Future, pin::Pin, sync::Arc},
+    std::{fmt, sync::Arc},
 };
 
-/// Future result of a call to the store.
-pub type StoreFuture<T> = Pin<Box<dyn Future<Output = Result<T>> + Send>>;
-
 /// Functions that read and write the lease object in the store.
 pub struct Storage {
     /// Reads the lease; `None` if there is no such object.
--- a/crates/fireflyworks/tests/lost_answers.rs
+++ b/crates/fireflyworks/tests/lost_answers.rs
@@ -89,7 +89,13 @@
 }
 
 impl Fleet {
+    /// Starts [`DAEMONS`] daemons in one data centre.
     async fn start(name: &str) -> Fleet {
+        Fleet::start_in(name, &["a"; DAEMONS]).await
+    }
+
+    /// Starts a daemon in each of these data centres.
+    async fn start_in(name: &str, data_centres: &[&str]) -> Fleet {
         let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("lost-answers-{name}"));
         fs::create_dir_all(&folder).expect("a folder");
         let (store, store_address) = Store::start().await.expect("a store");
@@ -102,13 +108,16 @@
             store.put("servers", name, entry(&server, "ready"));
             servers.push(server);
         }
-        let ports: Vec<Ports> = (0..DAEMONS).map(|_| Ports::choose().expect("ports")).collect();
+        let ports: Vec<Ports> =
+            data_centres.iter().map(|_| Ports::choose().expect("ports")).collect();
         let seeds: Vec<SocketAddr> = ports.iter().map(Ports::peers).collect();
         let callers = ports.iter().map(Ports::callers).collect();
         let mut daemons = Vec::new();
         for (number, ports) in ports.into_iter().enumerate() {
             let daemon = Daemon::new(&folder, number, ports, &seeds, store_proxy.address);
             let mut daemon = daemon.expect("settings");
+            let set_zone = |file: &mut Value| file["zone"] = json!(data_centres[number]);
+            daemon.change_settings(set_zone).expect("settings");
             daemon.start(Path::new(PROGRAM)).expect("a daemon");
             daemons.push(daemon);
         }
@@ -304,6 +313,39 @@
     });
 }
 
+/// All open connections to the store fall silent, and one daemon stands still, which may be the one
+/// that asks the store on behalf of the others.
+#[rstest]
+fn a_change_is_in_force_although_one_daemon_stands_still(
+    #[values(0, 1, 2)] stopped: usize,
+    #[values(Change::MovedRoute, Change::RemovedServer)] change: Change,
+) {
+    smol::block_on(async {
+        let _permit = permit::acquire(CORES).await;
+        let fleet = Fleet::start(&format!("stopped-{stopped}-{change:?}")).await;
+        let loss = async {
+            fleet.daemons[stopped].signal(Signal::STOP);
+            fleet.store_proxy.lose_open(Fault::LossOfAnswers, 1);
+        };
+        fleet.check(change, Duration::ZERO, loss).await;
+    });
+}
+
+/// Daemons in several data centres, each with a daemon that asks the store on behalf of the others.
+#[rstest]
+fn a_change_is_in_force_in_each_data_centre(
+    #[values(Fault::Loss, Fault::LossOfAnswers, Fault::LossWithinAnswers)] fault: Fault,
+    #[values(Change::MovedRoute, Change::LeavingServer, Change::RemovedServer)] change: Change,
+) {
+    smol::block_on(async {
+        let _permit = permit::acquire(CORES).await;
+        let name = format!("data-centres-{fault:?}-{change:?}");
+        let fleet = Fleet::start_in(&name, &["a", "a", "b", "b", "c", "c"]).await;
+        let loss = async { fleet.store_proxy.lose_open(fault, 1) };
+        fleet.check(change, Duration::ZERO, loss).await;
+    });
+}
+
 /// Some of the open connections fall silent, others don't.
 #[rstest]
 fn a_change_is_in_force_although_some_open_connections_are_silent(
