Mend a silence again if the lists that mend it fall silent too

Cause: two shares of the bound that did not add up. A list after a silence had half of the bound for further bytes, longer than the response before it. And a daemon whose checker had read a newer state let that be: it asked the store itself at five eighths of the bound.

Change: after a silence, both times of a list begin at an eighth of the bound and double with each further silence in a row. A confirmation of a newer state makes the daemon list the kind, unless its watch brings the change right then.

--- a/crates/ffw-control/src/belief.rs
+++ b/crates/ffw-control/src/belief.rs
@@ -248,7 +248,7 @@
         let pause = match (belief::step(oldest, bound, checker.is_none()), checker) {
             (Step::Wait(pause), _) => pause.min(bound / PAUSES_PER_BOUND),
             (Step::AskChecker, Some(checker)) => {
-                ask_checker(daemon, &checker, bound / PAUSES_PER_BOUND).await;
+                ask_checker(daemon, &checker, bound).await;
                 bound / QUESTIONS_PER_BOUND
             }
             (Step::AskStore | Step::AskChecker, _) => match check(daemon, ask, bound).await {
@@ -287,8 +287,10 @@
     first.filter(|first| first.name != daemon.identity.instance)
 }
 
-/// Takes over the confirmations of the checker.
-async fn ask_checker(daemon: &Arc<Daemon>, checker: &Instance, limit: Duration) {
+/// Takes over the confirmations of the checker. A reader that has not read what the checker has read
+/// starts anew.
+async fn ask_checker(daemon: &Arc<Daemon>, checker: &Instance, bound: Duration) {
+    let limit = bound / PAUSES_PER_BOUND;
     // The age that the answer states was taken later.
     let asked_at = clock::boot_time();
     let (answering, address) = (&daemon.beliefs.answering, checker.address);
@@ -308,6 +310,9 @@
         if is_merged && kind == Kind::Configuration {
             daemon.freshness().record_confirmed_elsewhere(confirmed_at);
         }
+        if daemon.beliefs.of(kind).is_behind(span) {
+            check_reader_in_background(daemon, kind, span.since, bound);
+        }
     }
 }
 
@@ -340,14 +345,18 @@
             if let Some(asked_at) = taken_over {
                 daemon.record_config_confirmed(asked_at);
             }
-            let (daemon, lead) = (daemon.clone(), bound / LEADS_PER_BOUND);
-            executor::detach(async move { check_reader(&daemon, kind, revision, lead).await });
+            check_reader_in_background(daemon, kind, revision, bound);
         }
         Answer::HistoryGone => daemon.beliefs.reader(kind).restart(),
     }
     Ok(())
 }
 
+fn check_reader_in_background(daemon: &Arc<Daemon>, kind: Kind, revision: u64, bound: Duration) {
+    let (daemon, lead) = (daemon.clone(), bound / LEADS_PER_BOUND);
+    executor::detach(async move { check_reader(&daemon, kind, revision, lead).await });
+}
+
 /// Restarts a reader that still waits after a time, although there is a change up to a revision.
 async fn check_reader(daemon: &Daemon, kind: Kind, revision: u64, lead: Duration) {
     let reader = daemon.beliefs.reader(kind);
--- a/crates/ffw-decide/src/belief.rs
+++ b/crates/ffw-decide/src/belief.rs
@@ -19,15 +19,12 @@
 /// the bound. What is left is for a call that is lost, a second one, and a list of the objects.
 const ASK_ALONE_EIGHTHS: u32 = 5;
 
-/// Parts of the bound: both timeouts of a question.
+/// Parts of the bound: both timeouts of a question, and of the list that follows a single silence.
 const QUESTIONS_PER_BOUND: u32 = 8;
 
 /// Parts of the bound: the time for further bytes of a response to a reader that has met no silence.
 const IDLE_TIMES_PER_BOUND: u32 = 4;
 
-/// Parts of the bound: half the time for the response to a list that follows a single silence.
-const RESPONSE_TIMES_PER_BOUND: u32 = 16;
-
 /// Largest number of times that the timeouts of a reader double.
 const DOUBLINGS_MAX: u32 = 8;
 
@@ -75,16 +72,16 @@
         Timeouts { response: limit, idle: limit }
     }
 
-    /// Those of a reader of which the last `silences` reads fell silent. They leave time to read
-    /// again before the bound, and grow with each silence in a row, as a store may be as slow.
+    /// Those of a reader of which the last `silences` reads fell silent. After the first silence
+    /// they are short, to read again before the bound; they double with each further one in a row,
+    /// as a store may be as slow.
     pub fn of_reader(bound: Duration, silences: u32) -> Timeouts {
         let Timeouts { response, idle } = Timeouts::LONGEST;
-        let growth = 1 << silences.min(DOUBLINGS_MAX);
-        let idle = idle.min(bound / IDLE_TIMES_PER_BOUND * growth);
-        if silences == 0 {
-            return Timeouts { response, idle };
-        }
-        Timeouts { response: response.min(bound / RESPONSE_TIMES_PER_BOUND * growth), idle }
+        let Some(doublings) = silences.checked_sub(1) else {
+            return Timeouts { response, idle: idle.min(bound / IDLE_TIMES_PER_BOUND) };
+        };
+        let limit = bound / QUESTIONS_PER_BOUND * (1 << doublings.min(DOUBLINGS_MAX));
+        Timeouts { response: response.min(limit), idle: idle.min(limit) }
     }
 }
 
@@ -161,6 +158,12 @@
         true
     }
 
+    /// Whether another daemon has read a change that is newer than this belief. In another era, it
+    /// can't be told.
+    pub fn is_behind(&self, other: Span) -> bool {
+        self.span.until > 0 && other.era == self.span.era && other.since > self.span.until
+    }
+
     fn confirm(&mut self, asked_at: Moment) {
         self.confirmed_at = self.confirmed_at.max(Some(asked_at));
     }
--- a/crates/ffw-soak/src/store.rs
+++ b/crates/ffw-soak/src/store.rs
@@ -74,6 +74,8 @@
     is_silent: Arc<AtomicBool>,
     /// Number of further lists that are never answered.
     unanswered_lists: Arc<AtomicU64>,
+    /// Number of further lists of which only the first half is sent.
+    cut_lists: Arc<AtomicU64>,
     /// Number of further writes that are never answered, nor executed.
     unanswered_writes: Arc<AtomicU64>,
     reads: Arc<AtomicU64>,
@@ -204,6 +206,11 @@
         self.unanswered_lists.store(count, Ordering::SeqCst);
     }
 
+    /// Sends only the first half of each of the next lists, on connections that stay open.
+    pub fn cut_lists(&self, count: u64) {
+        self.cut_lists.store(count, Ordering::SeqCst);
+    }
+
     /// Neither executes nor answers the next writes, on connections that stay open.
     pub fn leave_writes_unanswered(&self, count: u64) {
         self.unanswered_writes.store(count, Ordering::SeqCst);
@@ -229,6 +236,7 @@
         if self.is_silent.load(Ordering::SeqCst) {
             return smol::future::pending().await;
         }
+        let is_list = !is_write && name.is_none() && !query.contains("watch=");
         let (status, body) = match (&*exchange.head.method, name) {
             ("GET", None) if query.contains("watch=") => self.watch(&kind, query).await,
             ("GET", None) if take(&self.unanswered_lists) => return smol::future::pending().await,
@@ -253,6 +261,10 @@
         if era > 0 {
             head.fields.set("Store-Era", era.to_string());
         }
+        if is_list && take(&self.cut_lists) {
+            exchange.answer_half(head, body.as_bytes()).await.ok()?;
+            return smol::future::pending().await;
+        }
         exchange.answer(head.clone(), body.as_bytes()).await.ok()?;
         let repeat_after_ms = self.repeat_after_ms.load(Ordering::SeqCst);
         if repeat_after_ms > 0 {
--- a/crates/ffw-soak/src/wire.rs
+++ b/crates/ffw-soak/src/wire.rs
@@ -40,10 +40,22 @@
     ///
     /// # Errors
     /// The connection is closed or the write takes longer than [`IO_TIMEOUT`].
-    pub async fn answer(&mut self, mut head: Response, body: &[u8]) -> io::Result<()> {
-        head.fields.set("Content-Length", body.len().to_string());
+    pub async fn answer(&mut self, head: Response, body: &[u8]) -> io::Result<()> {
+        self.write(head, body.len(), body).await
+    }
+
+    /// Sends a response as [`answer`](Exchange::answer) does, without the second half of its body.
+    ///
+    /// # Errors
+    /// As [`answer`](Exchange::answer).
+    pub async fn answer_half(&mut self, head: Response, body: &[u8]) -> io::Result<()> {
+        self.write(head, body.len(), &body[..body.len() / 2]).await
+    }
+
+    async fn write(&mut self, mut head: Response, length: usize, sent: &[u8]) -> io::Result<()> {
+        head.fields.set("Content-Length", length.to_string());
         let mut bytes = head.to_bytes();
-        bytes.extend_from_slice(body);
+        bytes.extend_from_slice(sent);
         self.connection.write(&bytes, IO_TIMEOUT).await
     }
 }
--- a/crates/fireflyworks/tests/lost_answers.rs
+++ b/crates/fireflyworks/tests/lost_answers.rs
@@ -398,6 +398,23 @@
     });
 }
 
+/// All open connections to the store fall silent, and so do, in their middle, the first lists that
+/// are asked for in place of the watches, as many as there are daemons.
+#[rstest]
+fn a_change_is_in_force_although_lists_fall_silent_in_their_middle(
+    #[values(Change::LeavingServer, Change::RemovedServer)] change: Change,
+) {
+    smol::block_on(async {
+        let _permit = permit::acquire(CORES).await;
+        let fleet = Fleet::start(&format!("cut-lists-{change:?}")).await;
+        let loss = async {
+            fleet.store_proxy.lose_open(Fault::LossOfAnswers, 1);
+            fleet.store.cut_lists(DAEMONS as u64);
+        };
+        fleet.check(change, Duration::ZERO, loss).await;
+    });
+}
+
 /// Guards against a belief that is older than its bound without a word in the logs.
 #[test]
 fn an_overdue_belief_and_its_next_confirmation_are_logged() {
