Give a slow store the time of its latest response before asking again

Cause: the times after which questions and lists are sent again follow from the bound, whatever the store takes for a response. A store that needs 600 ms got each question three times, and each list that mends a silence too: with the largest configuration three transfers of 1.2 MB at once for each daemon, which delay each other.

Change: a read is late after twice the time of the latest response that had not to wait for a change, up to the 1.5 s of before.

The times are tested in ffw-decide `belief`.

--- a/crates/ffw-decide/src/belief.rs
+++ b/crates/ffw-decide/src/belief.rs
@@ -83,6 +83,13 @@
         let limit = bound / QUESTIONS_PER_BOUND * (1 << doublings.min(DOUBLINGS_MAX));
         Timeouts { response: response.min(limit), idle: idle.min(limit) }
     }
+
+    /// The same for a store whose latest response took `latency`. One that is slow gets no slower by
+    /// calls that are sent again too early.
+    pub fn at_latency(self, latency: Duration) -> Timeouts {
+        let response = self.response.max(latency * 2).min(Timeouts::LONGEST.response);
+        Timeouts { response, ..self }
+    }
 }
 
 /// What a daemon believes about one kind of objects.
--- a/crates/ffw-decide/tests/belief.rs
+++ b/crates/ffw-decide/tests/belief.rs
@@ -139,3 +139,13 @@
     assert_eq!(listed().is_behind(Span { era, since, until }), expected);
     assert!(!Belief::default().is_behind(Span { era: 0, since, until }));
 }
+
+#[rstest]
+#[case::fast(5, 250)]
+#[case::slow(400, 800)]
+#[case::very_slow(4_000, 1_500)]
+fn a_slow_store_has_time_for_its_response(#[case] latency_ms: u64, #[case] response_ms: u64) {
+    let timeouts = Timeouts::of_question(BOUND).at_latency(Duration::from_millis(latency_ms));
+    assert_eq!(timeouts.response, Duration::from_millis(response_ms));
+    assert_eq!(timeouts.idle, Timeouts::of_question(BOUND).idle);
+}
