--- a/crates/ffw-soak/src/proxy.rs
+++ b/crates/ffw-soak/src/proxy.rs
@@ -76,8 +76,8 @@
         }
     }
 
-    /// The number of bytes of a chunk to the client, of `count` bytes, that still arrive.
-    fn begin_within(&self, count: usize) -> usize {
+    /// The number of bytes that still arrive of a chunk of `count` bytes to the client.
+    fn bytes_that_arrive(&self, count: usize) -> usize {
         if !self.within_next.swap(false, Ordering::SeqCst) {
             return count;
         }
@@ -182,7 +182,7 @@
                 continue;
             }
             if is_to_client {
-                count = losses.begin_within(count);
+                count = losses.bytes_that_arrive(count);
             }
             if self.fault() == Fault::Delay {
                 timer::sleep(Duration::from_millis(150)).await;
