--- a/crates/fireflyworks/tests/lost_answers.rs
+++ b/crates/fireflyworks/tests/lost_answers.rs
@@ -415,6 +415,22 @@
     });
 }
 
+/// The same with twice as many lists, of which one daemon may meet three in a row.
+#[rstest]
+fn a_change_is_in_force_although_twice_as_many_lists_fall_silent(
+    #[values(Change::LeavingServer, Change::RemovedServer)] change: Change,
+) {
+    smol::block_on(async {
+        let _permit = permit::acquire(CORES).await;
+        let fleet = Fleet::start(&format!("cut-twice-{change:?}")).await;
+        let loss = async {
+            fleet.store_proxy.lose_open(Fault::LossOfAnswers, 1);
+            fleet.store.cut_lists(2 * DAEMONS as u64);
+        };
+        fleet.check(change, Duration::ZERO, loss).await;
+    });
+}
+
 /// Guards against a belief that is older than its bound without a word in the logs.
 #[test]
 fn an_overdue_belief_and_its_next_confirmation_are_logged() {
