Authenticate routed requests by workspace and keep quotas over all daemons

Cause: a deployment whose configuration declares workspaces was served without keys, so that callers' keys went to backend servers and no quota was kept. Change: the adapter decodes workspaces with digests of their keys; a filter after the route finds the holder of the key and answers 401 only if the store has confirmed the configuration; servers get the workspace's name and no key; the owner's queue counts fair shares by workspace. A quota is an account that one daemon keeps; each daemon spends a small allowance first. Digests are looked up by equality, so the second comparison in ffw-entry is gone.

--- a/crates/ffw-control/src/calls.rs
+++ b/crates/ffw-control/src/calls.rs
@@ -1,7 +1,7 @@
 //! Answers to the calls of other daemons.
 
 use {
-    crate::{burn, daemon::Daemon, freshness::Arrival, owner, quarantine, rate},
+    crate::{burn, daemon::Daemon, freshness::Arrival, owner, quarantine, quota, rate},
     ffw_peer::{
         handler::{Handlers, Reply},
         service::{Roster, Status, Updates, Versions},
@@ -18,7 +18,7 @@
     let (for_hold, for_records, for_grants) = (shared(), shared(), shared());
     let (for_burn, for_status) = (shared(), shared());
     let (for_evidence, for_holds, for_lift) = (shared(), shared(), shared());
-    let (for_permits, for_confirmations) = (shared(), shared());
+    let (for_permits, for_confirmations, for_quota) = (shared(), shared(), shared());
     Handlers {
         admit: Box::new(move |call| {
             let daemon = for_admit.clone();
@@ -45,6 +45,7 @@
         lift_quarantine: Box::new(move |part| ready(quarantine::lift(&for_lift, part))),
         take_permits: Box::new(move |ask| ready(rate::account::grant(&for_permits, &ask))),
         confirmations: Box::new(move |()| ready(for_confirmations.beliefs.confirmations())),
+        take_quota: Box::new(move |ask| ready(quota::grant(&for_quota, &ask))),
     }
 }
 
--- a/crates/ffw-control/src/daemon.rs
+++ b/crates/ffw-control/src/daemon.rs
@@ -10,6 +10,7 @@
         metrics::Metrics,
         owned::OwnedShards,
         quarantine::Quarantines,
+        quota::Quotas,
         rate::Rates,
         snapshot::View,
         suspect,
@@ -72,6 +73,8 @@
     pub quarantines: Quarantines,
     /// Rate limits that backend servers have stated.
     pub rates: Rates,
+    /// Quotas of workspaces.
+    pub quotas: Quotas,
     /// Records of decisions.
     pub ledger: Ledger,
     /// Metrics.
@@ -135,6 +138,7 @@
             owned_shards: OwnedShards::default(),
             quarantines: Quarantines::default(),
             rates: Rates::default(),
+            quotas: Quotas::default(),
             metrics,
             policy: setup.policy,
             turn: AtomicU64::new(0),
--- a/crates/ffw-control/src/lib.rs
+++ b/crates/ffw-control/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod owned;
 pub mod owner;
 pub mod quarantine;
+pub mod quota;
 pub mod rate;
 pub mod relay;
 pub mod report;
--- a/crates/ffw-control/src/metrics/routed.rs
+++ b/crates/ffw-control/src/metrics/routed.rs
@@ -5,12 +5,21 @@
     prometheus::{
         GaugeVec, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
     },
-    std::time::Duration,
+    std::{
+        sync::{Arc, Mutex, PoisonError},
+        time::Duration,
+    },
 };
 
 /// Label value for the pool of a request that ended before a pool was chosen.
 pub const NO_POOL: &str = "none";
 
+/// Largest number of workspaces with series of their own.
+const QUOTA_SERIES_MAX: usize = 32;
+
+/// Label value for all other workspaces.
+const OTHER_WORKSPACES: &str = "(others)";
+
 /// Upper bounds of the histogram's buckets, in seconds.
 const BUCKETS_S: [f64; 12] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.6, 0.9, 2.0, 5.0, 15.0];
 
@@ -59,6 +68,10 @@
     limits: GaugeVec,
     /// Requests to servers with a rate limit, by server and by whether they had a permit.
     limited: IntCounterVec,
+    /// Requests of workspaces with a quota, by workspace and outcome.
+    quotas: IntCounterVec,
+    /// Workspaces that have series of their own, in order.
+    quota_names: Arc<Mutex<Vec<Arc<str>>>>,
     /// Open connections of callers.
     pub callers: IntGauge,
     /// Time of the store's last answer, in seconds since the Unix epoch, by kind of object.
@@ -108,6 +121,14 @@
                 ),
                 &["server", "permit"],
             )?,
+            quotas: IntCounterVec::new(
+                Opts::new(
+                    "fireflyworks_quota_requests_total",
+                    "Requests of workspaces with a quota",
+                ),
+                &["workspace", "outcome"],
+            )?,
+            quota_names: Arc::default(),
             callers: IntGauge::new("fireflyworks_callers", "Open connections of callers")?,
             store_answered: IntGaugeVec::new(
                 Opts::new(
@@ -131,6 +152,7 @@
         registry.register(Box::new(routed.quarantined.clone()))?;
         registry.register(Box::new(routed.limits.clone()))?;
         registry.register(Box::new(routed.limited.clone()))?;
+        registry.register(Box::new(routed.quotas.clone()))?;
         registry.register(Box::new(routed.callers.clone()))?;
         registry.register(Box::new(routed.store_answered.clone()))?;
         registry.register(Box::new(routed.belief_age.clone()))?;
@@ -156,6 +178,21 @@
         self.limited.with_label_values(&[server, yes_or_no(has_permit)]).inc();
     }
 
+    /// Counts a request of a workspace with a quota. The first [`QUOTA_SERIES_MAX`] workspaces have
+    /// series of their own, the others share one.
+    pub fn record_quota(&self, workspace: &Arc<str>, outcome: &str) {
+        let mut names = self.quota_names.lock().unwrap_or_else(PoisonError::into_inner);
+        let label = match names.binary_search(workspace) {
+            Ok(_) => &**workspace,
+            Err(index) if names.len() < QUOTA_SERIES_MAX => {
+                names.insert(index, workspace.clone());
+                &**workspace
+            }
+            Err(_) => OTHER_WORKSPACES,
+        };
+        self.quotas.with_label_values(&[label, outcome]).inc();
+    }
+
     /// Drops the series of a server that is no longer listed.
     pub fn forget_server(&self, server: &str) {
         self.record_limit(server, None);
--- a/crates/ffw-control/src/snapshot.rs
+++ b/crates/ffw-control/src/snapshot.rs
@@ -28,8 +28,8 @@
     pub version: Version,
     /// The parsed declaration, with the routes in the order that [`route::find`] needs.
     pub deployment: Deployment,
-    /// Indices of the workspaces, in order of their keys' digests.
-    workspaces_by_key: Vec<usize>,
+    /// Digest of each key with the workspace that holds it, in order of digest.
+    workspaces_by_key: Vec<(Arc<str>, Arc<Workspace>)>,
 }
 
 impl Snapshot {
@@ -45,21 +45,19 @@
     /// A version whose declaration is parsed and checked already.
     fn with_deployment(version: Version, mut deployment: Deployment) -> Snapshot {
         route::sort(&mut deployment.routes);
-        let mut workspaces_by_key: Vec<usize> = (0..deployment.workspaces.len()).collect();
-        workspaces_by_key.sort_by(|a, b| {
-            let digest = |index: &usize| &deployment.workspaces[*index].key_sha256;
-            digest(a).cmp(digest(b))
+        let holders = deployment.workspaces.iter().flat_map(|workspace| {
+            let shared = Arc::new(workspace.clone());
+            workspace.keys_sha256.iter().map(move |digest| (digest.clone(), shared.clone()))
         });
+        let mut workspaces_by_key: Vec<(Arc<str>, Arc<Workspace>)> = holders.collect();
+        workspaces_by_key.sort_by(|(a, _), (b, _)| a.cmp(b));
         Snapshot { deployment, version, workspaces_by_key }
     }
 
-    /// The workspace whose key has this SHA-256 digest.
-    pub fn workspace_of_key(&self, digest: &str) -> Option<&Workspace> {
-        let workspaces = &self.deployment.workspaces;
-        let found = self
-            .workspaces_by_key
-            .binary_search_by(|index| (*workspaces[*index].key_sha256).cmp(digest));
-        found.ok().map(|position| &workspaces[self.workspaces_by_key[position]])
+    /// The workspace that holds the key with this SHA-256 digest.
+    pub fn workspace_of_key(&self, digest: &str) -> Option<&Arc<Workspace>> {
+        let found = self.workspaces_by_key.binary_search_by(|(listed, _)| (**listed).cmp(digest));
+        found.ok().map(|index| &self.workspaces_by_key[index].1)
     }
 
     /// The route of a host and path.
--- a/crates/ffw-decide/src/lib.rs
+++ b/crates/ffw-decide/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod order;
 pub mod permits;
 pub mod quarantine;
+pub mod quota;
 pub mod rate_limit;
 pub mod rendezvous;
 pub mod resend;
--- a/crates/ffw-entry/src/exchange.rs
+++ b/crates/ffw-entry/src/exchange.rs
@@ -53,7 +53,7 @@
     /// before authentication.
     pub snapshot: Option<Arc<Snapshot>>,
     /// Workspace; `None` before authentication.
-    pub workspace: Option<Workspace>,
+    pub workspace: Option<Arc<Workspace>>,
     /// Service; `None` before classification, and for [`Route::Records`].
     pub service: Option<Service>,
     /// Parsed model call; `None` before the parse filter, and for other kinds of request.
@@ -102,7 +102,7 @@
     /// [`Kind::Unauthenticated`] before the authentication filter has run.
     pub fn workspace(&self) -> Result<&Workspace> {
         self.workspace
-            .as_ref()
+            .as_deref()
             .ok_or_else(|| Error::new(Kind::Unauthenticated, "the request is not authenticated"))
     }
 
--- a/crates/ffw-entry/src/filter/authenticate.rs
+++ b/crates/ffw-entry/src/filter/authenticate.rs
@@ -8,7 +8,6 @@
         error::{Error, Kind, Result},
     },
     std::sync::Arc,
-    subtle::ConstantTimeEq as _,
 };
 
 /// Sets the workspace and the configuration of the request.
@@ -30,10 +29,6 @@
     let key = header.strip_prefix("Bearer ").ok_or_else(unauthenticated)?;
     let digest = digest::hex(key.trim().as_bytes());
     let workspace = snapshot.workspace_of_key(&digest).ok_or_else(unauthenticated)?;
-    let is_same: bool = workspace.key_sha256.as_bytes().ct_eq(digest.as_bytes()).into();
-    if !is_same {
-        return Err(unauthenticated());
-    }
     exchange.workspace = Some(workspace.clone());
     exchange.snapshot = Some(snapshot);
     Ok(())
--- a/crates/ffw-peer/src/handler.rs
+++ b/crates/ffw-peer/src/handler.rs
@@ -8,7 +8,7 @@
         config::Version,
         ledger::{Record, Segment},
         quarantine::{Evidence, Exchange, Hold},
-        rate,
+        quota, rate,
     },
     std::{future::Future, pin::Pin, sync::Arc},
     tarpc::context::Context,
@@ -73,6 +73,8 @@
     pub take_permits: Handler<rate::Ask, rate::Grant>,
     /// Handles [`Peer::confirmations`].
     pub confirmations: Handler<(), Vec<Confirmation>>,
+    /// Handles [`Peer::take_quota`].
+    pub take_quota: Handler<quota::Ask, quota::Grant>,
 }
 
 #[derive(Clone)]
@@ -146,4 +148,8 @@
     async fn confirmations(self, _: Context) -> Vec<Confirmation> {
         (self.handlers.confirmations)(()).await
     }
+
+    async fn take_quota(self, _: Context, ask: quota::Ask) -> quota::Grant {
+        (self.handlers.take_quota)(ask).await
+    }
 }
--- a/crates/ffw-peer/src/service.rs
+++ b/crates/ffw-peer/src/service.rs
@@ -8,7 +8,7 @@
         instance::Instance,
         ledger::{Record, Segment},
         quarantine::{Evidence, Exchange, Hold},
-        rate,
+        quota, rate,
     },
     serde::{Deserialize, Serialize},
     std::sync::Arc,
@@ -179,4 +179,7 @@
     /// Returns how old the receiver's beliefs about the objects of the store are. Daemons of
     /// earlier builds do not know this call.
     async fn confirmations() -> Vec<Confirmation>;
+    /// Asks for units of a workspace's quota for a request. Daemons of earlier builds do not know
+    /// this call.
+    async fn take_quota(ask: quota::Ask) -> quota::Grant;
 }
--- a/crates/ffw-protocol/src/declaration.rs
+++ b/crates/ffw-protocol/src/declaration.rs
@@ -36,6 +36,9 @@
     /// Workspaces and their keys.
     #[serde(default, rename = "workspace")]
     pub workspaces: Vec<Workspace>,
+    /// Whether requests of routes that are not public need the key of a workspace.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub requires_keys: bool,
     /// Routes of requests that don't name a service.
     #[serde(default, rename = "route")]
     pub routes: Vec<Route>,
@@ -222,16 +225,87 @@
 pub struct Workspace {
     /// Name.
     pub name: Arc<str>,
-    /// SHA-256 of its bearer key, in hexadecimal.
-    pub key_sha256: Arc<str>,
+    /// SHA-256 of each of its bearer keys, in hexadecimal; written as one text if it has one key.
+    #[serde(rename = "key_sha256", with = "one_or_many")]
+    pub keys_sha256: Vec<Arc<str>>,
     /// Weight of its fair share.
     #[serde(default = "weight")]
     pub weight: u32,
-    /// Names of the services that it may use.
+    /// Names of the services that it may use; requests of routes need none.
     pub services: Vec<Arc<str>>,
     /// Maximum number of its requests that are open at one daemon.
     #[serde(default = "max_open")]
     pub max_open: u32,
+    /// Rank of the priority of its requests of routes; `None` for the rank of the route.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rank: Option<u8>,
+    /// What it may use over all daemons together; `None` for no limit.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub quota: Option<Quota>,
+}
+
+/// What a workspace may use over all daemons together.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Quota {
+    /// What is counted.
+    pub unit: Unit,
+    /// Units per second; above 0.
+    pub per_s: f64,
+    /// Units that may be used at once after a pause, in addition.
+    #[serde(default)]
+    pub burst: f64,
+    /// Tokens of a request that does not state its sizes; not used if requests are counted.
+    #[serde(default)]
+    pub default_tokens: u32,
+}
+
+/// What a quota counts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Unit {
+    /// Requests.
+    Requests,
+    /// Tokens of the prompt and the requested output.
+    Tokens,
+}
+
+fn is_false(value: &bool) -> bool {
+    !value
+}
+
+/// A list that is written as its element if it has one.
+mod one_or_many {
+    use {
+        serde::{Deserialize, Deserializer, Serialize, Serializer},
+        std::sync::Arc,
+    };
+
+    #[derive(Deserialize)]
+    #[serde(untagged)]
+    enum Written {
+        One(Arc<str>),
+        Many(Vec<Arc<str>>),
+    }
+
+    pub(super) fn serialize<S: Serializer>(
+        list: &[Arc<str>],
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        match list {
+            [single] => single.serialize(serializer),
+            many => many.serialize(serializer),
+        }
+    }
+
+    pub(super) fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Vec<Arc<str>>, D::Error> {
+        Ok(match Written::deserialize(deserializer)? {
+            Written::One(single) => vec![single],
+            Written::Many(many) => many,
+        })
+    }
 }
 
 fn weight() -> u32 {
@@ -357,7 +431,7 @@
         );
         check_unique(
             "key of workspace",
-            self.workspaces.iter().map(|workspace| &workspace.key_sha256),
+            self.workspaces.iter().flat_map(|workspace| &workspace.keys_sha256),
             problems,
         );
     }
@@ -424,12 +498,18 @@
                 problems.push(problem(thing.clone(), message));
             }
         }
-        let is_digest = workspace.key_sha256.len() == 64
-            && workspace.key_sha256.bytes().all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'));
-        if !is_digest {
+        if !workspace.keys_sha256.iter().all(|digest| is_sha256(digest)) {
             let message = "`key_sha256` must be 64 lower-case hexadecimal digits: the SHA-256 of the key, never the key";
             problems.push(problem(thing.clone(), message));
         }
+        if let Some(quota) = &workspace.quota {
+            if !(quota.per_s > 0.0 && quota.per_s.is_finite()) {
+                problems.push(problem(thing.clone(), "`per_s` of the quota must be above 0"));
+            }
+            if !(quota.burst >= 0.0 && quota.burst.is_finite()) {
+                problems.push(problem(thing.clone(), "`burst` of the quota must be 0 or more"));
+            }
+        }
         if workspace.weight == 0 {
             problems.push(problem(thing, "`weight` must be above 0"));
         }
@@ -461,6 +541,10 @@
     }
 }
 
+fn is_sha256(digest: &str) -> bool {
+    digest.len() == 64 && digest.bytes().all(|byte| matches!(byte, b'0'..=b'9' | b'a'..=b'f'))
+}
+
 fn check_unique<'a>(
     kind: &str,
     names: impl Iterator<Item = &'a Arc<str>>,
--- a/crates/ffw-protocol/src/lib.rs
+++ b/crates/ffw-protocol/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod ledger;
 pub mod prefix;
 pub mod quarantine;
+pub mod quota;
 pub mod rate;
 pub mod route;
 pub mod time;
--- a/crates/ffw-protocol/src/route.rs
+++ b/crates/ffw-protocol/src/route.rs
@@ -39,6 +39,9 @@
     /// Maximum number of backend servers to which one request may be sent.
     #[serde(default = "one")]
     pub attempts: u32,
+    /// Whether requests need no key, although the deployment requires keys.
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub is_public: bool,
     /// Pools that serve the route.
     pub pools: Vec<Share>,
 }
@@ -47,6 +50,10 @@
     1
 }
 
+fn is_false(value: &bool) -> bool {
+    !value
+}
+
 /// A pool's share of the requests of a route.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/ffw-route/src/caller.rs
+++ b/crates/ffw-route/src/caller.rs
@@ -5,11 +5,14 @@
 //! idle time bound what slow or idle callers can hold open. Refusals under load or during an outage
 //! carry a time after which the caller may retry.
 
+mod authenticate;
+mod confirm;
 mod filter;
+mod quota;
 
 use {
     crate::{
-        dialect::RequestInfo,
+        dialect::{Principal, RequestInfo},
         plain,
         response::{self, Persistence},
         router::{INGRESS_DRAIN_TIME, Router},
@@ -17,6 +20,7 @@
     },
     ffw_control::{
         metrics::routed::{NO_POOL, Stage},
+        quota::Charge,
         snapshot::Snapshot,
     },
     ffw_http::{
@@ -24,6 +28,7 @@
         message::Request,
     },
     ffw_protocol::{
+        declaration::Workspace,
         error::{Error, Kind, Run},
         route::{Limits, Route},
     },
@@ -58,8 +63,12 @@
     pub(crate) body: Vec<u8>,
     /// What the adapter's dialect parsed from the head.
     pub(crate) request_info: RequestInfo,
-    /// Route that matched host and path.
+    /// Route that matched host and path, with the rank of the caller's workspace if that has one.
     pub(crate) route: Route,
+    /// Workspace that holds the caller's key; `None` if the route needs no key.
+    pub(crate) workspace: Option<Arc<Workspace>>,
+    /// What the request was charged to the quota of its workspace; `None` without a quota.
+    pub(crate) charge: Option<Charge>,
     /// Name of the pool that serves the request.
     pub(crate) pool: Arc<str>,
     /// Configuration under which the request is served.
@@ -71,11 +80,27 @@
 }
 
 impl RoutedRequest {
+    /// On whose behalf calls for the request are made.
+    pub(crate) fn principal(&self) -> Principal<'_> {
+        match &self.workspace {
+            Some(workspace) => Principal::Workspace(&workspace.name),
+            None if self.snapshot.deployment.requires_keys => Principal::Public,
+            None => Principal::Unidentified,
+        }
+    }
+
     /// Whether the deadline has passed.
     pub(crate) fn is_expired(&self) -> bool {
         Instant::now() >= self.deadline
     }
 
+    /// Gives back what the request was charged if the error states that it did not run.
+    fn refund_unless_run(&self, router: &Router, error: &Error) {
+        if let Some(charge) = self.charge.as_ref().filter(|_| error.run == Run::Not) {
+            router.daemon.quotas.refund(charge);
+        }
+    }
+
     /// Counts the outcome of the request and records its total time.
     fn record_outcome(&self, router: &Router, outcome: &str) {
         let routed = &router.daemon.metrics.routed;
@@ -210,6 +235,9 @@
         stream::Outcome::Failed(error) => error.kind.row().code,
     };
     request.record_outcome(router, outcome);
+    if let stream::Outcome::Failed(error) = &end {
+        request.refund_unless_run(router, error);
+    }
     match end {
         stream::Outcome::Complete(Persistence::Keep) => Disposition::Keep,
         stream::Outcome::Complete(Persistence::Close) => Disposition::Close,
@@ -237,6 +265,9 @@
         Some(Ok(_)) => "served",
     };
     request.record_outcome(router, outcome);
+    if let Some(Err(error)) = &served {
+        request.refund_unless_run(router, error);
+    }
     let head = &request.head;
     match served {
         None => {
--- a/crates/ffw-route/src/caller/filter.rs
+++ b/crates/ffw-route/src/caller/filter.rs
@@ -2,7 +2,12 @@
 //! a backend server; [`apply`] lists them in their order.
 
 use {
-    super::RoutedRequest,
+    super::{
+        RoutedRequest,
+        authenticate::{self, Authenticated},
+        confirm::{Confirmed, confirm},
+        quota,
+    },
     crate::{
         response,
         router::{CounterGuard, Router},
@@ -31,10 +36,10 @@
 /// Retry-After of a request that was refused because no memory was left for its body or because a
 /// newer configuration may have its route, and the least one of a request that was refused because
 /// no configuration is known.
-const RETRY_AFTER: Duration = Duration::from_millis(500);
+pub(super) const RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Longest time for which a request on an unknown route waits for a confirmation that there is no
-/// newer configuration.
+/// Longest time for which a request on an unknown route or with an unknown key waits for a
+/// confirmation that there is no newer configuration.
 const CONFIRMATION_WAIT: Duration = Duration::from_millis(500);
 
 /// Largest Retry-After of a request that was refused because no configuration is known.
@@ -59,7 +64,7 @@
 }
 
 /// Runs the filters in this order: framing, configuration, head, body and its size, host, route,
-/// pool, shutdown.
+/// key, pool, shutdown, quota.
 pub(super) async fn apply<'a>(
     router: &'a Router,
     caller: &mut Connection,
@@ -83,8 +88,13 @@
     let host = host_of(head).map_err(rejected)?;
     let waits_until =
         started_at + request_info.timeout.unwrap_or(Duration::MAX).min(CONFIRMATION_WAIT);
+    let path = head.path();
     let (snapshot, route) =
-        find_route(router, snapshot, &host, head.path(), waits_until).await.map_err(rejected)?;
+        find_route(router, snapshot, &host, path, waits_until).await.map_err(rejected)?;
+    let target = (&*host, path);
+    let authenticating =
+        authenticate::apply(router, snapshot, route, target, &request_info, waits_until);
+    let Authenticated { snapshot, route, workspace } = authenticating.await.map_err(rejected)?;
     let pool = route.pool(router.next_choice_number()).cloned().ok_or_else(|| {
         rejected(Error::new(Kind::NoBackend, format!("route {} has no pool", route.name)))
     })?;
@@ -99,10 +109,28 @@
             Error::new(Kind::Draining, "this daemon shuts down before the request could finish");
         return Err(rejected(error.retry_after(DRAINING_RETRY_AFTER)));
     }
+    let charge = match &workspace {
+        Some(workspace) => {
+            let version = snapshot.version.number;
+            let charging = quota::apply(router, workspace, version, &request_info, time_left);
+            charging.await.map_err(rejected)?
+        }
+        None => None,
+    };
     router.record_request(&pool);
     let head = head.clone();
-    let request =
-        RoutedRequest { head, body, request_info, route, pool, snapshot, started_at, deadline };
+    let request = RoutedRequest {
+        head,
+        body,
+        request_info,
+        route,
+        workspace,
+        charge,
+        pool,
+        snapshot,
+        started_at,
+        deadline,
+    };
     Ok((request, buffer_guard))
 }
 
@@ -123,19 +151,12 @@
     if let Some(route) = snapshot.route(host, path).cloned() {
         return Ok((snapshot, route));
     }
-    let daemon = &router.daemon;
-    let limit = waits_until.saturating_duration_since(Instant::now());
-    let is_current = daemon.freshness().is_current(limit).await;
-    let snapshot = daemon.view.config().unwrap_or(snapshot);
+    let Confirmed { snapshot, is_current, age } = confirm(router, snapshot, waits_until).await;
     if let Some(route) = snapshot.route(host, path).cloned() {
         return Ok((snapshot, route));
     }
-    let confirmed = match daemon.freshness().confirmation_age() {
-        Some(age) => format!("confirmed {} ms ago", age.as_millis()),
-        None => "not confirmed".into(),
-    };
     let version = snapshot.version.number;
-    let message = format!("no route for {host}{path} in version {version}, {confirmed}");
+    let message = format!("no route for {host}{path} in version {version}, {age}");
     if is_current {
         return Err(Error::new(Kind::NotFound, message));
     }
--- a/crates/ffw-route/src/dialect.rs
+++ b/crates/ffw-route/src/dialect.rs
@@ -24,6 +24,8 @@
     pub last_event_id: Option<u64>,
     /// Parts of the prompt of a request to a model; without any for other requests.
     pub prompt: Prompt,
+    /// SHA-256 digest of the caller's key, in hexadecimal; `None` if there is no readable key.
+    pub key_digest: Option<Arc<str>>,
 }
 
 /// Sizes of a request to a model, in tokens.
@@ -70,6 +72,19 @@
     pub last_event_id: Option<u64>,
     /// Length of the body, in bytes.
     pub body_bytes: usize,
+    /// On whose behalf the call is made.
+    pub principal: Principal<'a>,
+}
+
+/// On whose behalf a call to a backend server is made.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Principal<'a> {
+    /// The deployment requires no keys; what the caller sent is passed on.
+    Unidentified,
+    /// The route is public: neither a key nor a workspace is passed on.
+    Public,
+    /// The workspace of this name, which holds the caller's key. The key is not passed on.
+    Workspace(&'a str),
 }
 
 /// Load that a backend server reports in the head of a response.
--- a/crates/ffw-route/src/plain.rs
+++ b/crates/ffw-route/src/plain.rs
@@ -238,6 +238,7 @@
         },
         permit,
         attempts,
+        principal: request.principal(),
     };
     let response = transport::call(router, &outgoing).await?;
     if let Some(load) = response.response_info.load {
--- a/crates/ffw-route/src/router.rs
+++ b/crates/ffw-route/src/router.rs
@@ -273,5 +273,15 @@
         router.balancer().retain(is_listed);
         router.daemon.view.clean_up_notices();
         rate::clean_up(&router.daemon, is_listed);
+        forget_vanished_workspaces(&router.daemon);
     }
 }
+
+/// Drops the quotas of workspaces that the configuration does not declare.
+fn forget_vanished_workspaces(daemon: &Daemon) {
+    let Some(snapshot) = daemon.view.config() else { return };
+    let declared = snapshot.deployment.workspaces.iter().map(|workspace| &*workspace.name);
+    let mut names: Vec<&str> = declared.collect();
+    names.sort_unstable();
+    daemon.quotas.retain(|workspace| names.binary_search(&workspace).is_ok());
+}
--- a/crates/ffw-route/src/stream/ask.rs
+++ b/crates/ffw-route/src/stream/ask.rs
@@ -41,6 +41,7 @@
     is_prefilled: bool,
 ) -> Result<Ask> {
     let route = &request.route;
+    let workspace = request.workspace.as_ref();
     let no_size = || Error::new(Kind::Malformed, "a request to a model must state its sizes");
     let Tokens { prompt, output, output_hint } = request.request_info.tokens.ok_or_else(no_size)?;
     let gap = Duration::from_millis(route.gap_ms);
@@ -51,9 +52,9 @@
     let remaining = |total: Duration| total.saturating_sub(since_last_event + EVENT_TRANSIT_TIME);
     Ok(Ask {
         attempt: Attempt { request: request_id, number },
-        // Each route counts as a workspace and as a service of its own.
-        workspace: route.name.clone(),
-        weight: 1,
+        // Without keys, each route counts as a workspace of its own.
+        workspace: workspace.map_or(&route.name, |workspace| &workspace.name).clone(),
+        weight: workspace.map_or(1, |workspace| workspace.weight),
         service: route.name.clone(),
         rank: route.rank,
         tokens_in: prompt + relay.emitted_tokens(),
--- a/crates/ffw-route/src/stream/calls.rs
+++ b/crates/ffw-route/src/stream/calls.rs
@@ -157,6 +157,7 @@
             reuse_idle_max: REUSE_IDLE_MAX,
             permit: Permit::Wanted(PERMIT_PATIENCE),
             attempts: self.attempts,
+            principal: self.request.principal(),
         }
     }
 }
--- a/crates/ffw-route/src/transport.rs
+++ b/crates/ffw-route/src/transport.rs
@@ -7,7 +7,7 @@
 
 use {
     crate::{
-        dialect::{Call, ResponseInfo, Step},
+        dialect::{Call, Principal, ResponseInfo, Step},
         router::Router,
     },
     ffw_control::rate,
@@ -86,6 +86,8 @@
     pub(crate) permit: Permit,
     /// Account of the request's attempts.
     pub(crate) attempts: &'a Attempts,
+    /// On whose behalf the request is sent.
+    pub(crate) principal: Principal<'a>,
 }
 
 impl OutgoingRequest<'_> {
@@ -158,6 +160,7 @@
         step: outgoing.step,
         last_event_id: outgoing.last_event_id,
         body_bytes: outgoing.body.len(),
+        principal: outgoing.principal,
     };
     let mut bytes = (router.dialect.write_call)(outgoing.head, &call).to_bytes();
     bytes.extend_from_slice(outgoing.body);
--- a/crates/ffw-route/tests/support/harness.rs
+++ b/crates/ffw-route/tests/support/harness.rs
@@ -14,6 +14,7 @@
     ffw_peer::{handshake::Secret, link::PeerConnections, service::Roster},
     ffw_protocol::{
         config::Version,
+        digest,
         instance::{Instance, Role, State},
         quarantine::Prompt,
         rate::Statement,
@@ -21,7 +22,8 @@
     ffw_route::{
         caller,
         dialect::{
-            Call, Dialect, EngineReport, Move, Order, RequestInfo, ResponseInfo, Step, Tokens,
+            Call, Dialect, EngineReport, Move, Order, Principal, RequestInfo, ResponseInfo, Step,
+            Tokens,
         },
         router::{Limits, Router},
     },
@@ -280,6 +282,7 @@
         tokens: Some(Tokens { prompt: 100, output: 50, output_hint: None }),
         last_event_id: None,
         prompt: Prompt::default(),
+        key_digest: head.fields.text("Key").map(|key| digest::hex(key.as_bytes())),
     })
 }
 
@@ -292,6 +295,13 @@
         Step::Decode(_) => "decode",
     };
     head.fields.set("Step", step);
+    if call.principal != Principal::Unidentified {
+        head.fields.remove("Key");
+        head.fields.remove("Workspace");
+    }
+    if let Principal::Workspace(name) = call.principal {
+        head.fields.set("Workspace", name);
+    }
     if call.body_bytes > 0 {
         head.fields.set("Content-Length", call.body_bytes.to_string());
     }
--- a/crates/fireflyworks/src/command/route.rs
+++ b/crates/fireflyworks/src/command/route.rs
@@ -109,6 +109,7 @@
     executor::detach(ffw_peer::server::serve(peers, secret, handlers, call_tracker.clone()));
     let store = Arc::new(Store::new(settings.store));
     daemon.beliefs.set_bound(belief_age_max(&settings));
+    daemon.quotas.set_tolerance(settings.quota_tolerance);
     follow::start(&daemon, &store);
     let entries = storage(&store);
     let own = own_instance(&settings);
@@ -155,6 +156,7 @@
                 info!("event=reloaded changed={changed} before={settings:?} now={new:?}");
                 router.configure(limits(&new));
                 router.daemon.beliefs.set_bound(belief_age_max(&new));
+                router.daemon.quotas.set_tolerance(new.quota_tolerance);
                 settings = new;
                 is_invalid = false;
             }
