Tell refused requests of a workspace different times to come back

Cause: requests beyond a quota were all told the same time, came back together and were refused again. Change: an account counts the units of those it has refused until their times. A patience of 0.4 s instead of 0.2 s was tried: the property test then finds windows beyond the bound when keepers change, as a new keeper does not know what was granted ahead; so 0.2 s stays.

--- a/crates/ffw-decide/src/quota.rs
+++ b/crates/ffw-decide/src/quota.rs
@@ -23,7 +23,8 @@
 /// Time for which units that were given back can be used by another request of the same daemon.
 const REFUND_LIFETIME: Duration = Duration::from_millis(500);
 
-/// Longest time for which a request waits for its units.
+/// Longest time for which a request waits for its units. A new keeper does not know what the one
+/// before has granted ahead, so this adds to the overshoot.
 const PATIENCE_MAX: Duration = Duration::from_millis(200);
 
 /// Largest part of its time left for which a request waits for its units.
@@ -95,13 +96,15 @@
     limit: Limit,
     /// Below 0 if units were granted ahead.
     units: f64,
+    /// Units of refused requests that were told when to come back, until those times.
+    promised: f64,
     updated_at: Moment,
 }
 
 impl Account {
     /// An account without units.
     pub fn new(now: Moment, limit: Limit) -> Account {
-        Account { limit, units: 0.0, updated_at: now }
+        Account { limit, units: 0.0, promised: 0.0, updated_at: now }
     }
 
     /// Sets the limit from now on.
@@ -115,8 +118,8 @@
     /// `patience`. A request that is larger than the burst gets its units when the account is full.
     ///
     /// # Errors
-    /// Time after which a request of this size and patience can expect its units;
-    /// [`Duration::MAX`] if never.
+    /// Time after which a request of this size and patience can expect its units, if those that
+    /// were refused before it come back first; [`Duration::MAX`] if never.
     pub fn take(
         &mut self,
         now: Moment,
@@ -125,12 +128,15 @@
     ) -> Result<Duration, Duration> {
         self.refill(now);
         let missing = units.min(self.limit.burst) - self.units;
-        let wait = match missing / self.limit.per_s {
-            _ if missing <= 0.0 => Duration::ZERO,
+        let time_for = |units: f64| match units / self.limit.per_s {
+            _ if units <= 0.0 => Duration::ZERO,
             seconds => Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX),
         };
+        let wait = time_for(missing);
         if wait > patience {
-            return Err(wait.saturating_sub(patience));
+            let wait_behind = time_for(missing + self.promised);
+            self.promised += units;
+            return Err(wait_behind.saturating_sub(patience));
         }
         self.units -= units;
         Ok(wait)
@@ -144,7 +150,9 @@
 
     fn refill(&mut self, now: Moment) {
         let elapsed = now.since(self.updated_at).as_secs_f64();
-        self.units = (self.units + elapsed * self.limit.per_s).min(self.limit.burst);
+        let refill = elapsed * self.limit.per_s;
+        self.units = (self.units + refill).min(self.limit.burst);
+        self.promised = (self.promised - refill).max(0.0);
         self.updated_at = self.updated_at.max(now);
     }
 }
--- a/crates/ffw-decide/tests/quota.rs
+++ b/crates/ffw-decide/tests/quota.rs
@@ -188,16 +188,37 @@
     assert_eq!(refused, Err(Duration::from_secs(1)));
 }
 
+/// Requests that are refused at the same moment must not all come back at the same moment.
+#[test]
+fn refused_requests_are_told_different_times_to_come_back() {
+    let mut account = Account::new(at(0), Limit { per_s: 1_000.0, burst: 0.0 });
+    let patience = Duration::from_millis(100);
+    assert_eq!(account.take(at(0), 2_000.0, patience), Ok(Duration::ZERO));
+    let millis = |span: Result<Duration, Duration>| span.expect_err("a refusal").as_millis();
+    assert_eq!(millis(account.take(at(0), 500.0, patience)), 1_900);
+    assert_eq!(millis(account.take(at(0), 500.0, patience)), 2_400);
+    // The first of them comes back, and the second one.
+    assert_eq!(account.take(at(1_900), 500.0, patience), Ok(patience));
+    assert_eq!(account.take(at(2_400), 500.0, patience), Ok(patience));
+}
+
 /// What happens to a fleet between two requests.
 #[derive(Clone, Debug)]
 enum Event {
-    Requests { daemon: usize, count: usize, units: f64 },
+    Requests {
+        daemon: usize,
+        count: usize,
+        units: f64,
+    },
     /// The keeper ends and comes back without its account.
     KeeperEnds,
     /// Another daemon becomes the keeper, as daemons come and go.
     OrderChanges(usize),
     /// For a time, these daemons reach nobody, or all but the first keeper.
-    Cut { daemons: usize, is_whole: bool },
+    Cut {
+        daemons: usize,
+        is_whole: bool,
+    },
     Healed,
 }
 
--- a/crates/ffw-peer/tests/wire_layout.rs
+++ b/crates/ffw-peer/tests/wire_layout.rs
@@ -16,6 +16,7 @@
         digest, id,
         instance::{Instance, Role, State},
         quarantine::{Cause, Clearing, Crash, Evidence, Exchange, Prompt},
+        quota,
         rate::{self, Stated},
     },
     serde::Serialize,
@@ -38,12 +39,14 @@
 lift_quarantine 12 12 3fab3e934c0c
 take_permits 13 91 5b7606807518
 confirmations 14 4 01b4f6bd5d6a
+take_quota 15 74 9f76e7aceb23
 admitted 0 148 bdeb152e10e9
 renewed 1 92 6647698c50de
 updates 3 200 ce92ef26b9ac
 evidence 10 99 c5df4ec88559
 permits 13 54 c40b47965728
 confirmed 14 52 24dbfe0b3323
+units 15 20 258a0cf4351d
 ";
 
 fn attempt() -> Attempt {
@@ -190,6 +193,17 @@
     }
 }
 
+fn units() -> quota::Ask {
+    quota::Ask {
+        workspace: "w".into(),
+        version: 10,
+        limit: quota::Limit { per_s: 11.5, burst: 12.5 },
+        units: 13.5,
+        patience: Duration::from_millis(14),
+        suspects: vec!["x".into()],
+    }
+}
+
 fn confirmation() -> Confirmation {
     Confirmation {
         kind: belief::Kind::Servers,
@@ -222,6 +236,7 @@
         line("lift_quarantine", &PeerRequest::LiftQuarantine { part: 5 }),
         line("take_permits", &PeerRequest::TakePermits { ask: permits() }),
         line("confirmations", &PeerRequest::Confirmations {}),
+        line("take_quota", &PeerRequest::TakeQuota { ask: units() }),
     ]
     .concat()
 }
@@ -248,6 +263,7 @@
         line("evidence", &PeerResponse::ExchangeEvidence(Some(evidence()))),
         line("permits", &PeerResponse::TakePermits(granted())),
         line("confirmed", &PeerResponse::Confirmations(vec![confirmation()])),
+        line("units", &PeerResponse::TakeQuota(quota::Grant::Exceeded(Duration::from_millis(15)))),
     ]
     .concat()
 }
