Answer 401 and 429 on routes, and test keys and quotas across processes

Cause: routed requests without a known key or beyond a quota were answered 503, as the statuses of errors on routes listed neither kind; found by the new test. Change: both kinds have their own status; 429 has a Retry-After.

--- a/crates/ffw-route/src/response.rs
+++ b/crates/ffw-route/src/response.rs
@@ -26,19 +26,20 @@
 /// certain.
 pub fn status(error: &Error) -> u16 {
     match (error.kind, error.run) {
-        (Kind::Malformed | Kind::NotFound | Kind::TooLarge, _) => error.kind.row().status,
+        (Kind::Malformed | Kind::NotFound | Kind::TooLarge | Kind::Unauthenticated, _)
+        | (Kind::RateLimited, Run::Not) => error.kind.row().status,
         (_, Run::Not) => 503,
         (Kind::Timeout, _) => 504,
         (_, _) => 502,
     }
 }
 
-/// Head and body of an error response. The head has a Retry-After only with status 503.
+/// Head and body of an error response. The head has a Retry-After only with status 429 or 503.
 pub fn from_error(error: &Error) -> (Response, Vec<u8>) {
     let mut head = Response::new(status(error));
     let row = error.kind.row();
     let body = format!("{}: {} ({})\n", row.code, error.message, error.run.word());
-    if let Some(retry_after) = error.retry_after.filter(|_| head.status == 503) {
+    if let Some(retry_after) = error.retry_after.filter(|_| matches!(head.status, 429 | 503)) {
         head.fields.set("Retry-After", format!("{:.3}", retry_after.as_secs_f64()));
     }
     head.fields.set("Content-Type", "text/plain; charset=utf-8");
--- a/crates/ffw-soak/src/worker.rs
+++ b/crates/ffw-soak/src/worker.rs
@@ -59,6 +59,10 @@
     pub server: String,
     /// When the server received it.
     pub received_at: Instant,
+    /// Workspace that the request names.
+    pub workspace: Option<String>,
+    /// Whether the request carries a caller's credentials.
+    pub has_credentials: bool,
 }
 
 /// The requests that all servers have started, and the number that is running. Clones share the
@@ -286,6 +290,8 @@
                 service: self.service.clone(),
                 server: self.name.clone(),
                 received_at: Instant::now(),
+                workspace: exchange.head.fields.text("Tenant").map(str::to_owned),
+                has_credentials: exchange.head.fields.has("Authorization"),
             });
         }
         let _run_guard = RunGuard::begin(&self.log);
