Give the keeper of a quota a larger burst, paid by the tolerated overshoot

Cause: a wave of requests above the rate was refused, though it was below the quota of the window in which the quota is counted. Change: 0.4 of the tolerated overshoot goes to the keeper's burst; allowances get 0.25 instead of 0.5, stand-ins 0.2 instead of 0.3, daemons alone 0.05.

--- a/crates/ffw-decide/src/quota.rs
+++ b/crates/ffw-decide/src/quota.rs
@@ -3,10 +3,10 @@
 //!
 //! The load is a workspace whose requests arrive at all daemons at once, unevenly, and that may
 //! send many times what it may use. One daemon keeps the account, so that no part of the quota is
-//! lost at daemons that have no use for it. The quota tolerates an overshoot in each window. Half of
-//! it pays for allowances, so that small requests cost no call; the other half pays for daemons
-//! that stand in for one that keeps the account and can't be reached, as that one may still be
-//! granting to others.
+//! lost at daemons that have no use for it. The quota tolerates an overshoot in each window. Parts
+//! of it pay for a larger burst, as requests come in waves within the window in which the quota is
+//! counted; for allowances, so that small requests cost no call; and for daemons that stand in for
+//! one that keeps the account and can't be reached, as that one may still be granting to others.
 //!
 //! An account starts without units. A new keeper therefore adds at most what the rate allows, and
 //! the bound holds while accounts move.
@@ -30,14 +30,17 @@
 /// Largest part of its time left for which a request waits for its units.
 const PATIENCE_SHARE: f64 = 0.1;
 
+/// Share of the tolerated overshoot by which the keeper's burst exceeds the declared one.
+const BURST_SHARE: f64 = 0.4;
+
 /// Share of the tolerated overshoot that pays for allowances.
-const ALLOWANCE_SHARE: f64 = 0.5;
+const ALLOWANCE_SHARE: f64 = 0.25;
 
 /// Share of the tolerated overshoot that the first daemon grants that stands in for the keeper.
-const STAND_IN_SHARE: f64 = 0.3;
+const STAND_IN_SHARE: f64 = 0.2;
 
 /// Share of the tolerated overshoot that all daemons together use that reach no keeper.
-const ISOLATED_SHARE: f64 = 0.1;
+const ISOLATED_SHARE: f64 = 0.05;
 
 /// What a quota tolerates beyond its limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -64,10 +67,10 @@
     }
 
     /// What a daemon grants that has `preceding` daemons before it in the order of keepers: the
-    /// whole limit if none.
+    /// whole limit, with a larger burst, if none.
     pub fn kept(&self, limit: Limit, preceding: usize) -> Limit {
         match preceding {
-            0 => limit,
+            0 => Limit { burst: limit.burst + self.units(limit) * BURST_SHARE, ..limit },
             1 => self.spread(self.units(limit) * STAND_IN_SHARE, 0.0),
             _ => Limit::default(),
         }
