Keep beliefs under their bound beside a slow store

Callers saw: beside a store that takes 0.6 s for each response, a daemon acted on a configuration, servers or daemons that were confirmed more than 2 s ago, the bound on the age of a belief.

Cause, three times of about 0.6 s that add up: - Kinds that no answer about another kind confirms were asked about one after the other. - A question whose answer was a change confirmed nothing. The watch that brings the change was sent long before, so the belief stayed as old as it was until the next question. - A daemon whose checker gives no answer asked the store itself only from five eighths of the bound on, which leaves 0.75 s.

Change: - Kinds that are behind the newest revision are asked about at the same time. While an answer is late, kinds are added that it won't confirm, or whose own question would come too late after it (`belief::is_asked_beside`). If nothing changes, one question about one kind is enough, as before. - What a question has found is kept with the belief (`Found`); once the reader has read that change, the belief is confirmed as of the question. - Without an answer of the checker, the store is asked earlier by the time of its latest answer (`belief::is_asked_alone`). Beside a fast store, nothing changes.

--- a/crates/ffw-control/src/belief.rs
+++ b/crates/ffw-control/src/belief.rs
@@ -8,7 +8,7 @@
 
 use {
     crate::{daemon::Daemon, relay},
-    ffw_decide::belief::{self, Belief, Step, Timeouts},
+    ffw_decide::belief::{self, Belief, Found, Step, Timeouts},
     ffw_peer::link::Answering,
     ffw_protocol::{
         belief::{Confirmation, Kind},
@@ -17,6 +17,7 @@
         time::Moment,
     },
     ffw_runtime::{clock, executor, timer},
+    futures_lite::future,
     log::{debug, info, warn},
     prometheus::GaugeVec,
     smol::channel::{self, Receiver, Sender},
@@ -28,6 +29,7 @@
             Arc, Mutex, MutexGuard, PoisonError,
             atomic::{AtomicBool, AtomicU64, Ordering},
         },
+        task::Poll,
         time::Duration,
     },
 };
@@ -68,6 +70,8 @@
     Changed {
         /// Revision of the last change; if that is not known, an earlier one after the question's.
         revision: u64,
+        /// What the response shows; `None` if its changes are not known.
+        found: Option<Found>,
         /// When the call was sent, if the configuration that it brought was put in force.
         taken_over: Option<Moment>,
     },
@@ -92,6 +96,8 @@
     readers: [Reader; Kind::ALL.len()],
     /// Bound on the ages, in milliseconds; 0 for [`BOUND_DEFAULT`].
     bound_ms: AtomicU64,
+    /// Time that the store's latest answer to a question took, in milliseconds.
+    latency_ms: AtomicU64,
     /// Daemons that know the call for confirmations.
     answering: Answering,
 }
@@ -194,6 +200,16 @@
         }
     }
 
+    fn latency(&self) -> Duration {
+        Duration::from_millis(self.latency_ms.load(Ordering::Relaxed))
+    }
+
+    /// Records that the store has answered a question that was sent at `asked_at`.
+    fn record_latency(&self, asked_at: Moment) {
+        let millis = clock::boot_time().since(asked_at).as_millis();
+        self.latency_ms.store(u64::try_from(millis).unwrap_or(u64::MAX), Ordering::Relaxed);
+    }
+
     /// Kinds whose reader waits for changes, with the ages of their beliefs, the oldest first. The
     /// other readers are about to read.
     fn waiting(&self) -> Vec<(Duration, Kind)> {
@@ -248,21 +264,29 @@
         let pause = match (belief::step(oldest, bound, checker.is_none()), checker) {
             (Step::Wait(pause), _) => pause.min(bound / PAUSES_PER_BOUND),
             (Step::AskChecker, Some(checker)) => {
-                ask_checker(daemon, &checker, bound).await;
-                bound / QUESTIONS_PER_BOUND
-            }
-            (Step::AskStore | Step::AskChecker, _) => match check(daemon, ask, bound).await {
-                Ok(()) => bound / QUESTIONS_PER_BOUND,
-                Err(error) => {
-                    debug!("event=beliefs_unconfirmed error=\"{error}\"");
-                    bound / PAUSES_PER_BOUND * 2
+                let has_answered = ask_checker(daemon, &checker, bound).await;
+                match belief::is_asked_alone(oldest, bound, daemon.beliefs.latency()) {
+                    true if !has_answered => check_and_pause(daemon, ask, bound).await,
+                    _ => bound / QUESTIONS_PER_BOUND,
                 }
-            },
+            }
+            (Step::AskStore | Step::AskChecker, _) => check_and_pause(daemon, ask, bound).await,
         };
         timer::sleep(pause).await;
     }
 }
 
+/// Asks the store, and returns the pause before the next look at the ages.
+async fn check_and_pause(daemon: &Arc<Daemon>, ask: &Ask, bound: Duration) -> Duration {
+    match check(daemon, ask, bound).await {
+        Ok(()) => bound / QUESTIONS_PER_BOUND,
+        Err(error) => {
+            debug!("event=beliefs_unconfirmed error=\"{error}\"");
+            bound / PAUSES_PER_BOUND * 2
+        }
+    }
+}
+
 /// Asks the store each time that a confirmation of the configuration is wanted.
 async fn confirm_on_demand(daemon: &Arc<Daemon>, ask: &Ask) {
     let kind = Kind::Configuration;
@@ -287,9 +311,9 @@
     first.filter(|first| first.name != daemon.identity.instance)
 }
 
-/// Takes over the confirmations of the checker. A reader that has not read what the checker has read
-/// starts anew.
-async fn ask_checker(daemon: &Arc<Daemon>, checker: &Instance, bound: Duration) {
+/// Takes over the confirmations of the checker; returns whether it has answered. A reader that has
+/// not read what the checker has read starts anew.
+async fn ask_checker(daemon: &Arc<Daemon>, checker: &Instance, bound: Duration) -> bool {
     let limit = bound / PAUSES_PER_BOUND;
     // The age that the answer states was taken later.
     let asked_at = clock::boot_time();
@@ -301,7 +325,7 @@
         Ok(confirmations) => confirmations,
         Err(error) => {
             debug!("event=checker_unreachable peer={} error=\"{error}\"", checker.name);
-            return;
+            return false;
         }
     };
     for Confirmation { kind, span, age } in confirmations {
@@ -314,25 +338,110 @@
             check_reader_in_background(daemon, kind, span.since, bound);
         }
     }
+    true
 }
 
 /// Asks the store about the kinds whose beliefs are old. An answer that names a revision up to which
 /// another kind has been read confirms that one as well, so that mostly one call is enough.
 async fn check(daemon: &Arc<Daemon>, ask: &Ask, bound: Duration) -> Result<()> {
-    for (_, kind) in daemon.beliefs.waiting() {
-        let age = daemon.beliefs.age(kind).unwrap_or_default();
-        if belief::step(age, bound, true) == Step::AskStore {
-            ask_store(daemon, ask, kind, bound).await?;
+    for _ in Kind::ALL {
+        let kinds = kinds_to_ask(&daemon.beliefs, bound);
+        if kinds.is_empty() {
+            break;
         }
+        ask_about(daemon, ask, kinds, bound).await?;
     }
     Ok(())
 }
 
+/// Kinds whose readers wait and whose beliefs are old, the oldest first; each with its age and
+/// whether no answer about another kind confirms it, see [`Belief::is_before`].
+fn due_kinds(beliefs: &Beliefs, bound: Duration) -> Vec<(Duration, Kind, bool)> {
+    let spans = Kind::ALL.into_iter().map(|kind| beliefs.of(kind).span());
+    let newest = spans.max_by_key(|span| (span.era, span.until)).unwrap_or_default();
+    let is_due = |age: Duration| belief::step(age, bound, true) == Step::AskStore;
+    let due = beliefs.waiting().into_iter().filter(|(age, _)| is_due(*age));
+    due.map(|(age, kind)| (age, kind, beliefs.of(kind).is_before(newest))).collect()
+}
+
+/// Kinds to ask about while no question is open: those that no answer about another kind confirms,
+/// or else the oldest one.
+fn kinds_to_ask(beliefs: &Beliefs, bound: Duration) -> Vec<Kind> {
+    let due = due_kinds(beliefs, bound);
+    let before: Vec<Kind> =
+        due.iter().filter(|(_, _, is_before)| *is_before).map(|(_, kind, _)| *kind).collect();
+    if before.is_empty() {
+        due.into_iter().take(1).map(|(_, kind, _)| kind).collect()
+    } else {
+        before
+    }
+}
+
+/// Kinds to ask about while an answer is late that has been waited for since a time.
+fn kinds_beside(beliefs: &Beliefs, bound: Duration, since: Moment) -> Vec<Kind> {
+    let latency = beliefs.latency().max(clock::boot_time().since(since));
+    let due = due_kinds(beliefs, bound).into_iter();
+    let beside =
+        due.filter(|(age, _, is_before)| belief::is_asked_beside(*age, bound, latency, *is_before));
+    beside.map(|(_, kind, _)| kind).collect()
+}
+
+/// A question to the store that is open.
+struct Question<'a> {
+    kind: Kind,
+    asking: Pin<Box<dyn Future<Output = Result<()>> + Send + 'a>>,
+}
+
+/// Asks the store about some kinds at the same time. While an answer is late, it also asks about
+/// kinds that the answer won't confirm, or not in time: beside a slow store, their beliefs would
+/// exceed the bound if they were asked about one after the other.
+async fn ask_about(
+    daemon: &Arc<Daemon>,
+    ask: &Ask,
+    kinds: Vec<Kind>,
+    bound: Duration,
+) -> Result<()> {
+    let question = |kind| Question { kind, asking: Box::pin(ask_store(daemon, ask, kind, bound)) };
+    let started_at = clock::boot_time();
+    let mut open: Vec<Question<'_>> = kinds.into_iter().map(question).collect();
+    let mut result = Ok(());
+    loop {
+        let answer = next_answer(&mut open);
+        match timer::timeout(bound / QUESTIONS_PER_BOUND, answer).await {
+            Some(Some(answer)) => result = result.and(answer),
+            Some(None) => return result,
+            None => {
+                let mut further = kinds_beside(&daemon.beliefs, bound, started_at);
+                further.retain(|kind| !open.iter().any(|question| question.kind == *kind));
+                open.extend(further.into_iter().map(question));
+            }
+        }
+    }
+}
+
+/// The next answer to one of the questions, which is removed; `None` if none is open.
+async fn next_answer(open: &mut Vec<Question<'_>>) -> Option<Result<()>> {
+    future::poll_fn(|cx| {
+        if open.is_empty() {
+            return Poll::Ready(None);
+        }
+        for index in 0..open.len() {
+            if let Poll::Ready(answer) = open[index].asking.as_mut().poll(cx) {
+                open.swap_remove(index);
+                return Poll::Ready(Some(answer));
+            }
+        }
+        Poll::Pending
+    })
+    .await
+}
+
 /// Asks the store whether a kind has changed, and sees to it that its reader reads the change.
 async fn ask_store(daemon: &Arc<Daemon>, ask: &Ask, kind: Kind, bound: Duration) -> Result<()> {
     let since = daemon.beliefs.of(kind).span().until;
     match ask(kind, since, Timeouts::of_question(bound)).await? {
         Answer::Unchanged { revision, era, asked_at } => {
+            daemon.beliefs.record_latency(asked_at);
             daemon.beliefs.of(kind).record_unchanged(era, since, revision, asked_at);
             for kind in Kind::ALL {
                 let is_confirmed = daemon.beliefs.of(kind).record_revision(era, revision, asked_at);
@@ -341,7 +450,11 @@
                 }
             }
         }
-        Answer::Changed { revision, taken_over } => {
+        Answer::Changed { revision, found, taken_over } => {
+            if let Some(found) = found {
+                daemon.beliefs.record_latency(found.asked_at);
+                daemon.beliefs.of(kind).record_found(found);
+            }
             if let Some(asked_at) = taken_over {
                 daemon.record_config_confirmed(asked_at);
             }
--- a/crates/ffw-decide/src/belief.rs
+++ b/crates/ffw-decide/src/belief.rs
@@ -22,6 +22,9 @@
 /// Parts of the bound: both timeouts of a question, and of the list that follows a single silence.
 const QUESTIONS_PER_BOUND: u32 = 8;
 
+/// Parts of the bound: the time that a slow answer leaves at least.
+const MARGINS_PER_BOUND: u32 = 16;
+
 /// Parts of the bound: the time for further bytes of a response to a reader that has met no silence.
 const IDLE_TIMES_PER_BOUND: u32 = 4;
 
@@ -51,6 +54,24 @@
     }
 }
 
+/// Decides whether the store is asked about a belief of an age as its checker gives no answer.
+/// `latency` is the time that the store's latest answer took: beside a slow one, the time that is
+/// otherwise left would be too short for a second question.
+pub fn is_asked_alone(age: Duration, bound: Duration, latency: Duration) -> bool {
+    let (ask_at, ask_alone_at) = (bound / 8 * ASK_EIGHTHS, bound / 8 * ASK_ALONE_EIGHTHS);
+    age >= ask_alone_at.saturating_sub(latency).max(ask_at)
+}
+
+/// Decides whether the store is asked about a belief of an age while the answer about another kind,
+/// which may confirm this one as well, is late. `is_before` tells that it won't, see
+/// [`Belief::is_before`]. Otherwise the store is asked once the belief would exceed the bound by a
+/// question of its own after that answer; `latency` is the time that an answer takes.
+pub fn is_asked_beside(age: Duration, bound: Duration, latency: Duration, is_before: bool) -> bool {
+    let ask_at = bound / 8 * ASK_EIGHTHS;
+    let last_at = (bound - bound / MARGINS_PER_BOUND).saturating_sub(latency);
+    age >= ask_at && (is_before || age >= last_at)
+}
+
 /// How long a read of the store waits before it takes its connection for silent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Timeouts {
@@ -92,6 +113,19 @@
     }
 }
 
+/// Changes of one kind that a call has found, and that its reader may not have read yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Found {
+    /// Era of the store that answered.
+    pub era: u64,
+    /// Revision of the last change.
+    pub last_change: u64,
+    /// Revision up to which there are no others.
+    pub until: u64,
+    /// When the call was sent.
+    pub asked_at: Moment,
+}
+
 /// What a daemon believes about one kind of objects.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Belief {
@@ -99,6 +133,8 @@
     /// Time at which the latest call was sent whose response showed nothing newer; `None` before
     /// the first one.
     confirmed_at: Option<Moment>,
+    /// Changes that are to be read; reading them confirms the belief as of their call.
+    found: Option<Found>,
 }
 
 impl Belief {
@@ -116,6 +152,7 @@
     pub fn record_list(&mut self, era: u64, revision: u64, asked_at: Moment) {
         self.span = Span { era, since: revision, until: revision };
         self.confirmed_at = Some(asked_at);
+        self.found = None;
     }
 
     /// Records the response to a call for the changes after a revision, sent at `asked_at`: the
@@ -127,6 +164,25 @@
         }
         self.span.until = self.span.until.max(until);
         self.confirm(asked_at);
+        if let Some(found) = self.found.take() {
+            self.record_found(found);
+        }
+    }
+
+    /// Records changes that a call has found. The belief is confirmed as of that call once they have
+    /// been read, which may have happened already: the watch that brings them was sent earlier and
+    /// confirms less. Those found first are kept until they are read, so that a reader that is
+    /// always behind the newest ones is confirmed too.
+    pub fn record_found(&mut self, found: Found) {
+        if found.era != self.span.era {
+            return;
+        }
+        if self.span.until >= found.last_change {
+            self.span.until = self.span.until.max(found.until);
+            self.confirm(found.asked_at);
+        } else {
+            self.found = self.found.or(Some(found));
+        }
     }
 
     /// Records the response to a call sent at `asked_at`: nothing changed after the revision `since`
@@ -165,6 +221,12 @@
         true
     }
 
+    /// Whether objects of any kind have been read up to a later revision of the same era: an answer
+    /// of the store then names a revision that does not confirm this belief.
+    pub fn is_before(&self, newest: Span) -> bool {
+        self.span.era == newest.era && self.span.until < newest.until
+    }
+
     /// Whether another daemon has read a change that is newer than this belief. In another era, it
     /// can't be told.
     pub fn is_behind(&self, other: Span) -> bool {
--- a/crates/ffw-decide/tests/belief.rs
+++ b/crates/ffw-decide/tests/belief.rs
@@ -3,7 +3,7 @@
 //! Guards against a silent connection, an older state or another era that counts as a confirmation.
 
 use {
-    ffw_decide::belief::{self, Belief, Step, Timeouts},
+    ffw_decide::belief::{self, Belief, Found, Step, Timeouts},
     ffw_protocol::{belief::Span, time::Moment},
     rstest::rstest,
     std::time::Duration,
@@ -94,6 +94,112 @@
     assert_eq!(belief.span(), if expected { merged } else { kept });
 }
 
+/// Revision 13 with the last change at 12, as the answer to a call at 4 s shows.
+const FOUND: Found =
+    Found { era: 1, last_change: 12, until: 13, asked_at: Moment::from_millis(4_000) };
+
+/// Guards against a belief that is as old as the watch that brought a change, although a later call
+/// has found nothing newer: beside a slow store, its age exceeds the bound.
+#[rstest]
+#[case::found_first(true, 12, 4)]
+#[case::read_first(false, 12, 4)]
+#[case::only_a_part_is_read(true, 11, 2)]
+#[case::only_a_part_was_read(false, 11, 2)]
+fn reading_what_a_call_has_found_confirms_as_of_that_call(
+    #[case] is_found_first: bool,
+    #[case] read_until: u64,
+    #[case] confirmed_at: u64,
+) {
+    let mut belief = listed();
+    if is_found_first {
+        belief.record_found(FOUND);
+        assert_eq!(age(&belief, 6), 5);
+    }
+    belief.record_changes(Some(read_until), read_until, at(2));
+    if !is_found_first {
+        belief.record_found(FOUND);
+    }
+    assert_eq!(age(&belief, 6), 6 - confirmed_at);
+    belief.record_changes(Some(12), 12, at(3));
+    assert_eq!(age(&belief, 6), 2);
+    assert_eq!(belief.span(), Span { era: 1, since: 12, until: 13 });
+}
+
+/// What was found in another era, or before the latest list, confirms nothing.
+#[test]
+fn changes_of_another_era_are_not_waited_for() {
+    let mut belief = listed();
+    belief.record_found(Found { era: 2, ..FOUND });
+    belief.record_changes(Some(12), 12, at(2));
+    assert_eq!(age(&belief, 6), 4);
+    let mut belief = listed();
+    belief.record_found(FOUND);
+    belief.record_list(2, 11, at(2));
+    belief.record_changes(Some(12), 12, at(3));
+    assert_eq!(age(&belief, 6), 3);
+}
+
+/// A reader that is always behind the newest change is confirmed as of the call that found the
+/// changes which it has read.
+#[test]
+fn changes_that_are_found_later_do_not_replace_those_to_be_read() {
+    let mut belief = listed();
+    belief.record_found(FOUND);
+    belief.record_found(Found { last_change: 15, until: 15, asked_at: at(5), ..FOUND });
+    belief.record_changes(Some(12), 12, at(2));
+    assert_eq!(age(&belief, 6), 2);
+}
+
+/// Guards against a belief that exceeds its bound as the checker is gone and the store is slow.
+/// Beside a fast store, a checker that is gone costs no further calls.
+#[rstest]
+#[case::fast_too_early(1_200, 10, false)]
+#[case::fast(1_250, 10, true)]
+#[case::slow(850, 400, true)]
+#[case::slow_too_early(849, 400, false)]
+#[case::very_slow(750, 3_000, true)]
+#[case::young(749, 3_000, false)]
+fn a_slow_store_is_asked_early_if_the_checker_is_gone(
+    #[case] age_ms: u64,
+    #[case] latency_ms: u64,
+    #[case] expected: bool,
+) {
+    let (age, latency) = (Duration::from_millis(age_ms), Duration::from_millis(latency_ms));
+    assert_eq!(belief::is_asked_alone(age, BOUND, latency), expected);
+}
+
+/// One answer confirms all kinds in a calm, so further questions are only asked where it won't, or
+/// not in time.
+#[rstest]
+#[case::young(700, 600, true, false)]
+#[case::not_confirmed_by_others(750, 10, true, true)]
+#[case::time_for_a_later_question(1_270, 600, false, false)]
+#[case::no_time_for_a_later_question(1_275, 600, false, true)]
+#[case::less_slow(1_400, 400, false, false)]
+#[case::very_slow(750, 2_500, false, true)]
+#[case::very_slow_and_young(700, 2_500, false, false)]
+fn the_store_is_asked_beside_a_late_answer(
+    #[case] age_ms: u64,
+    #[case] latency_ms: u64,
+    #[case] is_before: bool,
+    #[case] expected: bool,
+) {
+    let (age, latency) = (Duration::from_millis(age_ms), Duration::from_millis(latency_ms));
+    assert_eq!(belief::is_asked_beside(age, BOUND, latency, is_before), expected);
+}
+
+#[rstest]
+#[case::earlier(1, 11, true)]
+#[case::the_same(1, 10, false)]
+#[case::another_era(2, 11, false)]
+fn a_belief_is_before_a_later_revision_of_its_era(
+    #[case] era: u64,
+    #[case] until: u64,
+    #[case] expected: bool,
+) {
+    assert_eq!(listed().is_before(Span { era, since: until, until }), expected);
+}
+
 /// A daemon that has read nothing yet has nothing to be confirmed.
 #[test]
 fn nothing_is_confirmed_before_the_first_list() {
