Choose plain servers by the slowdown that they report

On some deployments 15 in 100 of the servers are 2.5 times as slow for 0.6 s at a time and say so in a fourth figure of Instance-Load, which was not read.

The figure is read into ServerLoad::slowdown and multiplies a server's score, fading over 0.6 s. A figure below 100 counts as 100. The learned answer time is kept free of the slowdown, within what the measured time allows: it never falls below the measured time, so a false figure gains nothing. Without the figure the scores are the same as before, in the same order of floating-point operations.

--- a/crates/ffw-decide/src/balance.rs
+++ b/crates/ffw-decide/src/balance.rs
@@ -4,6 +4,10 @@
 //! The policy is for pools with a few slow or failing servers among healthy ones. A server
 //! that failed a request is in backoff for a time that doubles with each further failure in a row.
 //! After the backoff it gets one request at a time until a request succeeds.
+//!
+//! Some servers are slow for a fraction of a second at a time and report it as a slowdown. The answer
+//! time is learned over the life of a server; the slowdown raises the score for as long as it is
+//! likely to last, and is not learned as well.
 
 use {
     crate::retry,
@@ -23,6 +27,13 @@
 /// Age from which a reported load is ignored.
 const LOAD_AGE_MAX: Duration = Duration::from_millis(500);
 
+/// Time over which a reported slowdown fades. Servers are slow for 0.6 s at a time; a report comes at
+/// any moment of that, so the chance that the server is still slow falls linearly.
+const SLOWDOWN_FADE: Duration = Duration::from_millis(600);
+
+/// Upper limit of a slowdown. A server that reports more is chosen last all the same.
+const SLOWDOWN_MAX: f64 = 20.0;
+
 /// Factor on the score of a server in another data centre, so that local servers are preferred
 /// among about equal ones.
 const REMOTE_FACTOR: f64 = 1.15;
@@ -67,6 +78,9 @@
     /// Ratio of running and waiting requests to slots, as the server reported it.
     reported_load: f64,
     reported_at: Moment,
+    /// Time that work took when the server reported it, divided by the usual time; at least one.
+    slowdown: f64,
+    slowdown_at: Moment,
 }
 
 impl Server {
@@ -80,19 +94,36 @@
             backoff_until: Moment(0),
             reported_load: 0.0,
             reported_at: Moment(0),
+            slowdown: 1.0,
+            slowdown_at: Moment(0),
         }
     }
 
+    /// Slowdown that is expected now.
+    fn slowdown(&self, now: Moment) -> f64 {
+        let age = now.since(self.slowdown_at).as_secs_f64();
+        let likelihood = (1.0 - age / SLOWDOWN_FADE.as_secs_f64()).max(0.0);
+        1.0 + (self.slowdown - 1.0) * likelihood
+    }
+
+    /// Learns the answer time without the slowdown. The learned time does not fall below the
+    /// measured one, so that a server gains nothing by a slowdown that it does not have.
+    fn learn_answer_time(&mut self, now: Moment, measured_s: f64) {
+        let least = measured_s / self.slowdown(now);
+        let sample = self.answer_time_s.clamp(least, measured_s);
+        self.answer_time_s += (sample - self.answer_time_s) * SAMPLE_WEIGHT;
+    }
+
     /// Score of the server; lower is better. The load times the average answer time, divided by the
-    /// square of the success rate (at least 0.01), and increased for a server in another data
-    /// centre. The load is one for the new request, plus this daemon's open requests, plus the
+    /// square of the success rate (at least 0.01), times the slowdown, and increased for a server
+    /// in another data centre. The load is one for the new request, plus this daemon's open requests, plus the
     /// reported ratio of requests to slots while the report is recent.
     fn score(&self, now: Moment, is_local: bool) -> f64 {
         let is_fresh = now.since(self.reported_at) < LOAD_AGE_MAX;
         let reported = if is_fresh { self.reported_load } else { 0.0 };
         let load = 1.0 + f64::from(self.open_requests) + reported;
         let distance_factor = if is_local { 1.0 } else { REMOTE_FACTOR };
-        load * self.answer_time_s * distance_factor
+        load * self.answer_time_s * self.slowdown(now) * distance_factor
             / (self.success_rate * self.success_rate).max(0.01)
     }
 }
@@ -146,8 +177,7 @@
         server.open_requests = server.open_requests.saturating_sub(1);
         match outcome {
             Outcome::Answered(duration) => {
-                server.answer_time_s +=
-                    (duration.as_secs_f64() - server.answer_time_s) * SAMPLE_WEIGHT;
+                server.learn_answer_time(now, duration.as_secs_f64());
                 server.success_rate += (1.0 - server.success_rate) * SAMPLE_WEIGHT;
                 server.failures = 0;
             }
@@ -170,6 +200,14 @@
         server.reported_at = now;
     }
 
+    /// Records the slowdown that a server reports. One below 1 counts as 1, so that no server gains
+    /// by it.
+    pub fn record_slowdown(&mut self, now: Moment, name: &Arc<str>, slowdown: f64) {
+        let server = self.server(name);
+        server.slowdown = slowdown.clamp(1.0, SLOWDOWN_MAX);
+        server.slowdown_at = now;
+    }
+
     /// Drops servers that are no longer listed and have no request open.
     pub fn retain(&mut self, is_listed: impl Fn(&str) -> bool) {
         self.servers.retain(|server| server.open_requests > 0 || is_listed(&server.name));
--- a/crates/ffw-route/src/dialect.rs
+++ b/crates/ffw-route/src/dialect.rs
@@ -88,7 +88,7 @@
 }
 
 /// Load that a backend server reports in the head of a response.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ServerLoad {
     /// Requests that run.
     pub running: u32,
@@ -96,6 +96,9 @@
     pub waiting: u32,
     /// Requests that can run at once.
     pub slots: u32,
+    /// Time that work takes at the server now, divided by its usual time; `None` if it is not
+    /// reported. May be any finite number that the server has written.
+    pub slowdown: Option<f64>,
 }
 
 impl ServerLoad {
--- a/crates/ffw-route/src/plain.rs
+++ b/crates/ffw-route/src/plain.rs
@@ -242,7 +242,12 @@
     };
     let response = transport::call(router, &outgoing).await?;
     if let Some(load) = response.response_info.load {
-        router.balancer().record_load(identity::now(), &server.name, load.ratio());
+        let now = identity::now();
+        let mut balancer = router.balancer();
+        balancer.record_load(now, &server.name, load.ratio());
+        if let Some(slowdown) = load.slowdown {
+            balancer.record_slowdown(now, &server.name, slowdown);
+        }
     }
     response.into_full(router, RESPONSE_BYTES_MAX, request.deadline).await
 }
