Try a failing data centre second only if there is no other

A second attempt went to any server without failures of its own, also if a third of the servers beside it had just failed, as when a data centre fails as a whole.

Such a server is now chosen after those of other data centres, if the servers of the first attempt's data centre fail more often than those elsewhere: at least two of them and at least a third. First attempts are chosen as before. Releases are not known to the daemon for plain servers, so they are not compared.

The new case failing_data_centre failed before the change (tests/balance.rs); the others pin that one failing server, failures everywhere, and refusals change nothing.

--- a/crates/ffw-decide/src/balance.rs
+++ b/crates/ffw-decide/src/balance.rs
@@ -5,6 +5,9 @@
 //! that failed a request is in backoff for a time that doubles with each further failure in a row.
 //! After the backoff it gets one request at a time until a request succeeds.
 //!
+//! A second attempt of a request avoids the data centre of the first one if a notable part of that data
+//! centre's servers fail.
+//!
 //! Some servers are slow for a fraction of a second at a time and report it as a slowdown. The answer
 //! time is learned over the life of a server; the slowdown raises the score for as long as it is
 //! likely to last, and is not learned as well.
@@ -34,6 +37,11 @@
 /// Upper limit of a slowdown. A server that reports more is chosen last all the same.
 const SLOWDOWN_MAX: f64 = 20.0;
 
+/// Part of a data centre's servers, and their least number, from which failures count as the data
+/// centre's. Two failing servers of many are failures of their own.
+const FAILING_SHARE: f64 = 1.0 / 3.0;
+const FAILING_MIN: usize = 2;
+
 /// Factor on the score of a server in another data centre, so that local servers are preferred
 /// among about equal ones.
 const REMOTE_FACTOR: f64 = 1.15;
@@ -46,7 +54,9 @@
 pub struct Candidate {
     /// Name of the server.
     pub name: Arc<str>,
-    /// Whether the server is in this daemon's data centre.
+    /// Data centre of the server.
+    pub data_centre: Arc<str>,
+    /// Whether that is this daemon's data centre.
     pub is_local: bool,
 }
 
@@ -137,7 +147,8 @@
 impl Balancer {
     /// Chooses the candidate with the lowest score among those that are not in `tried`, and counts
     /// the request as open there until [`Balancer::record_end`]. A server in backoff, or one with
-    /// failures that has a request open, is chosen only if all are like that. The search starts at
+    /// failures that has a request open, is chosen only if all are like that; next, a server of a
+    /// failing data centre in which one was tried is chosen only if all are. The search starts at
     /// the index `turn` modulo the number of untried candidates, so that servers with equal scores
     /// alternate if `turn` increases with each call. `None` if every candidate was tried.
     pub fn choose(
@@ -150,22 +161,51 @@
         let untried: Vec<&Candidate> =
             candidates.iter().filter(|candidate| !tried.contains(&candidate.name)).collect();
         let count = untried.len();
-        let mut best: Option<(bool, f64, usize)> = None;
+        let failing = self.failing_data_centres(candidates, tried);
+        let mut best: Option<((bool, bool, f64), usize)> = None;
         for offset in 0..count {
             let index = (turn as usize + offset) % count;
             let server = self.server(&untried[index].name);
             let is_avoided =
                 now < server.backoff_until || server.failures > 0 && server.open_requests > 0;
             let score = server.score(now, untried[index].is_local);
-            if best.is_none_or(|(avoided, least, _)| (is_avoided, score) < (avoided, least)) {
-                best = Some((is_avoided, score, index));
+            let is_similar = failing.contains(&&untried[index].data_centre);
+            let rank = (is_avoided, is_similar, score);
+            if best.is_none_or(|(least, _)| rank < least) {
+                best = Some((rank, index));
             }
         }
-        let name = untried[best?.2].name.clone();
+        let name = untried[best?.1].name.clone();
         self.server(&name).open_requests += 1;
         Some(name)
     }
 
+    /// Data centres of the tried servers in which a larger part of the servers fail than elsewhere.
+    fn failing_data_centres<'a>(
+        &mut self,
+        candidates: &'a [Candidate],
+        tried: &[Arc<str>],
+    ) -> Vec<&'a Arc<str>> {
+        let mut failing = Vec::new();
+        for first in candidates.iter().filter(|candidate| tried.contains(&candidate.name)) {
+            let (mut there, mut elsewhere) = ([0, 0], [0, 0]);
+            for candidate in candidates {
+                let is_there = candidate.data_centre == first.data_centre;
+                let counts = if is_there { &mut there } else { &mut elsewhere };
+                counts[0] += usize::from(self.server(&candidate.name).failures > 0);
+                counts[1] += 1;
+            }
+            let share = |counts: [usize; 2]| counts[0] as f64 / counts[1].max(1) as f64;
+            let is_failing = there[0] >= FAILING_MIN
+                && share(there) >= FAILING_SHARE
+                && share(there) > share(elsewhere);
+            if is_failing && !failing.contains(&&first.data_centre) {
+                failing.push(&first.data_centre);
+            }
+        }
+        failing
+    }
+
     /// Counts a request as open at a server that was not chosen by [`Balancer::choose`].
     pub fn record_begin(&mut self, name: &Arc<str>) {
         self.server(name).open_requests += 1;
--- a/crates/ffw-decide/tests/balance.rs
+++ b/crates/ffw-decide/tests/balance.rs
@@ -10,11 +10,16 @@
     plain_pool::{Report, Scene, Server, replay},
     rand::{Rng as _, SeedableRng as _},
     rand_chacha::ChaCha8Rng,
+    rstest::rstest,
     std::{sync::Arc, time::Duration},
 };
 
 fn candidates(count: usize) -> Vec<Candidate> {
-    let of = |index| Candidate { name: format!("s{index}").into(), is_local: index % 2 == 0 };
+    let of = |index| Candidate {
+        name: format!("s{index}").into(),
+        data_centre: if index % 2 == 0 { "a".into() } else { "b".into() },
+        is_local: index % 2 == 0,
+    };
     (0..count).map(of).collect()
 }
 
@@ -162,7 +167,7 @@
     let (mut balancer, candidates) = (Balancer::default(), candidates(1));
     let slow: Arc<str> = candidates[0].name.clone();
     let usual: Arc<str> = "usual".into();
-    let both = [candidates[0].clone(), Candidate { name: usual.clone(), is_local: true }];
+    let both = [candidates[0].clone(), Candidate { name: usual.clone(), ..candidates[0].clone() }];
     let mut now = Moment::from_millis(1_000);
     for _ in 0..100 {
         now = now + Duration::from_millis(100);
@@ -175,3 +180,49 @@
     let chosen: Vec<_> = (0..4).filter_map(|_| balancer.choose(now, &both, &[], 1)).collect();
     assert_eq!(chosen.iter().filter(|name| **name == slow).count(), 1, "{chosen:?}");
 }
+
+/// Lets requests fail at these servers, and chooses for a request that was tried at the first one.
+fn second_choice(failed: &[usize], outcome: Outcome) -> Option<usize> {
+    let (mut balancer, candidates) = (Balancer::default(), candidates(12));
+    let now = Moment::from_millis(1_000);
+    for index in failed {
+        balancer.record_begin(&candidates[*index].name);
+        balancer.record_end(now, &candidates[*index].name, outcome);
+    }
+    let tried = [candidates[failed[0]].name.clone()];
+    let chosen = balancer.choose(now, &candidates, &tried, 0)?;
+    candidates.iter().position(|candidate| candidate.name == chosen)
+}
+
+/// The load: one request whose first attempt fails, at six servers of data centre a (even numbers)
+/// and six of b. Guards against a second attempt in a data centre that fails as a whole, and
+/// against needless ones in another data centre.
+#[rstest]
+#[case::one_failing_server(&[0], Outcome::Failed, true)]
+#[case::failing_data_centre(&[0, 2], Outcome::Failed, false)]
+#[case::failures_everywhere(&[0, 2, 1, 3], Outcome::Failed, true)]
+#[case::refusals(&[0, 2], Outcome::Rejected, true)]
+fn a_second_attempt_avoids_a_failing_data_centre(
+    #[case] failed: &[usize],
+    #[case] outcome: Outcome,
+    #[case] is_local: bool,
+) {
+    let chosen = second_choice(failed, outcome).expect("a server");
+    assert_eq!(chosen.is_multiple_of(2), is_local, "server {chosen}");
+    assert!(!failed.contains(&chosen), "server {chosen}");
+}
+
+/// The load: the only data centre fails. Guards against a refusal while a server is left.
+#[test]
+fn a_failing_data_centre_is_tried_if_there_is_no_other() {
+    let (mut balancer, all) = (Balancer::default(), candidates(12));
+    let now = Moment::from_millis(1_000);
+    let here: Vec<Candidate> = all.into_iter().filter(|candidate| candidate.is_local).collect();
+    for candidate in &here[..5] {
+        balancer.record_begin(&candidate.name);
+        balancer.record_end(now, &candidate.name, Outcome::Failed);
+    }
+    let tried = [here[0].name.clone()];
+    let chosen = balancer.choose(now, &here, &tried, 0);
+    assert_eq!(chosen.as_ref(), Some(&here[5].name));
+}
--- a/crates/ffw-decide/tests/support/plain_pool.rs
+++ b/crates/ffw-decide/tests/support/plain_pool.rs
@@ -21,6 +21,11 @@
 /// Slowdown that a server reports, given the true one; `None` if it reports none.
 pub(crate) type Report = fn(f64, Moment) -> Option<f64>;
 
+/// Name of a data centre.
+pub(crate) fn name_of(data_centre: usize) -> Arc<str> {
+    format!("dc-{data_centre}").into()
+}
+
 /// A server of the pool.
 #[derive(Clone)]
 pub(crate) struct Server {
@@ -201,6 +206,7 @@
             .iter()
             .map(|server| Candidate {
                 name: server.name.clone(),
+                data_centre: name_of(server.data_centre),
                 is_local: server.data_centre == home,
             })
             .collect();
--- a/crates/ffw-route/src/plain.rs
+++ b/crates/ffw-route/src/plain.rs
@@ -300,6 +300,7 @@
     let local_data_centre = &daemon.identity.data_centre;
     let to_candidate = |instance: &&Instance| Candidate {
         name: instance.name.clone(),
+        data_centre: instance.data_centre.clone(),
         is_local: instance.data_centre == *local_data_centre,
     };
     let candidates: Vec<Candidate> = instances.iter().map(to_candidate).collect();
