--- a/crates/ffw-route/src/plain.rs
+++ b/crates/ffw-route/src/plain.rs
@@ -242,7 +242,12 @@
     };
     let response = transport::call(router, &outgoing).await?;
     if let Some(load) = response.response_info.load {
-        router.balancer().record_load(identity::now(), &server.name, load.ratio());
+        let now = identity::now();
+        let mut balancer = router.balancer();
+        balancer.record_load(now, &server.name, load.ratio());
+        if let Some(slowdown) = load.slowdown {
+            balancer.record_slowdown(now, &server.name, slowdown);
+        }
     }
     response.into_full(router, RESPONSE_BYTES_MAX, request.deadline).await
 }
@@ -295,6 +300,7 @@
     let local_data_centre = &daemon.identity.data_centre;
     let to_candidate = |instance: &&Instance| Candidate {
         name: instance.name.clone(),
+        data_centre: instance.data_centre.clone(),
         is_local: instance.data_centre == *local_data_centre,
     };
     let candidates: Vec<Candidate> = instances.iter().map(to_candidate).collect();
