Read a list a fourth time before the bound after three silent ones

Callers saw: requests went to a draining or removed server until 3.4 to 3.5 s after connections to the store had fallen silent; the bound is 3.0 s.

Cause: the time without bytes after which a reader gives a list up doubled from the second silence on: 0.25, 0.5 and 1 s add up to 1.75 s for three lists that fall silent in their middle. The silent watch is noticed by a question at an age of 0.75 s.

Change: the time doubles from the third silence on (0.25, 0.25, 0.5 s), so that a silent watch and three silent lists take seven eighths of the bound, as the model in tests/belief.rs states. A call without any response is still not sent again before twice the time of the latest response has passed (`Timeouts::at_latency`), and a store that pauses within its responses is still read in the end, one list later.

--- a/crates/ffw-decide/src/belief.rs
+++ b/crates/ffw-decide/src/belief.rs
@@ -19,7 +19,7 @@
 /// the bound. What is left is for a call that is lost, a second one, and a list of the objects.
 const ASK_ALONE_EIGHTHS: u32 = 5;
 
-/// Parts of the bound: both timeouts of a question, and of the list that follows a single silence.
+/// Parts of the bound: both timeouts of a question, and of the two lists that follow a silence.
 const QUESTIONS_PER_BOUND: u32 = 8;
 
 /// Parts of the bound: the time that a slow answer leaves at least.
@@ -94,14 +94,16 @@
     }
 
     /// Those of a reader of which the last `silences` reads fell silent. After the first silence
-    /// they are short, to read again before the bound; they double with each further one in a row,
-    /// as a store may be as slow.
+    /// they are short, to read again before the bound. They double with each one in a row from the
+    /// third on, as a store may be as slow; had they doubled with the second, three lists that fall
+    /// silent would take seven eighths of the bound, and their changes would be known too late.
     pub fn of_reader(bound: Duration, silences: u32) -> Timeouts {
         let Timeouts { response, idle } = Timeouts::LONGEST;
-        let Some(doublings) = silences.checked_sub(1) else {
+        let Some(further) = silences.checked_sub(1) else {
             return Timeouts { response, idle: idle.min(bound / IDLE_TIMES_PER_BOUND) };
         };
-        let limit = bound / QUESTIONS_PER_BOUND * (1 << doublings.min(DOUBLINGS_MAX));
+        let doublings = further.saturating_sub(1).min(DOUBLINGS_MAX);
+        let limit = bound / QUESTIONS_PER_BOUND * (1 << doublings);
         Timeouts { response: response.min(limit), idle: idle.min(limit) }
     }
 
--- a/crates/ffw-decide/tests/belief.rs
+++ b/crates/ffw-decide/tests/belief.rs
@@ -221,6 +221,17 @@
     assert!(bound / 8 * 3 + idle(1) + idle(2) <= bound / 8 * 7);
 }
 
+/// Guards against a removed server that still gets requests after the bound: a silent watch, and
+/// three lists that stop in their middle, leave time for a fourth list.
+#[rstest]
+#[case::small(2_000)]
+#[case::large(4_000)]
+fn three_lists_that_fall_silent_leave_time_for_a_fourth(#[case] bound_ms: u64) {
+    let bound = Duration::from_millis(bound_ms);
+    let idle = |silences| Timeouts::of_reader(bound, silences).idle;
+    assert!(bound / 8 * 3 + idle(1) + idle(2) + idle(3) <= bound / 8 * 7);
+}
+
 /// A store that pauses within its responses is read in the end.
 #[test]
 fn the_timeouts_of_a_reader_grow_with_each_silence() {
