--- a/crates/ffw-soak/src/daemon.rs
+++ b/crates/ffw-soak/src/daemon.rs
@@ -129,6 +129,11 @@
         }
     }
 
+    /// Id of the process, if it is running.
+    pub fn process_id(&self) -> Option<u32> {
+        Some(self.child.as_ref()?.id())
+    }
+
     /// Resident memory of the process in kilobytes, if it is running.
     pub fn memory_kb(&self) -> Option<u64> {
         let id = self.child.as_ref()?.id();
