Bound the memory of callers' connections by one budget, and heads by bytes

Cause: each connection carried the state of a whole request in its task, a head was limited to 128 lines and took about 20 times its bytes, spare capacity of bodies and buffers was not counted, and nothing bounded the sum over all connections but their number.

Change: ffw_runtime::budget charges callers' connections with buffers and bodies at their capacity, parsed heads and a fixed cost each. Header fields share one buffer, and their number is limited by maxHeaderBytes only. The state of a request is allocated when its head has arrived. Socket buffers of callers' connections are bounded. Metrics and log lines tell what is held and refused.

--- a/crates/ffw-control/src/metrics/routed.rs
+++ b/crates/ffw-control/src/metrics/routed.rs
@@ -74,6 +74,10 @@
     quota_names: Arc<Mutex<Vec<Arc<str>>>>,
     /// Open connections of callers.
     pub callers: IntGauge,
+    /// Memory that callers' connections are charged with, in bytes, by kind.
+    pub caller_memory: IntGaugeVec,
+    /// Refusals because of the memory budget so far, by cause.
+    pub memory_refusals: IntGaugeVec,
     /// Time of the store's last answer, in seconds since the Unix epoch, by kind of object.
     pub store_answered: IntGaugeVec,
     /// Time since the store last showed that there is nothing newer than what this daemon believes,
@@ -130,6 +134,20 @@
             )?,
             quota_names: Arc::default(),
             callers: IntGauge::new("fireflyworks_callers", "Open connections of callers")?,
+            caller_memory: IntGaugeVec::new(
+                Opts::new(
+                    "fireflyworks_caller_memory_bytes",
+                    "Memory that callers' connections are charged with",
+                ),
+                &["kind"],
+            )?,
+            memory_refusals: IntGaugeVec::new(
+                Opts::new(
+                    "fireflyworks_caller_memory_refusals",
+                    "Refusals so far because of the memory budget",
+                ),
+                &["cause"],
+            )?,
             store_answered: IntGaugeVec::new(
                 Opts::new(
                     "fireflyworks_store_answered_timestamp_seconds",
@@ -154,6 +172,8 @@
         registry.register(Box::new(routed.limited.clone()))?;
         registry.register(Box::new(routed.quotas.clone()))?;
         registry.register(Box::new(routed.callers.clone()))?;
+        registry.register(Box::new(routed.caller_memory.clone()))?;
+        registry.register(Box::new(routed.memory_refusals.clone()))?;
         registry.register(Box::new(routed.store_answered.clone()))?;
         registry.register(Box::new(routed.belief_age.clone()))?;
         Ok(routed)
--- a/crates/ffw-http/src/buffer.rs
+++ b/crates/ffw-http/src/buffer.rs
@@ -41,6 +41,29 @@
         }
     }
 
+    /// Bytes of memory that the buffer takes.
+    pub(crate) fn capacity(&self) -> usize {
+        self.storage.capacity()
+    }
+
+    /// Bytes of memory that the buffer takes after the next call of [`Buffer::room`].
+    pub(crate) fn next_capacity(&self) -> usize {
+        if self.storage.is_empty() {
+            EMPTY_BYTES.max(self.capacity())
+        } else if self.storage.len() - self.end < READ_BYTES_MIN && self.start < self.len() {
+            (self.storage.len() * 2).max(self.capacity())
+        } else {
+            self.capacity()
+        }
+    }
+
+    /// Releases the memory of an empty buffer.
+    pub(crate) fn release(&mut self) {
+        if self.is_empty() {
+            *self = Buffer::default();
+        }
+    }
+
     /// Room for the next read. The bytes are moved to the front if at least as much room is there
     /// as they take; otherwise the room is doubled.
     pub(crate) fn room(&mut self) -> &mut [u8] {
@@ -52,7 +75,9 @@
                 self.storage.copy_within(self.start..self.end, 0);
                 (self.start, self.end) = (0, self.end - self.start);
             } else {
-                self.storage.resize(self.storage.len() * 2, 0);
+                let length = self.storage.len();
+                self.storage.reserve_exact(length);
+                self.storage.resize(length * 2, 0);
             }
         }
         &mut self.storage[self.end..]
--- a/crates/ffw-http/src/connection.rs
+++ b/crates/ffw-http/src/connection.rs
@@ -12,6 +12,7 @@
         message::{Malformed, Request, Response},
     },
     ffw_runtime::{
+        budget::{Holder, Kind},
         meter::{Metered, Wire},
         timer,
     },
@@ -62,6 +63,8 @@
     Malformed(Malformed),
     /// The head or the body is larger than allowed.
     TooLarge,
+    /// The memory budget has no room for more received bytes.
+    OutOfMemory,
 }
 
 impl fmt::Display for Fault {
@@ -71,6 +74,7 @@
             Fault::Broken(err) => write!(f, "the connection failed: {err}"),
             Fault::Malformed(malformed) => write!(f, "{malformed}"),
             Fault::TooLarge => f.write_str("the head is too large"),
+            Fault::OutOfMemory => f.write_str("no memory for more received bytes"),
         }
     }
 }
@@ -101,6 +105,8 @@
     head_search: Search,
     /// Digests of the ids of the requests that were sent, in order.
     sent: Vec<u64>,
+    /// Account that is charged with what the connection holds.
+    holder: Option<Holder>,
 }
 
 impl Connection {
@@ -116,7 +122,42 @@
         sockopt::set_tcp_keepcnt(&stream, MAX_UNANSWERED_PROBES).ok();
         sockopt::set_socket_keepalive(&stream, true).ok();
         let (buffer, head_search) = (Buffer::default(), Search::default());
-        Connection { stream: Metered::new(stream, wire), buffer, head_search, sent: Vec::new() }
+        let stream = Metered::new(stream, wire);
+        Connection { stream, buffer, head_search, sent: Vec::new(), holder: None }
+    }
+
+    /// Charges what the connection holds to an account, and bounds the sizes of the socket's
+    /// buffers, which the system counts to the machine's memory.
+    pub fn charge_to(mut self, holder: Holder, socket_bytes: usize) -> Connection {
+        // If the system refuses a size, its own default applies.
+        sockopt::set_socket_recv_buffer_size(self.stream.get_ref(), socket_bytes).ok();
+        sockopt::set_socket_send_buffer_size(self.stream.get_ref(), socket_bytes).ok();
+        self.holder = Some(holder);
+        self
+    }
+
+    /// Charges what is held of a kind; returns `false` if there is no memory for more.
+    pub fn charge(&mut self, kind: Kind, bytes: usize) -> bool {
+        self.holder.as_mut().is_none_or(|holder| holder.set(kind, bytes))
+    }
+
+    /// Marks that a request is served from now on; returns `false` if the connection is about to
+    /// be closed to reclaim its memory.
+    pub fn begin_request(&self) -> bool {
+        self.holder.as_ref().is_none_or(Holder::begin_request)
+    }
+
+    /// Marks that no request is served any more, and releases the request's charges.
+    pub fn end_request(&mut self) {
+        if let Some(holder) = &mut self.holder {
+            holder.end_request();
+        }
+    }
+
+    /// Releases the memory of the receive buffer if it holds nothing.
+    pub fn release_buffer(&mut self) {
+        self.buffer.release();
+        self.charge(Kind::Buffer, self.buffer.capacity());
     }
 
     /// Connects within `limit`; for the other arguments see [`Connection::new`].
@@ -195,6 +236,9 @@
     /// Waits for bytes and appends them to the buffer. Cancel-safe: dropping the call leaves the
     /// buffer unchanged.
     async fn fill(&mut self) -> Result<(), Fault> {
+        if !self.charge(Kind::Buffer, self.buffer.next_capacity()) {
+            return Err(Fault::OutOfMemory);
+        }
         let (stream, buffer) = (&mut self.stream, &mut self.buffer);
         let reading = future::poll_fn(|cx| Pin::new(&mut *stream).poll_read(cx, buffer.room()));
         match reading.await {
@@ -211,6 +255,9 @@
     fn consume(&mut self, count: usize) {
         self.buffer.consume(count);
         self.head_search = Search::default();
+        if self.buffer.is_empty() {
+            self.charge(Kind::Buffer, self.buffer.capacity());
+        }
     }
 
     /// Consumes the empty lines at the start of the buffer; returns their bytes.
@@ -391,6 +438,9 @@
     /// most `limit`. Closing a socket with unread bytes sends a TCP reset, which can destroy the
     /// response before the other side has read it.
     pub async fn linger(mut self, limit: Duration) {
+        // Nothing of what was received is read any more.
+        self.buffer = Buffer::default();
+        self.charge(Kind::Buffer, DISCARD_BYTES);
         let draining = async {
             self.stream.get_ref().shutdown(std::net::Shutdown::Write)?;
             let mut buffer = vec![0; DISCARD_BYTES];
--- a/crates/ffw-http/src/message.rs
+++ b/crates/ffw-http/src/message.rs
@@ -5,8 +5,9 @@
 
 use std::fmt;
 
-/// Maximum number of header fields of a message; a message with more is rejected as malformed.
-const MAX_FIELDS: usize = 128;
+/// Header fields of a message that are parsed without an allocation. A head with more is parsed
+/// again with as many as it has lines, which its size in bytes bounds.
+const USUAL_FIELDS: usize = 128;
 
 /// A message that violates HTTP/1.1, with the reason.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -21,28 +22,48 @@
 impl std::error::Error for Malformed {}
 
 /// A header field.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Field {
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Field<'a> {
     /// Name, with upper and lower case as sent.
-    pub name: Box<str>,
+    pub name: &'a [u8],
     /// Value without surrounding white space.
-    pub value: Box<[u8]>,
+    pub value: &'a [u8],
 }
 
 /// Header fields in the order in which they were received.
+///
+/// Names and values are in one buffer, so that a field costs its bytes and 8 more. With a
+/// separate allocation for each name and value, a head of short lines took 20 times its bytes.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct Fields(Vec<Field>);
+pub struct Fields {
+    /// Names and values without separators.
+    text: Vec<u8>,
+    /// Lengths of the name and the value of each field.
+    lengths: Vec<(u32, u32)>,
+}
 
 impl Fields {
     /// All fields, in order.
-    pub fn iter(&self) -> impl Iterator<Item = &Field> {
-        self.0.iter()
+    pub fn iter(&self) -> impl Iterator<Item = Field<'_>> {
+        let mut rest = &self.text[..];
+        self.lengths.iter().map(move |(name, value)| {
+            let (name, after_name) = rest.split_at(*name as usize);
+            let (value, after_value) = after_name.split_at(*value as usize);
+            rest = after_value;
+            Field { name, value }
+        })
+    }
+
+    /// Bytes of memory that the fields take.
+    pub fn held_bytes(&self) -> usize {
+        self.text.capacity() + self.lengths.capacity() * size_of::<(u32, u32)>()
     }
 
     /// Values of all fields of a name, which is compared without regard to case.
     pub fn all(&self, name: &str) -> impl Iterator<Item = &[u8]> {
-        let named = self.0.iter().filter(move |field| field.name.eq_ignore_ascii_case(name));
-        named.map(|field| &*field.value)
+        let named =
+            self.iter().filter(move |field| field.name.eq_ignore_ascii_case(name.as_bytes()));
+        named.map(|field| field.value)
     }
 
     /// Value of the first field of a name; `None` if there is none or it is not UTF-8.
@@ -64,9 +85,19 @@
         self.all(name).any(lists)
     }
 
-    /// Adds a field at the end; fields of the same name stay.
+    /// Adds a field at the end; fields of the same name stay. A field whose name or value has 4 GB
+    /// or more is not added.
     pub fn add(&mut self, name: &str, value: impl AsRef<[u8]>) {
-        self.0.push(Field { name: name.into(), value: value.as_ref().into() });
+        self.push(name.as_bytes(), value.as_ref());
+    }
+
+    fn push(&mut self, name: &[u8], value: &[u8]) {
+        let lengths = u32::try_from(name.len()).ok().zip(u32::try_from(value.len()).ok());
+        if let Some(lengths) = lengths {
+            self.text.extend_from_slice(name);
+            self.text.extend_from_slice(value);
+            self.lengths.push(lengths);
+        }
     }
 
     /// Replaces all fields of a name by one.
@@ -77,36 +108,62 @@
 
     /// Removes all fields of a name.
     pub fn remove(&mut self, name: &str) {
-        self.0.retain(|field| !field.name.eq_ignore_ascii_case(name));
+        if self.has(name) {
+            self.retain(|field| !field.eq_ignore_ascii_case(name.as_bytes()));
+        }
+    }
+
+    /// Keeps the fields whose names satisfy a condition, in one pass over the bytes.
+    fn retain(&mut self, is_kept: impl Fn(&[u8]) -> bool) {
+        let (text, mut read, mut written) = (&mut self.text, 0, 0);
+        self.lengths.retain(|(name, value)| {
+            let (name, length) = (*name as usize, *name as usize + *value as usize);
+            let keeps = is_kept(&text[read..read + name]);
+            if keeps {
+                text.copy_within(read..read + length, written);
+                written += length;
+            }
+            read += length;
+            keeps
+        });
+        text.truncate(written);
     }
 
     /// Removes the fields that apply to one connection only: the fixed list and those that
     /// `Connection` names. `Transfer-Encoding` is among them, `Content-Length` is not.
     pub fn remove_hop_by_hop(&mut self) {
-        let values = self.all("connection").map(String::from_utf8_lossy);
-        let listed: Vec<String> = values.map(|value| value.into_owned()).collect();
-        let listed = listed.iter().flat_map(|value| value.split(',')).map(str::trim);
-        for name in HOP_BY_HOP.into_iter().chain(listed) {
-            self.remove(name);
-        }
+        // A sender may list thousands of names beside thousands of fields.
+        let mut listed: Vec<Vec<u8>> = self
+            .all("connection")
+            .flat_map(|value| value.split(|byte| *byte == b','))
+            .map(|name| name.trim_ascii().to_ascii_lowercase())
+            .chain(HOP_BY_HOP.iter().map(|name| name.as_bytes().to_vec()))
+            .collect();
+        listed.sort_unstable();
+        self.retain(|name| listed.binary_search(&name.to_ascii_lowercase()).is_err());
     }
 
     fn write(&self, out: &mut Vec<u8>) {
-        for field in &self.0 {
-            out.extend_from_slice(field.name.as_bytes());
+        for field in self.iter() {
+            out.extend_from_slice(field.name);
             out.extend_from_slice(b": ");
-            out.extend_from_slice(&field.value);
+            out.extend_from_slice(field.value);
             out.extend_from_slice(b"\r\n");
         }
         out.extend_from_slice(b"\r\n");
     }
 
     fn from_headers(headers: &[httparse::Header<'_>]) -> Fields {
-        let to_field = |header: &httparse::Header<'_>| Field {
-            name: header.name.into(),
-            value: header.value.trim_ascii().into(),
+        let bytes =
+            |header: &httparse::Header<'_>| header.name.len() + header.value.trim_ascii().len();
+        let mut fields = Fields {
+            text: Vec::with_capacity(headers.iter().map(bytes).sum()),
+            lengths: Vec::with_capacity(headers.len()),
         };
-        Fields(headers.iter().map(to_field).collect())
+        for header in headers {
+            fields.push(header.name.as_bytes(), header.value.trim_ascii());
+        }
+        fields
     }
 }
 
@@ -153,21 +210,32 @@
     /// # Errors
     /// The bytes are not the head of a request.
     pub fn parse(bytes: &[u8]) -> Result<Option<(Request, usize)>, Malformed> {
-        let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
-        let mut parsed = httparse::Request::new(&mut headers);
-        match parsed.parse(bytes) {
-            Ok(httparse::Status::Partial) => Ok(None),
-            Ok(httparse::Status::Complete(length)) => {
-                let request = Request {
-                    method: parsed.method.unwrap_or_default().into(),
-                    target: parsed.path.unwrap_or_default().into(),
-                    minor: parsed.version.unwrap_or(0),
-                    fields: Fields::from_headers(parsed.headers),
-                };
-                Ok(Some((request, length)))
-            }
-            Err(_) => Err(Malformed("the head of the request is malformed")),
+        let mut parsed = Request::parse_into(bytes, &mut [httparse::EMPTY_HEADER; USUAL_FIELDS]);
+        if parsed == Err(httparse::Error::TooManyHeaders) {
+            let mut room = vec![httparse::EMPTY_HEADER; count_lines(bytes)];
+            parsed = Request::parse_into(bytes, &mut room);
         }
+        parsed.map_err(|_| Malformed("the head of the request is malformed"))
+    }
+
+    fn parse_into<'a>(
+        bytes: &'a [u8],
+        room: &mut [httparse::Header<'a>],
+    ) -> Result<Option<(Request, usize)>, httparse::Error> {
+        let mut parsed = httparse::Request::new(room);
+        let httparse::Status::Complete(length) = parsed.parse(bytes)? else { return Ok(None) };
+        let request = Request {
+            method: parsed.method.unwrap_or_default().into(),
+            target: parsed.path.unwrap_or_default().into(),
+            minor: parsed.version.unwrap_or(0),
+            fields: Fields::from_headers(parsed.headers),
+        };
+        Ok(Some((request, length)))
+    }
+
+    /// Bytes of memory that the head takes.
+    pub fn held_bytes(&self) -> usize {
+        self.method.len() + self.target.len() + self.fields.held_bytes()
     }
 
     /// The head as sent on the connection, always as HTTP/1.1.
@@ -215,21 +283,27 @@
     /// # Errors
     /// The bytes are not the head of a response.
     pub fn parse(bytes: &[u8]) -> Result<Option<(Response, usize)>, Malformed> {
-        let mut headers = [httparse::EMPTY_HEADER; MAX_FIELDS];
-        let mut parsed = httparse::Response::new(&mut headers);
-        match parsed.parse(bytes) {
-            Ok(httparse::Status::Partial) => Ok(None),
-            Ok(httparse::Status::Complete(length)) => {
-                let response = Response {
-                    status: parsed.code.unwrap_or(0),
-                    reason: parsed.reason.unwrap_or_default().into(),
-                    minor: parsed.version.unwrap_or(0),
-                    fields: Fields::from_headers(parsed.headers),
-                };
-                Ok(Some((response, length)))
-            }
-            Err(_) => Err(Malformed("the head of the response is malformed")),
+        let mut parsed = Response::parse_into(bytes, &mut [httparse::EMPTY_HEADER; USUAL_FIELDS]);
+        if parsed == Err(httparse::Error::TooManyHeaders) {
+            let mut room = vec![httparse::EMPTY_HEADER; count_lines(bytes)];
+            parsed = Response::parse_into(bytes, &mut room);
         }
+        parsed.map_err(|_| Malformed("the head of the response is malformed"))
+    }
+
+    fn parse_into<'a>(
+        bytes: &'a [u8],
+        room: &mut [httparse::Header<'a>],
+    ) -> Result<Option<(Response, usize)>, httparse::Error> {
+        let mut parsed = httparse::Response::new(room);
+        let httparse::Status::Complete(length) = parsed.parse(bytes)? else { return Ok(None) };
+        let response = Response {
+            status: parsed.code.unwrap_or(0),
+            reason: parsed.reason.unwrap_or_default().into(),
+            minor: parsed.version.unwrap_or(0),
+            fields: Fields::from_headers(parsed.headers),
+        };
+        Ok(Some((response, length)))
     }
 
     /// The head as sent on the connection, always as HTTP/1.1.
@@ -245,6 +319,11 @@
     }
 }
 
+/// Number of lines in `bytes`, and so the largest number of header fields in them.
+fn count_lines(bytes: &[u8]) -> usize {
+    bytes.iter().filter(|byte| **byte == b'\n').count()
+}
+
 fn keeps_connection(minor: u8, fields: &Fields) -> bool {
     if minor == 0 {
         return fields.has_token("connection", "keep-alive");
--- a/crates/ffw-route/src/caller.rs
+++ b/crates/ffw-route/src/caller.rs
@@ -6,6 +6,7 @@
 //! carry a time after which the caller may retry.
 
 mod authenticate;
+mod body;
 mod confirm;
 mod filter;
 mod quota;
@@ -32,7 +33,7 @@
         error::{Error, Kind, Run},
         route::{Limits, Route},
     },
-    ffw_runtime::timer,
+    ffw_runtime::{budget::Kind as Held, timer},
     log::{debug, info},
     std::{
         sync::Arc,
@@ -50,6 +51,10 @@
 /// just before sends its request at once.
 const CLOSED_IDLE_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Copies of a head that are held while its request is served: as received, as routed, and as
+/// written to a backend server.
+const HEAD_COPIES: usize = 3;
+
 /// Longest time for which the unread rest of a request is read and discarded before its
 /// connection is closed.
 const DISCARD_TIME: Duration = Duration::from_secs(2);
@@ -119,12 +124,20 @@
     loop {
         let limits = current_limits(&router);
         let head = match next_head(&router, &mut caller, &limits).await {
+            Ok(Some(head)) if !caller.charge(Held::Head, HEAD_COPIES * head.held_bytes()) => {
+                return refuse_unread(caller, &filter::out_of_memory()).await;
+            }
             Ok(Some(head)) => head,
             Ok(None) => return,
             Err(error) => return refuse_unread(caller, &error).await,
         };
         let _in_flight = router.begin_request();
-        match serve_request(&router, &mut caller, head).await {
+        // In a box, so that a connection without a request does not hold the state of one.
+        let serving = serve_request(&router, &mut caller, head);
+        let serving = Box::pin(serving);
+        let disposition = serving.await;
+        caller.end_request();
+        match disposition {
             Disposition::Keep => {}
             Disposition::Close => return caller.close(DISCARD_TIME).await,
             Disposition::Cut => return,
@@ -167,6 +180,7 @@
     match timer::timeout(limit, caller.read_request(bytes)).await {
         Some(Ok(head)) => Ok(Some(head)),
         Some(Err(Fault::Closed | Fault::Broken(_))) => Ok(None),
+        Some(Err(Fault::OutOfMemory)) => Err(filter::out_of_memory()),
         Some(Err(Fault::TooLarge)) => Err(Error::new(Kind::TooLarge, "the head is too large")),
         Some(Err(fault)) => Err(Error::new(Kind::Malformed, fault.to_string())),
         None => Err(Error::new(Kind::Timeout, "the head did not arrive in time").run(Run::Not)),
@@ -228,7 +242,7 @@
     if !request.route.is_stream {
         return serve_plain(router, &request, caller).await;
     }
-    let end = stream::serve(router, &request, caller).await;
+    let end = Box::pin(stream::serve(router, &request, caller)).await;
     let outcome = match &end {
         stream::Outcome::Complete(_) => "served",
         stream::Outcome::Cut => "cut",
@@ -251,7 +265,7 @@
     request: &RoutedRequest,
     caller: &mut Connection,
 ) -> Disposition {
-    let serving = async { Some(plain::serve(router, request).await) };
+    let serving = async { Some(Box::pin(plain::serve(router, request)).await) };
     let watcher = caller.close_watcher();
     let caller_closed = async {
         watcher.closed().await;
--- a/crates/ffw-route/src/caller/filter.rs
+++ b/crates/ffw-route/src/caller/filter.rs
@@ -5,6 +5,7 @@
     super::{
         RoutedRequest,
         authenticate::{self, Authenticated},
+        body::Body,
         confirm::{Confirmed, confirm},
         quota,
     },
@@ -15,7 +16,7 @@
     ffw_control::snapshot::Snapshot,
     ffw_decide::retry,
     ffw_http::{
-        connection::Connection,
+        connection::{Connection, Fault},
         framing::{Decoder, Framing},
         message::Request,
     },
@@ -84,6 +85,9 @@
     let body_limit = usize::try_from(limits.body_bytes).unwrap_or(usize::MAX);
     let (body, buffer_guard) =
         read_body(router, caller, head, framing, body_limit).await.map_err(reject_unread)?;
+    if !caller.begin_request() {
+        return Err(reject_unread(out_of_memory()));
+    }
     let rejected = |error| Rejected { error, is_body_read: true };
     let host = host_of(head).map_err(rejected)?;
     let waits_until =
@@ -201,11 +205,12 @@
     declared: usize,
     buffer_guard: &mut CounterGuard<'_>,
 ) -> Result<Vec<u8>, Error> {
-    let mut body = Vec::with_capacity(declared);
+    let mut body = Body::new(caller, declared).ok_or_else(out_of_memory)?;
     loop {
         let part = match caller.read_part(decoder).await {
             Ok(Some(part)) => part,
-            Ok(None) => return Ok(body),
+            Ok(None) => return body.join(caller).ok_or_else(out_of_memory),
+            Err(Fault::OutOfMemory) => return Err(out_of_memory()),
             Err(fault) => {
                 return Err(Error::new(Kind::Malformed, format!("bad body: {fault}")));
             }
@@ -215,10 +220,9 @@
         }
         let reserved = declared.max(body.len());
         let beyond = (body.len() + part.len()).saturating_sub(reserved);
-        if !router.reserve_more(buffer_guard, beyond) {
+        if !router.reserve_more(buffer_guard, beyond) || !body.push(caller, &part) {
             return Err(out_of_memory());
         }
-        body.extend_from_slice(&part);
     }
 }
 
@@ -226,8 +230,8 @@
     Error::new(Kind::TooLarge, format!("the body is larger than {limit} bytes"))
 }
 
-fn out_of_memory() -> Error {
-    Error::new(Kind::Overloaded, "no memory for the body").retry_after(RETRY_AFTER)
+pub(super) fn out_of_memory() -> Error {
+    Error::new(Kind::Overloaded, "no memory for the request").retry_after(RETRY_AFTER)
 }
 
 /// The host that a request names, in lower case and without its port.
--- a/crates/ffw-route/src/router.rs
+++ b/crates/ffw-route/src/router.rs
@@ -11,7 +11,10 @@
     ffw_decide::{balance::Balancer, budget::Budget},
     ffw_http::pool::Pool,
     ffw_protocol::instance::Role,
-    ffw_runtime::timer,
+    ffw_runtime::{
+        budget::{Budget as Memory, Kind as Held},
+        timer,
+    },
     log::info,
     smol::channel::{self, Receiver, Sender},
     std::{
@@ -37,6 +40,8 @@
     pub started_at: Instant,
     /// Idle connections to backend servers.
     pub idle_connections: Pool,
+    /// Memory that the connections of callers may take together.
+    pub memory: Arc<Memory>,
     limits: Mutex<Limits>,
     balancer: Mutex<Balancer>,
     budget: Mutex<Budget>,
@@ -58,6 +63,9 @@
     pub retry_window: Duration,
     /// Largest sum of the bodies that are held at once, in bytes.
     pub buffered_bytes_max: usize,
+    /// Memory that callers' connections may take together, in bytes, with their heads, bodies and
+    /// buffers.
+    pub caller_bytes_max: usize,
     /// Largest number of callers' connections that are open at once.
     pub connections_max: usize,
     /// Time between the signal to shut down and the end of the process.
@@ -109,6 +117,7 @@
             dialect,
             started_at: Instant::now(),
             idle_connections: Pool::default(),
+            memory: Memory::new(limits.caller_bytes_max),
             limits: Mutex::new(limits),
             balancer: Mutex::default(),
             budget: Mutex::new(Budget::new(limits.retry_ratio, limits.retry_window)),
@@ -127,6 +136,7 @@
     /// Replaces the limits; what the retry budget has counted stays.
     pub fn configure(&self, limits: Limits) {
         *self.limits.lock().unwrap_or_else(PoisonError::into_inner) = limits;
+        self.memory.configure(limits.caller_bytes_max);
         self.budget().configure(limits.retry_ratio, limits.retry_window);
     }
 
@@ -188,8 +198,9 @@
         self.limits().retry_slack * SLACK_SHARE / daemons.max(1) as f64
     }
 
-    /// Updates the gauges of the retry budget.
+    /// Updates the gauges of the retry budget and of the callers' memory.
     pub fn update_gauges(&self) {
+        self.update_memory_gauges();
         let retry_slack_share = self.retry_slack_share();
         for remaining in self.budget().remaining(identity::now(), retry_slack_share) {
             let gauge = &self.daemon.metrics.routed.retries_left;
@@ -197,6 +208,18 @@
         }
     }
 
+    fn update_memory_gauges(&self) {
+        let routed = &self.daemon.metrics.routed;
+        for kind in Held::ALL {
+            let bytes = i64::try_from(self.memory.held(kind)).unwrap_or(i64::MAX);
+            routed.caller_memory.with_label_values(&[kind.name()]).set(bytes);
+            let refused = self.memory.refused(kind).cast_signed();
+            routed.memory_refusals.with_label_values(&[kind.name()]).set(refused);
+        }
+        let evicted = self.memory.evicted().cast_signed();
+        routed.memory_refusals.with_label_values(&["evicted"]).set(evicted);
+    }
+
     fn budget(&self) -> MutexGuard<'_, Budget> {
         self.budget.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/crates/ffw-route/src/server.rs
+++ b/crates/ffw-route/src/server.rs
@@ -15,13 +15,20 @@
         timer,
     },
     log::{debug, warn},
-    smol::net::TcpListener,
+    smol::{channel::Receiver, net::TcpListener},
     std::{sync::Arc, time::Duration},
 };
 
 /// Time after which unacknowledged bytes break a connection.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Size that is requested for each of the two socket buffers of a caller's connection, in bytes.
+/// The system doubles it for its own bookkeeping.
+const SOCKET_BUFFER_BYTES: usize = 64 << 10;
+
+/// Memory that a caller's connection is charged with for itself: its task and its state.
+const CONNECTION_BYTES: usize = 32 << 10;
+
 /// Largest head of a request of the platform, in bytes.
 const PLATFORM_HEAD_BYTES_MAX: usize = 8 << 10;
 
@@ -40,15 +47,27 @@
             warn!("event=connection_refused cause=too_many_connections");
             return;
         }
-        let connection = Connection::new(stream, Wire::Request, UNACKNOWLEDGED_TIMEOUT);
-        listener::detach_with(token, serve_caller(router.clone(), connection));
+        let Some(holder) = router.memory.open(CONNECTION_BYTES) else {
+            warn!("event=connection_refused cause=no_memory");
+            return;
+        };
+        let evicted = holder.evicted();
+        let connection = Connection::new(stream, Wire::Request, UNACKNOWLEDGED_TIMEOUT)
+            .charge_to(holder, SOCKET_BUFFER_BYTES);
+        listener::detach_with(token, serve_caller(router.clone(), connection, evicted));
     })
     .await;
 }
 
-async fn serve_caller(router: Arc<Router>, connection: Connection) {
+/// Serves a connection until it ends, or until it must be closed to reclaim its memory, which
+/// happens only while no request of it is served.
+async fn serve_caller(router: Arc<Router>, connection: Connection, evicted: Receiver<()>) {
     router.daemon.metrics.routed.callers.inc();
-    caller::serve(router.clone(), connection).await;
+    let closing = async {
+        evicted.recv().await.ok();
+        debug!("event=connection_closed cause=no_memory");
+    };
+    smol::future::or(closing, caller::serve(router.clone(), connection)).await;
     router.daemon.metrics.routed.callers.dec();
 }
 
--- a/crates/ffw-route/src/transport.rs
+++ b/crates/ffw-route/src/transport.rs
@@ -173,7 +173,9 @@
     {
         Some(exchanged) => exchanged.map_err(|fault| match fault {
             Fault::Closed | Fault::Broken(_) => Failure::Disconnected(fault.to_string()),
-            Fault::Malformed(_) | Fault::TooLarge => Failure::Broken(fault.to_string()),
+            Fault::Malformed(_) | Fault::TooLarge | Fault::OutOfMemory => {
+                Failure::Broken(fault.to_string())
+            }
         })?,
         None => return Err(Failure::TimedOut),
     };
--- a/crates/ffw-runtime/src/lib.rs
+++ b/crates/ffw-runtime/src/lib.rs
@@ -1,6 +1,7 @@
 //! Runtime of a daemon: the executor, timers, clocks, signals, listeners, and the byte counts of
 //! connections.
 
+pub mod budget;
 pub mod clock;
 pub mod coop;
 pub mod executor;
