--- a/crates/ffw-http/src/message.rs
+++ b/crates/ffw-http/src/message.rs
@@ -32,8 +32,8 @@
 
 /// Header fields in the order in which they were received.
 ///
-/// Names and values are in one buffer, so that a field costs its bytes and 8 more. With a
-/// separate allocation for each name and value, a head of short lines took 20 times its bytes.
+/// Names and values are in one buffer, so that a field costs its bytes and 8 more,
+/// also in a head of very many short lines.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Fields {
     /// Names and values without separators.
--- a/crates/ffw-runtime/src/budget.rs
+++ b/crates/ffw-runtime/src/budget.rs
@@ -27,7 +27,7 @@
 /// What is held.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Kind {
-    /// A connection itself: its task, its state and its socket buffers.
+    /// A connection itself: its task and its state.
     Connection,
     /// Bytes that were received and not consumed, with their spare capacity.
     Buffer,
