Let observed times decide which plain requests leave the data centre

A constant factor on the score of other data centres' servers sends about half of the requests of three data centres to another one, also at half load.

It follows the difference between the observed times here and there, in targets of the route, with a price for the bytes, and changes by at most 1.0 per second. Without the setting the factor applies as before. A data centre without servers leaves at once, and a further attempt has no preference for a data centre. A gauge shows the share, a counter the calls that leave with their cause; event=away_begun and event=away_ended mark begin and end.

--- a/crates/ffw-control/src/metrics/routed.rs
+++ b/crates/ffw-control/src/metrics/routed.rs
@@ -72,6 +72,10 @@
     quotas: IntCounterVec,
     /// Workspaces that have series of their own, in order.
     quota_names: Arc<Mutex<Vec<Arc<str>>>>,
+    /// Share of the plain requests that is sent to other data centres, 0 to 1, by pool.
+    pub away_share: GaugeVec,
+    /// Calls to servers of other data centres, by pool, data centre and cause.
+    away: IntCounterVec,
     /// Open connections of callers.
     pub callers: IntGauge,
     /// Time of the store's last answer, in seconds since the Unix epoch, by kind of object.
@@ -129,6 +133,20 @@
                 &["workspace", "outcome"],
             )?,
             quota_names: Arc::default(),
+            away_share: GaugeVec::new(
+                Opts::new(
+                    "fireflyworks_away_share",
+                    "Share of the plain requests that is sent to other data centres",
+                ),
+                &["pool"],
+            )?,
+            away: IntCounterVec::new(
+                Opts::new(
+                    "fireflyworks_away_calls_total",
+                    "Calls to servers of other data centres",
+                ),
+                &["pool", "data_centre", "cause"],
+            )?,
             callers: IntGauge::new("fireflyworks_callers", "Open connections of callers")?,
             store_answered: IntGaugeVec::new(
                 Opts::new(
@@ -153,6 +171,8 @@
         registry.register(Box::new(routed.limits.clone()))?;
         registry.register(Box::new(routed.limited.clone()))?;
         registry.register(Box::new(routed.quotas.clone()))?;
+        registry.register(Box::new(routed.away_share.clone()))?;
+        registry.register(Box::new(routed.away.clone()))?;
         registry.register(Box::new(routed.callers.clone()))?;
         registry.register(Box::new(routed.store_answered.clone()))?;
         registry.register(Box::new(routed.belief_age.clone()))?;
@@ -193,6 +213,11 @@
         self.quotas.with_label_values(&[label, outcome]).inc();
     }
 
+    /// Counts a call to a server of another data centre.
+    pub fn record_away(&self, pool: &str, data_centre: &str, cause: &str) {
+        self.away.with_label_values(&[pool, data_centre, cause]).inc();
+    }
+
     /// Drops the series of a server that is no longer listed.
     pub fn forget_server(&self, server: &str) {
         self.record_limit(server, None);
--- a/crates/ffw-decide/src/balance.rs
+++ b/crates/ffw-decide/src/balance.rs
@@ -60,6 +60,17 @@
     pub is_local: bool,
 }
 
+/// Which data centre's servers are preferred for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Preference<'a> {
+    /// This daemon's, by a constant factor on the score.
+    Near,
+    /// Those of one data centre, as long as one of them is neither in backoff nor tried.
+    DataCentre(&'a Arc<str>),
+    /// None.
+    Any,
+}
+
 /// How a request at a server ended.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Outcome {
@@ -125,14 +136,13 @@
     }
 
     /// Score of the server; lower is better. The load times the average answer time, divided by the
-    /// square of the success rate (at least 0.01), times the slowdown, and increased for a server
-    /// in another data centre. The load is one for the new request, plus this daemon's open requests, plus the
+    /// square of the success rate (at least 0.01), times the slowdown, and times the factor for
+    /// its distance. The load is one for the new request, plus this daemon's open requests, plus the
     /// reported ratio of requests to slots while the report is recent.
-    fn score(&self, now: Moment, is_local: bool) -> f64 {
+    fn score(&self, now: Moment, distance_factor: f64) -> f64 {
         let is_fresh = now.since(self.reported_at) < LOAD_AGE_MAX;
         let reported = if is_fresh { self.reported_load } else { 0.0 };
         let load = 1.0 + f64::from(self.open_requests) + reported;
-        let distance_factor = if is_local { 1.0 } else { REMOTE_FACTOR };
         load * self.answer_time_s * self.slowdown(now) * distance_factor
             / (self.success_rate * self.success_rate).max(0.01)
     }
@@ -148,7 +158,8 @@
     /// Chooses the candidate with the lowest score among those that are not in `tried`, and counts
     /// the request as open there until [`Balancer::record_end`]. A server in backoff, or one with
     /// failures that has a request open, is chosen only if all are like that; next, a server of a
-    /// failing data centre in which one was tried is chosen only if all are. The search starts at
+    /// failing data centre in which one was tried is chosen only if all are; next, one outside the
+    /// preferred data centre. The search starts at
     /// the index `turn` modulo the number of untried candidates, so that servers with equal scores
     /// alternate if `turn` increases with each call. `None` if every candidate was tried.
     pub fn choose(
@@ -157,20 +168,27 @@
         candidates: &[Candidate],
         tried: &[Arc<str>],
         turn: u64,
+        preference: Preference<'_>,
     ) -> Option<Arc<str>> {
         let untried: Vec<&Candidate> =
             candidates.iter().filter(|candidate| !tried.contains(&candidate.name)).collect();
         let count = untried.len();
         let failing = self.failing_data_centres(candidates, tried);
-        let mut best: Option<((bool, bool, f64), usize)> = None;
+        let mut best: Option<((bool, bool, bool, f64), usize)> = None;
         for offset in 0..count {
             let index = (turn as usize + offset) % count;
             let server = self.server(&untried[index].name);
             let is_avoided =
                 now < server.backoff_until || server.failures > 0 && server.open_requests > 0;
-            let score = server.score(now, untried[index].is_local);
+            let (is_elsewhere, distance_factor) = match preference {
+                Preference::Near if untried[index].is_local => (false, 1.0),
+                Preference::Near => (false, REMOTE_FACTOR),
+                Preference::DataCentre(name) => (untried[index].data_centre != *name, 1.0),
+                Preference::Any => (false, 1.0),
+            };
+            let score = server.score(now, distance_factor);
             let is_similar = failing.contains(&&untried[index].data_centre);
-            let rank = (is_avoided, is_similar, score);
+            let rank = (is_avoided, is_similar, is_elsewhere, score);
             if best.is_none_or(|(least, _)| rank < least) {
                 best = Some((rank, index));
             }
--- a/crates/ffw-decide/src/lib.rs
+++ b/crates/ffw-decide/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod estimate;
 pub mod lease;
 pub mod listing;
+pub mod locality;
 pub mod notice;
 pub mod order;
 pub mod permits;
--- a/crates/ffw-decide/tests/balance.rs
+++ b/crates/ffw-decide/tests/balance.rs
@@ -5,7 +5,7 @@
 mod plain_pool;
 
 use {
-    ffw_decide::balance::{Balancer, Candidate, Outcome},
+    ffw_decide::balance::{Balancer, Candidate, Outcome, Preference},
     ffw_protocol::time::Moment,
     plain_pool::{Report, Scene, Server, replay},
     rand::{Rng as _, SeedableRng as _},
@@ -66,7 +66,7 @@
                 let score = |index: usize| expected[index].score(now, candidates[index].is_local);
                 let best = order.reduce(|a, b| if score(b) < score(a) { b } else { a });
                 let best = best.expect("a candidate");
-                let chosen = balancer.choose(now, &candidates, &[], turn);
+                let chosen = balancer.choose(now, &candidates, &[], turn, Preference::Near);
                 assert_eq!(chosen.as_ref(), Some(&candidates[best].name), "seed {seed}");
                 expected[best].open += 1.0;
                 open.push(best);
@@ -114,6 +114,7 @@
         rate: |_, _| 500.0,
         trip: Duration::ZERO,
         duration: Duration::from_secs(30),
+        gb_ms: None,
     }
 }
 
@@ -177,7 +178,8 @@
             balancer.record_end(now, name, Outcome::Answered(Duration::from_millis(ms)));
         }
     }
-    let chosen: Vec<_> = (0..4).filter_map(|_| balancer.choose(now, &both, &[], 1)).collect();
+    let chosen: Vec<_> =
+        (0..4).filter_map(|_| balancer.choose(now, &both, &[], 1, Preference::Near)).collect();
     assert_eq!(chosen.iter().filter(|name| **name == slow).count(), 1, "{chosen:?}");
 }
 
@@ -190,7 +192,7 @@
         balancer.record_end(now, &candidates[*index].name, outcome);
     }
     let tried = [candidates[failed[0]].name.clone()];
-    let chosen = balancer.choose(now, &candidates, &tried, 0)?;
+    let chosen = balancer.choose(now, &candidates, &tried, 0, Preference::Near)?;
     candidates.iter().position(|candidate| candidate.name == chosen)
 }
 
@@ -223,6 +225,6 @@
         balancer.record_end(now, &candidate.name, Outcome::Failed);
     }
     let tried = [here[0].name.clone()];
-    let chosen = balancer.choose(now, &here, &tried, 0);
+    let chosen = balancer.choose(now, &here, &tried, 0, Preference::Near);
     assert_eq!(chosen.as_ref(), Some(&here[5].name));
 }
--- a/crates/ffw-decide/tests/support/plain_pool.rs
+++ b/crates/ffw-decide/tests/support/plain_pool.rs
@@ -2,7 +2,10 @@
 //! callers whose number changes over time.
 
 use {
-    ffw_decide::balance::{Balancer, Candidate, Outcome},
+    ffw_decide::{
+        balance::{Balancer, Candidate, Outcome, Preference},
+        locality::{self, Locality, Sample},
+    },
     ffw_protocol::time::Moment,
     rand::{Rng as _, SeedableRng as _},
     rand_chacha::ChaCha8Rng,
@@ -21,6 +24,9 @@
 /// Slowdown that a server reports, given the true one; `None` if it reports none.
 pub(crate) type Report = fn(f64, Moment) -> Option<f64>;
 
+/// Bytes that a request and its answer have.
+const BYTES: u64 = 4_000;
+
 /// Name of a data centre.
 pub(crate) fn name_of(data_centre: usize) -> Arc<str> {
     format!("dc-{data_centre}").into()
@@ -36,7 +42,8 @@
     /// Times at which the server is slow, and by how much.
     pub(crate) slow: fn(Moment, usize) -> f64,
     pub(crate) report: Report,
-    pub(crate) is_dead: bool,
+    /// Whether each call fails from a time on.
+    pub(crate) dead_from: Option<Moment>,
     pub(crate) running: usize,
     pub(crate) waiting: Vec<usize>,
 }
@@ -49,11 +56,15 @@
             service,
             slow: |_, _| 1.0,
             report: |_, _| None,
-            is_dead: false,
+            dead_from: None,
             running: 0,
             waiting: Vec::new(),
         }
     }
+
+    fn is_dead(&self, now: Moment) -> bool {
+        self.dead_from.is_some_and(|from| now >= from)
+    }
 }
 
 /// The load and the machines.
@@ -66,6 +77,8 @@
     /// Time of one way between two data centres.
     pub(crate) trip: Duration,
     pub(crate) duration: Duration,
+    /// Price of a GB between data centres in milliseconds; `None` for the constant factor.
+    pub(crate) gb_ms: Option<f64>,
 }
 
 /// What the callers got.
@@ -81,6 +94,8 @@
     pub(crate) away: usize,
     /// Answers of each server.
     pub(crate) answers: Vec<usize>,
+    /// Time, daemon and share at the first attempt of each request, at which the share changes.
+    pub(crate) shares: Vec<(Moment, usize, f64)>,
 }
 
 impl Tally {
@@ -108,6 +123,8 @@
 struct Daemon {
     data_centre: usize,
     balancer: Balancer,
+    /// `None` for the constant factor.
+    locality: Option<Locality>,
     turn: u64,
 }
 
@@ -130,6 +147,7 @@
         daemons.extend((0..*count).map(|_| Daemon {
             data_centre,
             balancer: Balancer::default(),
+            locality: scene.gb_ms.map(|gb_ms| Locality::new(name_of(data_centre), gb_ms)),
             turn: random.gen_range(0..1_000_000),
         }));
     }
@@ -213,7 +231,33 @@
         let chooser = &mut self.daemons[daemon];
         // A request takes a number for its pool as well.
         chooser.turn += 2;
-        let chosen = chooser.balancer.choose(now, &candidates, &tried, chooser.turn);
+        let pool: Arc<str> = "pool".into();
+        let mut data_centres: Vec<Arc<str>> =
+            candidates.iter().map(|candidate| candidate.data_centre.clone()).collect();
+        data_centres.sort();
+        data_centres.dedup();
+        let request = locality::Request {
+            pool: &pool,
+            target: TARGET,
+            data_centres: &data_centres,
+            turn: chooser.turn,
+        };
+        let is_first = tried.is_empty();
+        let choice = match &mut chooser.locality {
+            Some(locality) if is_first => locality.choose(now, &request),
+            _ => None,
+        };
+        let preference = match (&chooser.locality, &choice) {
+            (Some(_), Some(choice)) => Preference::DataCentre(&choice.data_centre),
+            (Some(_), None) => Preference::Any,
+            (None, _) => Preference::Near,
+        };
+        let chosen = chooser.balancer.choose(now, &candidates, &tried, chooser.turn, preference);
+        let share = chooser.locality.as_ref().and_then(|locality| locality.shares().next());
+        let share = share.map_or(0.0, |(_, share)| share);
+        if is_first {
+            self.tally.shares.push((now, daemon, share));
+        }
         let Some(name) = chosen else {
             self.tally.refused += 1;
             return;
@@ -237,7 +281,7 @@
         let index = self.calls[call].server;
         self.tally.arrivals += 1;
         let server = &mut self.servers[index];
-        if server.is_dead || server.running == SLOTS && server.waiting.len() == QUEUE_MAX {
+        if server.is_dead(now) || server.running == SLOTS && server.waiting.len() == QUEUE_MAX {
             self.reply(now, call, false);
         } else if server.running == SLOTS {
             server.waiting.push(call);
@@ -285,7 +329,7 @@
     ) {
         let Call { daemon, began_at, sent_at, server, ref tried } = self.calls[call];
         let tried = tried.clone();
-        let is_dead = self.servers[server].is_dead;
+        let is_dead = self.servers[server].is_dead(now);
         let name = self.servers[server].name.clone();
         let balancer = &mut self.daemons[daemon].balancer;
         if !is_dead {
@@ -300,6 +344,14 @@
             false => Outcome::Rejected,
         };
         balancer.record_end(now, &name, outcome);
+        if let Some(locality) = &mut self.daemons[daemon].locality {
+            let sample = match outcome {
+                Outcome::Answered(time) => Sample::Answered(time, BYTES),
+                _ => Sample::Missed,
+            };
+            let data_centre = name_of(self.servers[server].data_centre);
+            locality.record(now, &"pool".into(), &data_centre, sample);
+        }
         if is_served {
             self.tally.answers[server] += 1;
             self.tally.good += usize::from(now.since(began_at) <= TARGET);
--- a/crates/ffw-route/src/lib.rs
+++ b/crates/ffw-route/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod dialect;
 pub mod engine;
 pub mod lease;
+mod locality;
 mod plain;
 pub mod response;
 pub mod roles;
--- a/crates/ffw-route/src/plain.rs
+++ b/crates/ffw-route/src/plain.rs
@@ -13,13 +13,14 @@
     crate::{
         caller::RoutedRequest,
         dialect::Step,
+        locality,
         router::Router,
         transport::{self, Failure, FullResponse, OutgoingRequest, Permit},
     },
     ffw_control::{identity, rate},
     ffw_decide::{
         attempts::Attempts,
-        balance::{Candidate, Outcome},
+        balance::{Candidate, Outcome, Preference},
         permits,
     },
     ffw_http::message::Response,
@@ -104,7 +105,9 @@
         tried.push(server.name.clone());
         let started_at = Instant::now();
         let result = send(router, request, &server, permit, attempts).await;
-        record_outcome(router, &server, started_at, &result);
+        let outcome = record_outcome(router, &server, started_at, &result);
+        let response_bytes = result.as_ref().map_or(0, |response| response.body.len());
+        locality::record(router, request, &server.name, outcome, response_bytes);
         sends += u32::from(!matches!(result, Err(Failure::Unreached(_) | Failure::Withheld(_))));
         let is_last = sends >= request.route.attempts || request.is_expired();
         let (cause, outcome) = match classify(request, &server, result) {
@@ -257,7 +260,7 @@
     server: &Server,
     started_at: Instant,
     result: &Result<FullResponse, Failure>,
-) {
+) -> Outcome {
     let outcome = match result {
         Ok(response) if response.response_info.is_not_run => Outcome::Rejected,
         Ok(response) if response.fault().is_some() || response.head.status >= 500 => {
@@ -268,6 +271,7 @@
         Err(_) => Outcome::Failed,
     };
     router.balancer().record_end(identity::now(), &server.name, outcome);
+    outcome
 }
 
 /// Servers of the request's pool that take work and want requests.
@@ -305,8 +309,14 @@
     };
     let candidates: Vec<Candidate> = instances.iter().map(to_candidate).collect();
     let choice_number = router.next_choice_number();
-    let name = router.balancer().choose(identity::now(), &candidates, tried, choice_number)?;
+    let choice = locality::choose(router, request, &candidates, tried, choice_number);
+    let preference = choice.as_ref().map_or(Preference::Near, locality::Choice::preference);
+    let now = identity::now();
+    let name = router.balancer().choose(now, &candidates, tried, choice_number, preference)?;
     let chosen = instances.iter().find(|instance| instance.name == name)?;
+    if let Some(choice) = choice {
+        locality::record_choice(router, request, &choice, &chosen.data_centre);
+    }
     let permit = match rate::take(daemon, &name) {
         true => Permit::Taken,
         false => Permit::Wanted(Duration::ZERO),
--- a/crates/ffw-route/src/router.rs
+++ b/crates/ffw-route/src/router.rs
@@ -8,7 +8,7 @@
 use {
     crate::dialect::{Dialect, ResponseInfo},
     ffw_control::{daemon::Daemon, identity, rate},
-    ffw_decide::{balance::Balancer, budget::Budget},
+    ffw_decide::{balance::Balancer, budget::Budget, locality::Locality},
     ffw_http::pool::Pool,
     ffw_protocol::instance::Role,
     ffw_runtime::timer,
@@ -39,6 +39,8 @@
     pub idle_connections: Pool,
     limits: Mutex<Limits>,
     balancer: Mutex<Balancer>,
+    /// `None` if the servers of other data centres are weighted by a constant factor.
+    locality: Mutex<Option<Locality>>,
     budget: Mutex<Budget>,
     choice_counter: AtomicU64,
     in_flight: AtomicUsize,
@@ -111,6 +113,7 @@
             idle_connections: Pool::default(),
             limits: Mutex::new(limits),
             balancer: Mutex::default(),
+            locality: Mutex::default(),
             budget: Mutex::new(Budget::new(limits.retry_ratio, limits.retry_window)),
             choice_counter: AtomicU64::new(u64::from(rand::random::<u32>())),
             in_flight: AtomicUsize::new(0),
@@ -135,6 +138,18 @@
         self.balancer.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Shares of the plain requests that leave this data centre; `None` if no price is set.
+    pub fn locality(&self) -> MutexGuard<'_, Option<Locality>> {
+        self.locality.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Lets observed times and this price, in milliseconds for a GB between data centres, decide
+    /// which plain requests leave this data centre.
+    pub fn set_price(&self, gb_ms: f64) {
+        let home = self.daemon.identity.data_centre.clone();
+        *self.locality() = Some(Locality::new(home, gb_ms));
+    }
+
     /// Records what a backend server said of itself in a response.
     pub fn record_notices(&self, server: &Arc<str>, response: &ResponseInfo) {
         let view = &self.daemon.view;
@@ -188,13 +203,16 @@
         self.limits().retry_slack * SLACK_SHARE / daemons.max(1) as f64
     }
 
-    /// Updates the gauges of the retry budget.
+    /// Updates the gauges of the retry budget and of the shares that leave the data centre.
     pub fn update_gauges(&self) {
         let retry_slack_share = self.retry_slack_share();
         for remaining in self.budget().remaining(identity::now(), retry_slack_share) {
             let gauge = &self.daemon.metrics.routed.retries_left;
             gauge.with_label_values(&[&*remaining.pool]).set(i64::from(remaining.calls));
         }
+        for (pool, share) in self.locality().iter().flat_map(Locality::shares) {
+            self.daemon.metrics.routed.away_share.with_label_values(&[&**pool]).set(share);
+        }
     }
 
     fn budget(&self) -> MutexGuard<'_, Budget> {
@@ -271,6 +289,10 @@
         let is_listed = |name: &str| roster.find(name).is_some();
         router.idle_connections.retain(is_listed);
         router.balancer().retain(is_listed);
+        if let Some(locality) = router.locality().as_mut() {
+            let has_servers = |pool: &str| roster.instances.iter().any(|one| *one.pool == *pool);
+            locality.retain(has_servers);
+        }
         router.daemon.view.clean_up_notices();
         rate::clean_up(&router.daemon, is_listed);
         forget_vanished_workspaces(&router.daemon);
--- a/crates/ffw-route/tests/plain.rs
+++ b/crates/ffw-route/tests/plain.rs
@@ -222,3 +222,57 @@
         assert_eq!(received.body == "whole", status == 200, "{received:?}");
     });
 }
+
+/// With a price for bytes between data centres, requests stay with the own data centre's servers, and
+/// leave at once if it has none or they refuse. Guards against refusals while another data
+/// centre has room, and against calls that are counted under a wrong cause.
+#[rstest]
+#[case::own_servers(Some(true), None)]
+#[case::no_own_servers(None, Some("no_servers"))]
+#[case::own_servers_refuse(Some(false), Some("repeat"))]
+fn a_request_leaves_its_data_centre_only_with_a_cause(
+    #[case] own: Option<bool>,
+    #[case] cause: Option<&str>,
+) {
+    smol::block_on(async {
+        let reply = |serves: bool| {
+            script(move |_, head| {
+                Reply::Bytes(if serves { signed(head, "whole") } else { not_run(head) })
+            })
+        };
+        let remote = Backend::start(reply(true)).await;
+        let mut far = instance("far", Role::Plain, &remote, State::Live);
+        far.data_centre = "b".into();
+        let mut servers = vec![far];
+        if let Some(serves) = own {
+            let backend = Backend::start(reply(serves)).await;
+            servers.push(instance("near", Role::Plain, &backend, State::Live));
+        }
+        let router = router(servers);
+        router.set_price(0.0);
+        for _ in 0..20 {
+            assert_eq!(request(&router, "/once/x").await.status, 200);
+        }
+        router.update_gauges();
+        let text = router.daemon.metrics.text();
+        assert_eq!(remote.calls().is_empty(), cause.is_none(), "{text}");
+        assert!(text.contains("fireflyworks_away_share{pool=\"plain\"}"), "{text}");
+        for known in ["target", "no_servers", "repeat", "failing"] {
+            let series = format!("cause=\"{known}\",data_centre=\"b\",pool=\"plain\"");
+            let may_be = own == Some(false) && known == "target";
+            assert!(may_be || text.contains(&series) == (cause == Some(known)), "{known}: {text}");
+        }
+    });
+}
+
+/// Guards deployments without the setting: nothing of locality is computed or exported.
+#[test]
+fn without_a_price_no_share_is_exported() {
+    smol::block_on(async {
+        let backend = Backend::start(script(|_, head| Reply::Bytes(signed(head, "whole")))).await;
+        let router = router(vec![instance("a", Role::Plain, &backend, State::Live)]);
+        assert_eq!(request(&router, "/once/x").await.status, 200);
+        router.update_gauges();
+        assert!(!router.daemon.metrics.text().contains("fireflyworks_away"));
+    });
+}
--- a/crates/fireflyworks/src/command/route.rs
+++ b/crates/fireflyworks/src/command/route.rs
@@ -1,5 +1,5 @@
-//! `fireflyworks route`: the daemon on the users' platform. All settings but the peer secret and
-//! the log level come from the platform's settings file, which is read again on SIGHUP and every
+//! `fireflyworks route`: the daemon on the users' platform. All settings but the peer secret, the log
+//! level and the price of bytes between data centres come from the platform's settings file, which is read again on SIGHUP and every
 //! 5 s.
 
 use {
@@ -71,7 +71,22 @@
         .env("FIREFLYWORKS_LOG_LEVEL")
         .default_value("info")
         .help("error, warn, info, debug or trace");
-    command.arg(secret).arg(level)
+    let price = Arg::new("remote-gb-ms")
+        .long("remote-gb-ms")
+        .env("FIREFLYWORKS_REMOTE_GB_MS")
+        .value_name("MS")
+        .value_parser(parse_price)
+        .help(
+            "Lets observed times decide which plain requests leave the data centre: milliseconds \
+            that a GB to another one may cost, 0 if bytes cost nothing",
+        );
+    command.arg(secret).arg(level).arg(price)
+}
+
+fn parse_price(text: &str) -> Result<f64, String> {
+    let price = text.parse::<f64>().map_err(|err| err.to_string())?;
+    let is_valid = price.is_finite() && price >= 0.0;
+    is_valid.then_some(price).ok_or_else(|| "must be a number of at least 0".into())
 }
 
 fn run(matches: &ArgMatches) -> Result<ExitCode> {
@@ -81,11 +96,12 @@
     eyre::ensure!(secret.len() >= 16, "--peer-secret must have at least 16 bytes");
     let settings = Settings::read()?;
     logs::start(level);
-    executor::run(serve(settings, Secret::new(&secret)))
+    let gb_ms = matches.get_one::<f64>("remote-gb-ms").copied();
+    executor::run(serve(settings, Secret::new(&secret), gb_ms))
         .wrap_err("the daemon stopped unexpectedly")?
 }
 
-async fn serve(settings: Settings, secret: Secret) -> Result<ExitCode> {
+async fn serve(settings: Settings, secret: Secret, gb_ms: Option<f64>) -> Result<ExitCode> {
     let signals = shutdown::listen().wrap_err("installing signal handlers")?;
     let callers =
         listener::bind(settings.callers).await.wrap_err("binding the address for callers")?;
@@ -119,6 +135,9 @@
     executor::detach(owner::run_owned_shards(daemon.clone()));
     executor::detach(quarantine::run(daemon.clone()));
     let router = Router::new(daemon.clone(), DIALECT, limits(&settings));
+    if let Some(gb_ms) = gb_ms {
+        router.set_price(gb_ms);
+    }
     executor::detach(router::forget_vanished_servers(router.clone()));
     executor::detach(engine::run_probes(router.clone()));
     executor::detach(roles::run(router.clone(), lease::storage(&store)));
