Add the types of software versions and of a stream's origin

Change: software::Version and affinity::Origin; nothing uses them yet. Measured: nothing, no behaviour changes.

--- a/crates/ffw-decide/src/lib.rs
+++ b/crates/ffw-decide/src/lib.rs
@@ -2,6 +2,7 @@
 //! or draws random numbers; the time is an argument. A test can therefore run any sequence of
 //! events without waiting.
 
+pub mod affinity;
 pub mod arena;
 pub mod attempts;
 pub mod balance;
--- a/crates/ffw-protocol/src/lib.rs
+++ b/crates/ffw-protocol/src/lib.rs
@@ -15,4 +15,5 @@
 pub mod quota;
 pub mod rate;
 pub mod route;
+pub mod software;
 pub mod time;
