Log how a run's body was framed and whether it was to be moved

Change: event=run_ended for runs whose end the framing alone does not tell, and a counter of all runs by framing, move and end. Measured: builds; the behaviour does not change.

--- a/crates/ffw-control/src/metrics/routed.rs
+++ b/crates/ffw-control/src/metrics/routed.rs
@@ -55,6 +55,9 @@
 pub struct Routed {
     /// Requests that ended, by pool and outcome.
     requests: IntCounterVec,
+    /// Runs of streams that ended, by pool, framing of the body, whether the run was to be moved, and
+    /// how it ended.
+    runs: IntCounterVec,
     /// Duration of each step, in seconds, by pool and step.
     steps: HistogramVec,
     /// Retries that were asked for, by pool and by whether the retry budget allowed them.
@@ -102,6 +105,10 @@
                 Opts::new("fireflyworks_routed_requests_total", "Routed requests that ended"),
                 &["pool", "outcome"],
             )?,
+            runs: IntCounterVec::new(
+                Opts::new("fireflyworks_routed_runs_total", "Runs of streams that ended"),
+                &["pool", "framing", "moved", "end"],
+            )?,
             steps: HistogramVec::new(steps.buckets(buckets), &["pool", "step"])?,
             retries: IntCounterVec::new(
                 Opts::new("fireflyworks_routed_repeats_total", "Repeated calls asked for"),
@@ -182,6 +189,7 @@
             )?,
         };
         registry.register(Box::new(routed.requests.clone()))?;
+        registry.register(Box::new(routed.runs.clone()))?;
         registry.register(Box::new(routed.steps.clone()))?;
         registry.register(Box::new(routed.retries.clone()))?;
         registry.register(Box::new(routed.retries_left.clone()))?;
@@ -205,6 +213,12 @@
         self.requests.with_label_values(&[pool, outcome]).inc();
     }
 
+    /// Counts a run of a stream that ended. `is_moved` states whether its server was told to stop it
+    /// for a move, and `end` is *complete*, *broken* or *caller_gone*.
+    pub fn record_run(&self, pool: &str, framing: &str, is_moved: bool, end: &str) {
+        self.runs.with_label_values(&[pool, framing, yes_or_no(is_moved), end]).inc();
+    }
+
     /// Records the rate limit of a server; `None` if it has none.
     pub fn record_limit(&self, server: &str, per_s: Option<f64>) {
         match per_s {
--- a/crates/ffw-http/src/framing.rs
+++ b/crates/ffw-http/src/framing.rs
@@ -25,6 +25,15 @@
 }
 
 impl Framing {
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Framing::Length(_) => "length",
+            Framing::Chunked => "chunked",
+            Framing::UntilClose => "until_close",
+        }
+    }
+
     /// Framing of a request's body.
     ///
     /// # Errors
--- a/crates/ffw-route/src/stream.rs
+++ b/crates/ffw-route/src/stream.rs
@@ -29,7 +29,7 @@
         rate,
     },
     ffw_decide::attempts::Attempts,
-    ffw_http::connection::Connection,
+    ffw_http::{connection::Connection, framing::Framing},
     ffw_protocol::{
         admission::{Failing, Phase, Refusal, Server},
         error::{Error, Kind, Result},
@@ -187,6 +187,29 @@
         self.router.daemon.metrics.routed.record_stage(&self.request.pool, step, span);
     }
 
+    /// Counts a run that has ended, and logs it if its end can't be told from the framing alone: the
+    /// body ends with the connection, or the server was told to stop the run.
+    fn record_run(
+        &self,
+        reservation: &Reservation,
+        framing: Framing,
+        is_moved: bool,
+        end: &RelayEnd,
+    ) {
+        let routed = &self.router.daemon.metrics.routed;
+        routed.record_run(&self.request.pool, framing.name(), is_moved, end.name());
+        if is_moved || framing == Framing::UntilClose {
+            info!(
+                "event=run_ended request={} server={} framing={} moved={is_moved} events={} end={}",
+                self.request.request_info.id,
+                reservation.grant.decode.name,
+                framing.name(),
+                self.relay.events(),
+                end.name(),
+            );
+        }
+    }
+
     fn log_served(&self, reservation: &Reservation) {
         let RoutedRequest { request_info, route, started_at, .. } = self.request;
         let Some(tokens) = request_info.tokens else { return };
@@ -287,8 +310,9 @@
             reservation.record_phase(Phase::Decode);
             let (id, pool) = (&self.request.request_info.id, &self.request.pool);
             let mut mover = Mover::new(self.router, id, pool, &reservation.grant.decode);
-            let events_before = self.relay.events();
+            let (events_before, framing) = (self.relay.events(), response.framing);
             let end = self.relay.relay_events(self.router, response, reservation, &mut mover).await;
+            self.record_run(reservation, framing, mover.is_moving(), &end);
             let cause = match end {
                 RelayEnd::Complete => {
                     self.record_success();
--- a/crates/ffw-route/src/stream/relay.rs
+++ b/crates/ffw-route/src/stream/relay.rs
@@ -43,6 +43,17 @@
     CallerGone,
 }
 
+impl RelayEnd {
+    /// Name in logs and metrics.
+    pub(super) fn name(&self) -> &'static str {
+        match self {
+            RelayEnd::Complete => "complete",
+            RelayEnd::Broken { .. } => "broken",
+            RelayEnd::CallerGone => "caller_gone",
+        }
+    }
+}
+
 /// The caller's side of a stream: what has been sent, and when.
 pub(super) struct Relay<'a> {
     request: &'a RoutedRequest,
--- a/crates/ffw-route/src/transport.rs
+++ b/crates/ffw-route/src/transport.rs
@@ -138,6 +138,8 @@
     pub(crate) head: Response,
     /// What the adapter's dialect parsed from the head.
     pub(crate) response_info: ResponseInfo,
+    /// Framing of the body.
+    pub(crate) framing: Framing,
     /// Decoder of the body.
     pub(crate) decoder: Decoder,
     /// Connection on which the body arrives.
@@ -182,7 +184,15 @@
     let framing = Framing::of_response(&head, &outgoing.head.method);
     let framing = framing.map_err(|malformed| Failure::Broken(malformed.to_string()))?;
     let (decoder, server) = (Decoder::new(framing), outgoing.server.name.clone());
-    Ok(IncomingResponse { head, response_info, decoder, connection, is_request_sent_whole, server })
+    Ok(IncomingResponse {
+        head,
+        response_info,
+        framing,
+        decoder,
+        connection,
+        is_request_sent_whole,
+        server,
+    })
 }
 
 /// Takes a permit, unless one was taken, and connects to the server. A permit that is waited for
@@ -249,6 +259,7 @@
     let response = IncomingResponse {
         head: response,
         response_info,
+        framing,
         decoder,
         connection,
         is_request_sent_whole,
