Take no end of a connection for the end of a stream that was to be moved

Callers saw: a stream whose server sent neither a length nor chunks, and was told to stop its run for a move, arrived as a complete answer after a part of its events. Cause: the server ends such a run by closing its stream without an end. For a body that ends with its connection that is the end of the body, and the relay finished the caller's response without regard to the move that the same daemon had ordered. Class: an end of a message that its framing does not tell, taken as the end although known facts speak against it. Change: once its server was, or may have been, told to stop the run, a stream that ends with its connection is not complete. The relay waits for the move: the run continues from its KV cache, or counts as broken. A move that reached no server does not count. An order without an answer may be carried out seconds later, also on a later run of the request at that server, which is therefore treated alike.

--- a/crates/ffw-route/src/stream.rs
+++ b/crates/ffw-route/src/stream.rs
@@ -85,7 +85,8 @@
 ) -> Outcome {
     let (watcher, attempts) = (caller.close_watcher(), Attempts::default());
     let relay = Relay::new(request, caller);
-    let mut stream = Stream { router, request, relay, attempts: &attempts };
+    let mut stream =
+        Stream { router, request, relay, attempts: &attempts, open_orders: Vec::new() };
     let time_left = request.time_left();
     let result = {
         let running = async { Some(stream.run().await) };
@@ -122,6 +123,8 @@
     relay: Relay<'a>,
     /// What has been sent to decode servers.
     attempts: &'a Attempts,
+    /// Servers that have not answered an order to stop a run of this request.
+    open_orders: Vec<Arc<str>>,
 }
 
 /// Server of a run before the run was moved.
@@ -309,7 +312,9 @@
             };
             reservation.record_phase(Phase::Decode);
             let (id, pool) = (&self.request.request_info.id, &self.request.pool);
-            let mut mover = Mover::new(self.router, id, pool, &reservation.grant.decode);
+            let server = &reservation.grant.decode;
+            let has_open_order = self.open_orders.contains(&server.name);
+            let mut mover = Mover::new(self.router, id, pool, server, has_open_order);
             let (events_before, framing) = (self.relay.events(), response.framing);
             let end = self.relay.relay_events(self.router, response, reservation, &mut mover).await;
             self.record_run(reservation, framing, mover.is_moving(), &end);
@@ -327,7 +332,11 @@
                     cause
                 }
             };
-            let Some(continuation) = mover.continuation().await else {
+            mover.may_have_stopped_run().await;
+            if mover.leaves_open_order() {
+                self.open_orders.push(reservation.grant.decode.name.clone());
+            }
+            let Some(continuation) = mover.into_continuation() else {
                 return Err(self.broken_run(&reservation.grant.decode, &cause));
             };
             let Continuation { reservation: next, source: moved_source } = continuation;
--- a/crates/ffw-route/src/stream/moving.rs
+++ b/crates/ffw-route/src/stream/moving.rs
@@ -2,12 +2,16 @@
 //! requires it, while its events are still relayed.
 //!
 //! The state advances only between two events, so that no write to the caller is interrupted.
+//!
+//! The server ends a run that it was told to move by closing its stream without an end. If the end of
+//! the stream is that of the connection, both look the same. A stream that ends with its connection is
+//! therefore never complete once its server was, or may have been, told to stop the run.
 
 use {
     crate::{
         dialect::{Move, Source},
         router::Router,
-        transport,
+        transport::{self, Failure},
     },
     ffw_control::admission::{self, Decision, Reservation},
     ffw_protocol::{
@@ -38,6 +42,16 @@
     pub(super) source: Source,
 }
 
+/// What a move has done to its run.
+#[derive(Debug)]
+enum Stop {
+    /// The server was not reached, so that the run goes on.
+    NotOrdered,
+    /// The run has stopped, or stops once the server carries out the order. `None` if it can't
+    /// continue from its KV cache.
+    Ordered { continuation: Option<Continuation>, is_answered: bool },
+}
+
 /// State of a run that may have to be moved.
 #[derive(Debug)]
 pub(super) struct Mover {
@@ -45,6 +59,9 @@
     id: Arc<str>,
     pool: Arc<str>,
     server: Server,
+    /// Whether an order to stop an earlier run of the request at this server is unanswered, which
+    /// the server may carry out late and so on this run.
+    has_open_order: bool,
     state: State,
 }
 
@@ -52,7 +69,8 @@
 enum State {
     Idle { reserve_after: Option<Instant> },
     Reserving(Task<Result<Decision>>),
-    Moving(Task<Option<Continuation>>),
+    Moving(Task<Stop>),
+    Ordered { continuation: Option<Continuation>, is_answered: bool },
 }
 
 impl Mover {
@@ -61,10 +79,11 @@
         id: &Arc<str>,
         pool: &Arc<str>,
         server: &Server,
+        has_open_order: bool,
     ) -> Mover {
         let state = State::Idle { reserve_after: None };
         let (router, id, pool) = (router.clone(), id.clone(), pool.clone());
-        Mover { router, id, pool, server: server.clone(), state }
+        Mover { router, id, pool, server: server.clone(), has_open_order, state }
     }
 
     /// Advances to the next state, if possible. `build_ask` builds the admission request for a
@@ -80,13 +99,13 @@
                 may_reserve && (self.is_leaving() || reservation.must_move())
             }
             State::Reserving(task) => task.is_finished(),
-            State::Moving(_) => false,
+            State::Moving(task) => task.is_finished(),
+            State::Ordered { .. } => false,
         };
         if !can_advance {
             return;
         }
-        let idle = State::Idle { reserve_after: Some(Instant::now() + RESERVE_RETRY_DELAY) };
-        self.state = match std::mem::replace(&mut self.state, idle) {
+        self.state = match self.take_state() {
             State::Idle { .. } => match build_ask() {
                 Some(ask) => self.start_reserving(ask),
                 None => return,
@@ -97,10 +116,22 @@
                 }
                 Ok(Decision::Reservation(_) | Decision::Refusal(_)) | Err(_) => return,
             },
-            moving => moving,
+            State::Moving(task) => match task.await {
+                Stop::NotOrdered => return,
+                Stop::Ordered { continuation, is_answered } => {
+                    State::Ordered { continuation, is_answered }
+                }
+            },
+            ordered @ State::Ordered { .. } => ordered,
         };
     }
 
+    /// The state; in its place stays one in which the next reservation is requested after a delay.
+    fn take_state(&mut self) -> State {
+        let idle = State::Idle { reserve_after: Some(Instant::now() + RESERVE_RETRY_DELAY) };
+        std::mem::replace(&mut self.state, idle)
+    }
+
     fn is_leaving(&self) -> bool {
         !self.router.daemon.view.takes_work(&self.server.name)
     }
@@ -122,28 +153,46 @@
         ))
     }
 
-    /// Whether the server was told to stop the run.
+    /// Whether the server is being told to stop the run, or may have been.
     pub(super) fn is_moving(&self) -> bool {
-        matches!(self.state, State::Moving(_))
+        self.has_open_order || matches!(self.state, State::Moving(_) | State::Ordered { .. })
+    }
+
+    /// Waits for the end of a move that is under way; returns whether the server may have stopped
+    /// the run because of a move.
+    pub(super) async fn may_have_stopped_run(&mut self) -> bool {
+        if let State::Moving(_) = self.state
+            && let State::Moving(task) = self.take_state()
+        {
+            let stop = timer::timeout(MOVE_TIMEOUT, task).await;
+            self.state = match stop {
+                Some(Stop::NotOrdered) => State::Idle { reserve_after: None },
+                Some(Stop::Ordered { continuation, is_answered }) => {
+                    State::Ordered { continuation, is_answered }
+                }
+                None => State::Ordered { continuation: None, is_answered: false },
+            };
+        }
+        self.is_moving()
+    }
+
+    /// Whether an order to stop the run stays unanswered.
+    pub(super) fn leaves_open_order(&self) -> bool {
+        self.has_open_order || matches!(self.state, State::Ordered { is_answered: false, .. })
     }
 
     /// How the run continues after its server has ended it; `None` if no move was under way, or it
     /// failed.
-    pub(super) async fn continuation(self) -> Option<Continuation> {
+    pub(super) fn into_continuation(self) -> Option<Continuation> {
         match self.state {
-            State::Moving(task) => timer::timeout(MOVE_TIMEOUT, task).await.flatten(),
-            State::Idle { .. } | State::Reserving(_) => None,
+            State::Ordered { continuation, .. } => continuation,
+            State::Idle { .. } | State::Reserving(_) | State::Moving(_) => None,
         }
     }
 }
 
 /// Makes a server stop a run and copy its KV cache to the decode server of a reservation.
-async fn move_run(
-    router: &Router,
-    id: &str,
-    from: &Server,
-    reservation: Reservation,
-) -> Option<Continuation> {
+async fn move_run(router: &Router, id: &str, from: &Server, reservation: Reservation) -> Stop {
     let target = reservation.grant.decode.clone();
     let order = Move { server: &from.name, id, target: target.address };
     let (head, body) = (router.dialect.write_move)(&order);
@@ -152,13 +201,21 @@
         Ok(response) => (response.head.status, (router.dialect.parse_handle)(&response.body).ok()),
         Err(failure) => {
             info!("event=move_failed request={id} from={} error=\"{failure}\"", from.name);
-            return None;
+            return match failure {
+                Failure::Unreached(_) | Failure::Withheld(_) => Stop::NotOrdered,
+                Failure::Broken(_) | Failure::Disconnected(_) | Failure::TimedOut => {
+                    Stop::Ordered { continuation: None, is_answered: false }
+                }
+            };
         }
     };
     let to = &target.name;
     info!("event=run_moved request={id} from={} to={to} status={status}", from.name);
-    let source = Source { address: from.address, handle: handle? };
     // With any other status, the run has stopped and its KV cache is still at the old server.
     let reservation = (status == 200).then_some(reservation);
-    Some(Continuation { reservation, source })
+    let continuation = handle.map(|handle| {
+        let source = Source { address: from.address, handle };
+        Continuation { reservation, source }
+    });
+    Stop::Ordered { continuation, is_answered: true }
 }
--- a/crates/ffw-route/src/stream/relay.rs
+++ b/crates/ffw-route/src/stream/relay.rs
@@ -166,6 +166,9 @@
         }
         // A body that ends with its connection may have been cut anywhere.
         let is_disconnect = response.decoder.ends_with_connection();
+        if is_disconnect && mover.may_have_stopped_run().await {
+            return broken("the run was stopped for a move");
+        }
         if !unsent.is_whole() {
             let cause = "the stream ended within an event".into();
             return RelayEnd::Broken { cause, is_disconnect };
--- a/crates/ffw-route/tests/support/harness.rs
+++ b/crates/ffw-route/tests/support/harness.rs
@@ -256,7 +256,7 @@
     }
 
     /// The same with a framing of the stream and an answer to the move. A run that goes on at this
-    /// server ends after the events 2000 and 2001.
+    /// server is chunked and ends after the events 2000 and 2001.
     pub(crate) async fn start_slow_with(slow: Slow) -> Backend {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
         let address = listener.local_addr().expect("an address");
@@ -286,10 +286,11 @@
         }
         let id = head.fields.text("Id").unwrap_or_default();
         let mut bytes = format!("HTTP/1.1 200 X\r\nId: {id}\r\nSignature: s\r\n").into_bytes();
-        bytes.extend(slow.framing.field().bytes());
-        let first = if is_first { 0..80 } else { 2_000..2_002 };
-        for number in first {
-            bytes.extend(slow.framing.event(number));
+        let framing = if is_first { slow.framing } else { SlowFraming::Chunked };
+        bytes.extend(framing.field().bytes());
+        let events = if is_first { 0..80 } else { 2_000..2_002 };
+        for number in events {
+            bytes.extend(framing.event(number));
             let is_stopped = is_first && slow.moved.load(Ordering::SeqCst);
             if is_stopped || connection.write(&bytes, TIMEOUT).await.is_err() {
                 return;
@@ -297,7 +298,7 @@
             bytes.clear();
             timer::sleep(Duration::from_millis(50)).await;
         }
-        connection.write(slow.framing.end(), TIMEOUT).await.ok();
+        connection.write(framing.end(), TIMEOUT).await.ok();
     }
 
     /// Waits until the caller has closed an endless reply.
