Let other requests pass one that only some servers may serve

Cause: a request that excludes servers, and waits for one of the others, ended the search for the whole queue: those behind it waited although servers were free for them. So far only pushback and rate limits excluded servers; a stream that goes on at its software version does so for as long as it waits. Change: such a request is passed over until its servers have room.

--- a/crates/ffw-decide/src/shard/queue.rs
+++ b/crates/ffw-decide/src/shard/queue.rs
@@ -1,7 +1,9 @@
 //! The queue: which request is granted next, and the reservation that it gets.
 //!
 //! The order comes from [`crate::order`]. A request that lacks only memory lets a limited number of
-//! others pass, so that a large request doesn't leave slots idle and isn't passed for ever.
+//! others pass, so that a large request doesn't leave slots idle and isn't passed for ever. One that
+//! only some servers may serve, such as a stream that goes on at its software version, lets all others
+//! pass while it waits for them.
 
 use {
     super::{
@@ -112,6 +114,12 @@
                     passed.push(pick.index);
                     passed.sort_unstable();
                 }
+                // What it waits for is not what the requests behind it wait for.
+                Err(blocked) if self.excludes_servers(pick.index) => {
+                    self.wake_at = self.wake_at.min(blocked.retry_at());
+                    passed.push(pick.index);
+                    passed.sort_unstable();
+                }
                 Err(Blocked::Memory(retry_at) | Blocked::Until(retry_at)) => {
                     self.wake_at = self.wake_at.min(retry_at);
                     break;
@@ -121,6 +129,11 @@
         }
     }
 
+    /// Whether only some of the servers may serve a request.
+    fn excludes_servers(&self, index: usize) -> bool {
+        !self.waiting[index].ask.avoid.is_empty()
+    }
+
     fn search(&self, now: Moment, index: usize) -> Result<Plan, Blocked> {
         let ask = &self.waiting[index].ask;
         let (prefills, decodes) = (&self.prefills, &self.decodes);
--- a/crates/ffw-decide/src/shard/reservation.rs
+++ b/crates/ffw-decide/src/shard/reservation.rs
@@ -141,6 +141,16 @@
     NoServer,
 }
 
+impl Blocked {
+    /// When to search again; [`Moment::NEVER`] if no time is known.
+    pub fn retry_at(self) -> Moment {
+        match self {
+            Blocked::Until(time) | Blocked::Memory(time) => time,
+            Blocked::NoServer => Moment::NEVER,
+        }
+    }
+}
+
 /// Selects the prefill server that would finish first, then the decode server at which the transfer
 /// would end first, both delayed by the handicap of servers that fail a part of their requests.
 /// Servers in backoff are used only if all are.
