Remember at which software version streams began, at several daemons

Servers of several software versions may serve side by side, and a stream may go on only at the version that began it.

A daemon records the version of an attempt's first event and sends the record to the first three daemons in an order by the hash of pool and attempt; a daemon whose caller takes a stream up asks the first five of that order at once. Two new calls between daemons, at the end; the rows of the others in wire_layout are the same. Two versions for one attempt, or no record, is an unknown version.

The calls between daemons have no test yet.

--- a/crates/ffw-control/src/calls.rs
+++ b/crates/ffw-control/src/calls.rs
@@ -1,7 +1,7 @@
 //! Answers to the calls of other daemons.
 
 use {
-    crate::{burn, daemon::Daemon, freshness::Arrival, owner, quarantine, quota, rate},
+    crate::{burn, daemon::Daemon, freshness::Arrival, origin, owner, quarantine, quota, rate},
     ffw_peer::{
         handler::{Handlers, Reply},
         service::{Roster, Status, Updates, Versions},
@@ -19,6 +19,7 @@
     let (for_burn, for_status) = (shared(), shared());
     let (for_evidence, for_holds, for_lift) = (shared(), shared(), shared());
     let (for_permits, for_confirmations, for_quota) = (shared(), shared(), shared());
+    let (for_origins, for_origin) = (shared(), shared());
     Handlers {
         admit: Box::new(move |call| {
             let daemon = for_admit.clone();
@@ -46,6 +47,8 @@
         take_permits: Box::new(move |ask| ready(rate::account::grant(&for_permits, &ask))),
         confirmations: Box::new(move |()| ready(for_confirmations.beliefs.confirmations())),
         take_quota: Box::new(move |ask| ready(quota::grant(&for_quota, &ask))),
+        record_origins: Box::new(move |records| ready(origin::accept(&for_origins, &records))),
+        find_origin: Box::new(move |key| ready(origin::recall(&for_origin, key))),
     }
 }
 
--- a/crates/ffw-control/src/daemon.rs
+++ b/crates/ffw-control/src/daemon.rs
@@ -8,6 +8,7 @@
         identity::Identity,
         ledger::Ledger,
         metrics::Metrics,
+        origin::Origins,
         owned::OwnedShards,
         quarantine::Quarantines,
         quota::Quotas,
@@ -75,6 +76,8 @@
     pub rates: Rates,
     /// Quotas of workspaces.
     pub quotas: Quotas,
+    /// Software versions at which streams began.
+    pub origins: Origins,
     /// Records of decisions.
     pub ledger: Ledger,
     /// Metrics.
@@ -139,6 +142,7 @@
             quarantines: Quarantines::default(),
             rates: Rates::default(),
             quotas: Quotas::default(),
+            origins: Origins::default(),
             metrics,
             policy: setup.policy,
             turn: AtomicU64::new(0),
--- a/crates/ffw-control/src/lib.rs
+++ b/crates/ffw-control/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod ledger;
 pub mod metrics;
 pub mod order;
+pub mod origin;
 pub mod owned;
 pub mod owner;
 pub mod quarantine;
--- a/crates/ffw-decide/src/lib.rs
+++ b/crates/ffw-decide/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod locality;
 pub mod notice;
 pub mod order;
+pub mod origin;
 pub mod permits;
 pub mod quarantine;
 pub mod quota;
--- /dev/null
+++ b/crates/ffw-decide/src/origin/placement.rs
@@ -0,0 +1,64 @@
+//! Which daemons keep the record of a stream's origin, and which are asked for it.
+//!
+//! Both follow one order of all daemons, so that a daemon that knows only the key finds the record.
+//! The first daemons of the order are in different data centres: the loss of one must not lose all
+//! copies. Daemons that join or leave meanwhile shift the order by a place each, and a writer passes
+//! over daemons that it can't reach; therefore more are asked than are written to.
+
+use {
+    ffw_protocol::instance::Instance,
+    std::{collections::VecDeque, sync::Arc},
+};
+
+/// Daemons that keep a record, beside the one that made it.
+pub const REPLICAS: usize = 3;
+
+/// Daemons that are asked for a record.
+pub const ASKED: usize = REPLICAS + 2;
+
+/// Where a record goes.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Targets {
+    /// Daemons to which it is sent. The daemon that made it has it already.
+    pub replicas: Vec<Instance>,
+    /// Daemons that stand in, in order, for a replica that does not answer.
+    pub spares: VecDeque<Instance>,
+}
+
+/// The targets of a record that the daemon `own` has made. `ranked` are the live daemons in
+/// rendezvous order, `suspects` names those that are passed over.
+pub fn targets(ranked: &[Instance], own: &str, suspects: &[Arc<str>]) -> Targets {
+    let mut reachable = order(ranked).filter(|daemon| !suspects.contains(&daemon.name));
+    let first = reachable.by_ref().take(REPLICAS);
+    let replicas = first.filter(|daemon| *daemon.name != *own).cloned().collect();
+    let others = reachable.filter(|daemon| *daemon.name != *own);
+    Targets { replicas, spares: others.take(REPLICAS).cloned().collect() }
+}
+
+/// The daemons that the daemon `own` asks for a record, at most [`ASKED`]. Suspects come last.
+pub fn readers(ranked: &[Instance], own: &str, suspects: &[Arc<str>]) -> Vec<Instance> {
+    let others = order(ranked).filter(|daemon| *daemon.name != *own);
+    let (suspected, reachable): (Vec<&Instance>, Vec<&Instance>) =
+        others.partition(|daemon| suspects.contains(&daemon.name));
+    reachable.into_iter().chain(suspected).take(ASKED).cloned().collect()
+}
+
+/// The order: the first daemons of the first [`REPLICAS`] data centres, then all others as ranked.
+/// A daemon that is displaced as the first of its data centre so falls back by few places, also if
+/// there are many data centres.
+fn order(ranked: &[Instance]) -> impl Iterator<Item = &Instance> {
+    let mut first: Vec<usize> = Vec::with_capacity(REPLICAS);
+    for (index, daemon) in ranked.iter().enumerate() {
+        if first.len() == REPLICAS {
+            break;
+        }
+        if first.iter().all(|known| ranked[*known].data_centre != daemon.data_centre) {
+            first.push(index);
+        }
+    }
+    let others = (0..ranked.len()).filter({
+        let first = first.clone();
+        move |index| !first.contains(index)
+    });
+    first.into_iter().chain(others).map(|index| &ranked[index])
+}
--- a/crates/ffw-peer/src/handler.rs
+++ b/crates/ffw-peer/src/handler.rs
@@ -7,8 +7,9 @@
         belief::Confirmation,
         config::Version,
         ledger::{Record, Segment},
+        origin,
         quarantine::{Evidence, Exchange, Hold},
-        quota, rate,
+        quota, rate, software,
     },
     std::{future::Future, pin::Pin, sync::Arc},
     tarpc::context::Context,
@@ -75,6 +76,10 @@
     pub confirmations: Handler<(), Vec<Confirmation>>,
     /// Handles [`Peer::take_quota`].
     pub take_quota: Handler<quota::Ask, quota::Grant>,
+    /// Handles [`Peer::record_origins`].
+    pub record_origins: Handler<Vec<origin::Record>, bool>,
+    /// Handles [`Peer::find_origin`].
+    pub find_origin: Handler<origin::Key, Option<software::Version>>,
 }
 
 #[derive(Clone)]
@@ -152,4 +157,12 @@
     async fn take_quota(self, _: Context, ask: quota::Ask) -> quota::Grant {
         (self.handlers.take_quota)(ask).await
     }
+
+    async fn record_origins(self, _: Context, records: Vec<origin::Record>) -> bool {
+        (self.handlers.record_origins)(records).await
+    }
+
+    async fn find_origin(self, _: Context, key: origin::Key) -> Option<software::Version> {
+        (self.handlers.find_origin)(key).await
+    }
 }
--- a/crates/ffw-peer/src/service.rs
+++ b/crates/ffw-peer/src/service.rs
@@ -7,8 +7,9 @@
         config::Version,
         instance::Instance,
         ledger::{Record, Segment},
+        origin,
         quarantine::{Evidence, Exchange, Hold},
-        quota, rate,
+        quota, rate, software,
     },
     serde::{Deserialize, Serialize},
     std::sync::Arc,
@@ -182,4 +183,9 @@
     /// Asks for units of a workspace's quota for a request. Daemons of earlier builds do not know
     /// this call.
     async fn take_quota(ask: quota::Ask) -> quota::Grant;
+    /// Asks the receiver to remember where streams began. Daemons of earlier builds do not know
+    /// this call and the following one.
+    async fn record_origins(records: Vec<origin::Record>) -> bool;
+    /// Returns the version at which a stream began, if the receiver remembers it.
+    async fn find_origin(key: origin::Key) -> Option<software::Version>;
 }
--- a/crates/ffw-peer/tests/wire_layout.rs
+++ b/crates/ffw-peer/tests/wire_layout.rs
@@ -15,9 +15,11 @@
         config::Version,
         digest, id,
         instance::{Instance, Role, State},
+        origin,
         quarantine::{Cause, Clearing, Crash, Evidence, Exchange, Prompt},
         quota,
         rate::{self, Stated},
+        software,
     },
     serde::Serialize,
     std::{net::SocketAddr, time::Duration},
@@ -40,6 +42,8 @@
 take_permits 13 91 5b7606807518
 confirmations 14 4 01b4f6bd5d6a
 take_quota 15 74 9f76e7aceb23
+record_origins 16 33 f5972a23a0df
+find_origin 17 12 eb7756e42204
 admitted 0 148 bdeb152e10e9
 renewed 1 92 6647698c50de
 updates 3 200 ce92ef26b9ac
@@ -47,6 +51,8 @@
 permits 13 54 c40b47965728
 confirmed 14 52 24dbfe0b3323
 units 15 20 258a0cf4351d
+recorded 16 5 659831580542
+origin 17 18 7977486b4cdd
 ";
 
 fn attempt() -> Attempt {
@@ -204,6 +210,11 @@
     }
 }
 
+fn origin() -> origin::Record {
+    let software = software::Version::Stated("v".into());
+    origin::Record { key: origin::Key::new("llm", "r"), software }
+}
+
 fn confirmation() -> Confirmation {
     Confirmation {
         kind: belief::Kind::Servers,
@@ -237,6 +248,8 @@
         line("take_permits", &PeerRequest::TakePermits { ask: permits() }),
         line("confirmations", &PeerRequest::Confirmations {}),
         line("take_quota", &PeerRequest::TakeQuota { ask: units() }),
+        line("record_origins", &PeerRequest::RecordOrigins { records: vec![origin()] }),
+        line("find_origin", &PeerRequest::FindOrigin { key: origin().key }),
     ]
     .concat()
 }
@@ -264,6 +277,8 @@
         line("permits", &PeerResponse::TakePermits(granted())),
         line("confirmed", &PeerResponse::Confirmations(vec![confirmation()])),
         line("units", &PeerResponse::TakeQuota(quota::Grant::Exceeded(Duration::from_millis(15)))),
+        line("recorded", &PeerResponse::RecordOrigins(true)),
+        line("origin", &PeerResponse::FindOrigin(Some(origin().software))),
     ]
     .concat()
 }
--- a/crates/ffw-protocol/src/lib.rs
+++ b/crates/ffw-protocol/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod id;
 pub mod instance;
 pub mod ledger;
+pub mod origin;
 pub mod prefix;
 pub mod quarantine;
 pub mod quota;
