Read the software versions of servers, and keep which ones each pool had

`Daemon::software` has the version of each server, and by `sole` the only version at which a stream that a caller takes up can have begun; it answers only while the list is confirmed. `ffw_decide::affinity::history` decides this. For `serve`, an instance of the list may have a field `software`.

Not done yet: peers' lists, the record in the store.

--- a/crates/ffw-control/src/daemon.rs
+++ b/crates/ffw-control/src/daemon.rs
@@ -13,6 +13,7 @@
         quota::Quotas,
         rate::Rates,
         snapshot::View,
+        software::Software,
         suspect,
     },
     ffw_decide::{baseline::Policy, burn::Counters},
@@ -87,7 +88,9 @@
     /// Requests in flight.
     pub open: AtomicU64,
     /// What is believed about the objects that are followed in the store.
-    pub beliefs: Beliefs,
+    pub beliefs: Arc<Beliefs>,
+    /// Versions of the software of backend servers.
+    pub software: Software,
     freshness: Freshness,
     config_fetches: AtomicUsize,
     burn: Mutex<Counters>,
@@ -123,6 +126,7 @@
     pub fn new(setup: Setup) -> Result<Arc<Daemon>> {
         let metrics = Metrics::new()
             .map_err(|err| Error::new(Kind::Internal, format!("cannot register metrics: {err}")))?;
+        let beliefs = Arc::new(Beliefs::default());
         let identity = Identity::new(setup.instance, setup.data_centre);
         Ok(Arc::new(Daemon {
             mode: setup.mode,
@@ -143,7 +147,8 @@
             policy: setup.policy,
             turn: AtomicU64::new(0),
             open: AtomicU64::new(0),
-            beliefs: Beliefs::default(),
+            software: Software::new(beliefs.clone()),
+            beliefs,
             freshness: Freshness::default(),
             config_fetches: AtomicUsize::new(0),
             burn: Mutex::default(),
--- a/crates/ffw-control/src/lib.rs
+++ b/crates/ffw-control/src/lib.rs
@@ -23,5 +23,6 @@
 pub mod relay;
 pub mod report;
 pub mod snapshot;
+pub mod software;
 pub mod suspect;
 pub mod sweep;
--- a/crates/ffw-control/src/relay.rs
+++ b/crates/ffw-control/src/relay.rs
@@ -11,7 +11,7 @@
         daemon::{Daemon, Mode},
         freshness::{Arrival, Source},
         snapshot::Snapshot,
-        suspect,
+        software, suspect,
     },
     ffw_peer::service::{Roster, Updates, Versions},
     ffw_platform::{
@@ -26,6 +26,7 @@
     },
     ffw_runtime::{clock, executor, timer},
     log::{debug, info, warn},
+    serde::Deserialize,
     smol::Task,
     std::{
         net::SocketAddr,
@@ -71,6 +72,28 @@
 /// Share of the seeds that must answer before a daemon starts with a version from peers alone.
 const PEER_QUORUM: f64 = 0.5;
 
+/// An instance as the platform lists it.
+#[derive(Deserialize)]
+struct Listed {
+    #[serde(flatten)]
+    instance: Instance,
+    /// Version of a backend server's software; absent if it states none.
+    #[serde(default)]
+    software: Option<Arc<str>>,
+}
+
+impl Listed {
+    /// Records the version of the software; returns the instance.
+    fn record_software(self, daemon: &Daemon) -> Instance {
+        if self.instance.role != Role::Entry {
+            let version =
+                self.software.map_or(software::Version::Unstated, software::Version::Stated);
+            daemon.software.record_server(&self.instance, version);
+        }
+        self.instance
+    }
+}
+
 /// Keeps configuration and instance list up to date for as long as the daemon runs.
 pub async fn run(daemon: Arc<Daemon>) {
     start(&daemon).await;
@@ -178,11 +201,13 @@
 
 /// Reads the instance list from the platform; returns its version.
 async fn read_instances(daemon: &Daemon, limit: Duration) -> Result<Arc<str>> {
-    let list: List<Instance> = daemon.store.list_within(limit, Kind::Instances, "").await?;
+    let list: List<Listed> = daemon.store.list_within(limit, Kind::Instances, "").await?;
     let resource_version = list.metadata.resource_version.clone();
-    let instances = list.items.into_iter().map(|object| object.spec).collect();
+    let listed = list.items.into_iter().map(|object| object.spec.record_software(daemon));
+    let instances = listed.collect();
     let number = resource_version.parse().unwrap_or(0);
     daemon.view.offer_roster(Roster::new(number, instances));
+    software::record_list(daemon);
     Ok(resource_version)
 }
 
@@ -281,13 +306,15 @@
     }
 }
 
-fn record_instance(daemon: &Daemon, event: watch::Event<Instance>) -> Result<()> {
+fn record_instance(daemon: &Daemon, event: watch::Event<Listed>) -> Result<()> {
     let Some(object) = event.object else { return Ok(()) };
     let resource_version = object.metadata.resource_version.parse();
     let resource_version =
         resource_version.map_err(|_| Fault::Lost("the resource version is not a number".into()))?;
-    let instance = (event.change != Change::Deleted).then_some(object.spec);
+    let listed = (event.change != Change::Deleted).then_some(object.spec);
+    let instance = listed.map(|listed| listed.record_software(daemon));
     daemon.view.record_instance(resource_version, &object.metadata.name, instance);
+    software::record_list(daemon);
     Ok(())
 }
 
--- /dev/null
+++ b/crates/ffw-control/src/software.rs
@@ -0,0 +1,145 @@
+//! Versions of the software of backend servers: what this daemon knows of each server, and which
+//! versions each pool had lately.
+//!
+//! The reader of the store's list fills the table before it publishes the list. For servers that
+//! only a peer has listed, that peer is asked.
+
+use {
+    crate::{belief::Beliefs, daemon::Daemon},
+    arc_swap::ArcSwap,
+    ffw_decide::affinity::history::{self, History, Listed},
+    ffw_protocol::{
+        belief::Kind,
+        instance::{Instance, Role},
+        time::Moment,
+    },
+    ffw_runtime::clock,
+    log::info,
+    std::{
+        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        time::Duration,
+    },
+};
+
+pub use ffw_protocol::software::Version;
+
+/// Time for which the version of a server that is no longer listed stays known. Requests that it
+/// serves may last that long.
+const KEEP_UNLISTED: Duration = Duration::from_secs(600);
+
+/// What a daemon knows of the software of backend servers. Times are of [`clock::boot_time`].
+#[derive(Debug)]
+pub struct Software {
+    /// In order of server.
+    known: ArcSwap<Vec<Known>>,
+    /// Held by each write of `known`, too.
+    history: Mutex<History>,
+    beliefs: Arc<Beliefs>,
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    server: Arc<str>,
+    version: Version,
+    /// When it was last seen in a list.
+    listed_at: Moment,
+}
+
+impl Software {
+    /// Knows nothing yet. `beliefs` tell whether the list of servers is confirmed.
+    pub fn new(beliefs: Arc<Beliefs>) -> Software {
+        Software { known: ArcSwap::default(), history: Mutex::default(), beliefs }
+    }
+
+    /// Version of a server's software; `None` if it is not known.
+    pub fn of(&self, server: &str) -> Option<Version> {
+        find(&self.known.load(), server).cloned()
+    }
+
+    /// The only version at which a stream of a pool that callers may still take up can have begun;
+    /// `None` if there are several, if not all are known, or if the list of servers is older than
+    /// its bound, since servers of another version may have come meanwhile.
+    pub fn sole(&self, pool: &str) -> Option<Version> {
+        let age = self.beliefs.age(Kind::Servers)?;
+        if age > self.beliefs.bound() {
+            return None;
+        }
+        self.history().sole(clock::boot_time(), pool)
+    }
+
+    /// Records the version of a server that a list or a change of it holds.
+    pub fn record_server(&self, server: &Instance, version: Version) {
+        let now = clock::boot_time();
+        let mut history = self.history();
+        let listed = Listed {
+            server: server.name.clone(),
+            pool: server.pool.clone(),
+            version: Some(version.clone()),
+        };
+        history.record_server(now, &listed);
+        let known = self.known.load();
+        if find(&known, &server.name) == Some(&version) {
+            return;
+        }
+        let mut known = Vec::clone(&known);
+        let new = Known { server: server.name.clone(), version, listed_at: now };
+        match known.binary_search_by(|known| known.server.cmp(&server.name)) {
+            Ok(index) => known[index] = new,
+            Err(index) => known.insert(index, new),
+        }
+        self.known.store(Arc::new(known));
+    }
+
+    /// Records that changes of the list may have been missed until now.
+    pub fn record_gap(&self) {
+        self.history().record_gap(clock::boot_time());
+    }
+
+    pub(crate) fn history(&self) -> MutexGuard<'_, History> {
+        self.history.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Forgets servers that have not been listed for [`KEEP_UNLISTED`]; the guard shows that no
+    /// other write is under way.
+    fn forget(&self, _history: &MutexGuard<'_, History>, now: Moment, list: &[Listed]) {
+        let known = self.known.load();
+        let is_listed =
+            |server: &str| list.binary_search_by(|listed| (*listed.server).cmp(server)).is_ok();
+        let kept = known.iter().filter_map(|known| {
+            let listed_at = if is_listed(&known.server) { now } else { known.listed_at };
+            let is_kept = now.since(listed_at) < KEEP_UNLISTED;
+            is_kept.then(|| Known { listed_at, ..known.clone() })
+        });
+        self.known.store(Arc::new(kept.collect()));
+    }
+}
+
+fn find<'a>(known: &'a [Known], server: &str) -> Option<&'a Version> {
+    let found = known.binary_search_by(|known| (*known.server).cmp(server));
+    found.ok().map(|index| &known[index].version)
+}
+
+/// Records the list of servers that the view has, with the versions that are known.
+pub fn record_list(daemon: &Daemon) {
+    let software = &daemon.software;
+    let roster = daemon.view.roster();
+    let servers = roster.instances.iter().filter(|instance| instance.role != Role::Entry);
+    let config = daemon.view.config();
+    let now = clock::boot_time();
+    let mut history = software.history();
+    if let Some(snapshot) = config {
+        history.set_lifetime(history::lifetime(&snapshot.deployment));
+    }
+    let known = software.known.load();
+    let listed = servers.map(|server| Listed {
+        server: server.name.clone(),
+        pool: server.pool.clone(),
+        version: find(&known, &server.name).cloned(),
+    });
+    let list: Vec<Listed> = listed.collect();
+    for change in history.record_list(now, &list) {
+        let history::Change { pool, version, is_listed } = change;
+        info!("event=software_listed pool={pool} version={version} is_listed={is_listed}");
+    }
+    software.forget(&history, now, &list);
+}
--- a/crates/ffw-decide/src/affinity.rs
+++ b/crates/ffw-decide/src/affinity.rs
@@ -6,6 +6,8 @@
 //! of a run, and a caller that takes up a broken stream at another daemon. A version that can't be
 //! known is not guessed.
 
+pub mod history;
+
 use ffw_protocol::software::Version;
 
 /// Where the first event of a stream was written.
