Hold the order to stop a run in one type

Cause: the two enums of the fix for moved streams held a continuation in one variant each, which the linter refuses for their size. Change: Order, with its continuation in a box; a move that reached no server has none.

--- a/crates/ffw-route/src/stream/moving.rs
+++ b/crates/ffw-route/src/stream/moving.rs
@@ -42,14 +42,13 @@
     pub(super) source: Source,
 }
 
-/// What a move has done to its run.
+/// An order to stop a run, which its server has got or may have got.
 #[derive(Debug)]
-enum Stop {
-    /// The server was not reached, so that the run goes on.
-    NotOrdered,
-    /// The run has stopped, or stops once the server carries out the order. `None` if it can't
-    /// continue from its KV cache.
-    Ordered { continuation: Option<Continuation>, is_answered: bool },
+struct Order {
+    /// How the run continues; `None` if it can't continue from its KV cache.
+    continuation: Option<Box<Continuation>>,
+    /// Whether the server has answered. If not, it may still carry the order out.
+    is_answered: bool,
 }
 
 /// State of a run that may have to be moved.
@@ -67,10 +66,13 @@
 
 #[derive(Debug)]
 enum State {
-    Idle { reserve_after: Option<Instant> },
+    Idle {
+        reserve_after: Option<Instant>,
+    },
     Reserving(Task<Result<Decision>>),
-    Moving(Task<Stop>),
-    Ordered { continuation: Option<Continuation>, is_answered: bool },
+    /// The task returns `None` if the server was not reached.
+    Moving(Task<Option<Order>>),
+    Ordered(Order),
 }
 
 impl Mover {
@@ -100,7 +102,7 @@
             }
             State::Reserving(task) => task.is_finished(),
             State::Moving(task) => task.is_finished(),
-            State::Ordered { .. } => false,
+            State::Ordered(_) => false,
         };
         if !can_advance {
             return;
@@ -111,18 +113,18 @@
                 None => return,
             },
             State::Reserving(task) => match task.await {
-                Ok(Decision::Reservation(reservation)) if self.takes_work(&reservation) => {
+                Ok(Decision::Reservation(reservation))
+                    if self.may_move_to(&reservation.grant.decode.name) =>
+                {
                     self.start_move(reservation)
                 }
                 Ok(Decision::Reservation(_) | Decision::Refusal(_)) | Err(_) => return,
             },
             State::Moving(task) => match task.await {
-                Stop::NotOrdered => return,
-                Stop::Ordered { continuation, is_answered } => {
-                    State::Ordered { continuation, is_answered }
-                }
+                Some(order) => State::Ordered(order),
+                None => return,
             },
-            ordered @ State::Ordered { .. } => ordered,
+            ordered @ State::Ordered(_) => ordered,
         };
     }
 
@@ -155,7 +157,7 @@
 
     /// Whether the server is being told to stop the run, or may have been.
     pub(super) fn is_moving(&self) -> bool {
-        self.has_open_order || matches!(self.state, State::Moving(_) | State::Ordered { .. })
+        self.has_open_order || matches!(self.state, State::Moving(_) | State::Ordered(_))
     }
 
     /// Waits for the end of a move that is under way; returns whether the server may have stopped
@@ -164,13 +166,11 @@
         if let State::Moving(_) = self.state
             && let State::Moving(task) = self.take_state()
         {
-            let stop = timer::timeout(MOVE_TIMEOUT, task).await;
-            self.state = match stop {
-                Some(Stop::NotOrdered) => State::Idle { reserve_after: None },
-                Some(Stop::Ordered { continuation, is_answered }) => {
-                    State::Ordered { continuation, is_answered }
-                }
-                None => State::Ordered { continuation: None, is_answered: false },
+            let unanswered = Some(Order { continuation: None, is_answered: false });
+            let order = timer::timeout(MOVE_TIMEOUT, task).await.unwrap_or(unanswered);
+            self.state = match order {
+                Some(order) => State::Ordered(order),
+                None => State::Idle { reserve_after: None },
             };
         }
         self.is_moving()
@@ -178,21 +178,28 @@
 
     /// Whether an order to stop the run stays unanswered.
     pub(super) fn leaves_open_order(&self) -> bool {
-        self.has_open_order || matches!(self.state, State::Ordered { is_answered: false, .. })
+        self.has_open_order
+            || matches!(self.state, State::Ordered(Order { is_answered: false, .. }))
     }
 
     /// How the run continues after its server has ended it; `None` if no move was under way, or it
     /// failed.
     pub(super) fn into_continuation(self) -> Option<Continuation> {
         match self.state {
-            State::Ordered { continuation, .. } => continuation,
+            State::Ordered(order) => order.continuation.map(|continuation| *continuation),
             State::Idle { .. } | State::Reserving(_) | State::Moving(_) => None,
         }
     }
 }
 
 /// Makes a server stop a run and copy its KV cache to the decode server of a reservation.
-async fn move_run(router: &Router, id: &str, from: &Server, reservation: Reservation) -> Stop {
+/// `None` if the server was not reached.
+async fn move_run(
+    router: &Router,
+    id: &str,
+    from: &Server,
+    reservation: Reservation,
+) -> Option<Order> {
     let target = reservation.grant.decode.clone();
     let order = Move { server: &from.name, id, target: target.address };
     let (head, body) = (router.dialect.write_move)(&order);
@@ -201,12 +208,8 @@
         Ok(response) => (response.head.status, (router.dialect.parse_handle)(&response.body).ok()),
         Err(failure) => {
             info!("event=move_failed request={id} from={} error=\"{failure}\"", from.name);
-            return match failure {
-                Failure::Unreached(_) | Failure::Withheld(_) => Stop::NotOrdered,
-                Failure::Broken(_) | Failure::Disconnected(_) | Failure::TimedOut => {
-                    Stop::Ordered { continuation: None, is_answered: false }
-                }
-            };
+            let is_sent = !matches!(failure, Failure::Unreached(_) | Failure::Withheld(_));
+            return is_sent.then_some(Order { continuation: None, is_answered: false });
         }
     };
     let to = &target.name;
@@ -215,7 +218,7 @@
     let reservation = (status == 200).then_some(reservation);
     let continuation = handle.map(|handle| {
         let source = Source { address: from.address, handle };
-        Continuation { reservation, source }
+        Box::new(Continuation { reservation, source })
     });
-    Stop::Ordered { continuation, is_answered: true }
+    Some(Order { continuation, is_answered: true })
 }
