Let a stream go on only at the software version that began it

Callers saw: streams joined from two software versions of their servers, within one answer and over their own tries, with nothing in the answer to show it. Cause: neither the version of a server nor the attempt that a caller names was read, so each way on which a run goes on chose its server by room and time alone. Class: a condition on how two pieces of work fit together that no part of the system carries to where the choice is made. Change: the version that writes a stream's first event decides (ffw_decide::affinity). Servers of other versions are excluded from admission requests, and each server is checked once more before it is called: for a retry, another decode server, a move and a caller's return. Where a stream of another attempt began is asked at the daemons that remember it; without a record it is known only if one version alone can have begun it. What is not known is refused at once with 503, not run. Known by: event=stream_resumed, and fireflyworks_resumed_streams_total.

--- a/crates/ffw-control/src/admission.rs
+++ b/crates/ffw-control/src/admission.rs
@@ -264,12 +264,13 @@
     let client = daemon.admission.pool_client(daemon, pool);
     let _waiting_guard = WaitingGuard::new(&client);
     let began = Instant::now();
+    let avoid = ask.avoid.clone();
     loop {
         let mut ask = ask.clone();
         ask.waited += began.elapsed();
         ask.target = ask.target.saturating_sub(began.elapsed());
         ask.patience = ask.patience.saturating_sub(began.elapsed());
-        ask.avoid = servers_to_avoid(daemon);
+        ask.avoid = servers_to_avoid(daemon, &avoid);
         if ask.patience.is_zero() {
             let message = format!("no owner of pool {pool} decided before the deadline");
             return Err(Error::new(Kind::Overloaded, message));
@@ -284,9 +285,11 @@
     }
 }
 
-/// Servers that want no requests from this daemon now, in order.
-fn servers_to_avoid(daemon: &Daemon) -> Vec<Arc<str>> {
+/// Servers that want no requests from this daemon now, and those that the request excludes, in
+/// order.
+fn servers_to_avoid(daemon: &Daemon, excluded: &[Arc<str>]) -> Vec<Arc<str>> {
     let mut servers = daemon.view.notices().pushing_back(identity::now());
+    servers.extend_from_slice(excluded);
     servers.extend(daemon.rates.exhausted());
     servers.sort();
     servers.dedup();
--- a/crates/ffw-control/src/metrics/routed.rs
+++ b/crates/ffw-control/src/metrics/routed.rs
@@ -58,6 +58,8 @@
     /// Runs of streams that ended, by pool, framing of the body, whether the run was to be moved, and
     /// how it ended.
     runs: IntCounterVec,
+    /// Streams that callers took up, by pool and by how their origin was known.
+    resumed: IntCounterVec,
     /// Duration of each step, in seconds, by pool and step.
     steps: HistogramVec,
     /// Retries that were asked for, by pool and by whether the retry budget allowed them.
@@ -109,6 +111,10 @@
                 Opts::new("fireflyworks_routed_runs_total", "Runs of streams that ended"),
                 &["pool", "framing", "moved", "end"],
             )?,
+            resumed: IntCounterVec::new(
+                Opts::new("fireflyworks_resumed_streams_total", "Streams that callers took up"),
+                &["pool", "known_by"],
+            )?,
             steps: HistogramVec::new(steps.buckets(buckets), &["pool", "step"])?,
             retries: IntCounterVec::new(
                 Opts::new("fireflyworks_routed_repeats_total", "Repeated calls asked for"),
@@ -190,6 +196,7 @@
         };
         registry.register(Box::new(routed.requests.clone()))?;
         registry.register(Box::new(routed.runs.clone()))?;
+        registry.register(Box::new(routed.resumed.clone()))?;
         registry.register(Box::new(routed.steps.clone()))?;
         registry.register(Box::new(routed.retries.clone()))?;
         registry.register(Box::new(routed.retries_left.clone()))?;
@@ -219,6 +226,12 @@
         self.runs.with_label_values(&[pool, framing, yes_or_no(is_moved), end]).inc();
     }
 
+    /// Counts a stream that its caller took up; `known_by` is *record*, *sole_version*, or *none* if
+    /// its origin is not known.
+    pub fn record_resumed(&self, pool: &str, known_by: &str) {
+        self.resumed.with_label_values(&[pool, known_by]).inc();
+    }
+
     /// Records the rate limit of a server; `None` if it has none.
     pub fn record_limit(&self, server: &str, per_s: Option<f64>) {
         match per_s {
--- a/crates/ffw-decide/src/affinity.rs
+++ b/crates/ffw-decide/src/affinity.rs
@@ -8,7 +8,7 @@
 
 pub mod history;
 
-use ffw_protocol::software::Version;
+use {ffw_protocol::software::Version, std::fmt};
 
 /// Where the first event of a stream was written.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
@@ -22,6 +22,16 @@
     Unknown,
 }
 
+impl fmt::Display for Origin {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Origin::Fresh => f.write_str("none"),
+            Origin::At(version) => write!(f, "{version}"),
+            Origin::Unknown => f.write_str("unknown"),
+        }
+    }
+}
+
 impl Origin {
     /// Whether a server may write further events. `version` is that of the server; `None` if it is
     /// not known.
--- a/crates/ffw-protocol/src/admission.rs
+++ b/crates/ffw-protocol/src/admission.rs
@@ -52,7 +52,8 @@
     pub patience: Duration,
     /// Hashes of the prompt's prefixes, salted with the workspace, shortest prefix first.
     pub prefix: Vec<u64>,
-    /// Servers that are pushing back requests of this entry now, in order of name.
+    /// Servers that are pushing back requests of this entry now, and those that may not go on with
+    /// the stream, in order of name.
     pub avoid: Vec<Arc<str>>,
 }
 
--- a/crates/ffw-route/src/dialect.rs
+++ b/crates/ffw-route/src/dialect.rs
@@ -22,6 +22,9 @@
     pub tokens: Option<Tokens>,
     /// Id of the last event that the caller received, if it resumes a broken stream.
     pub last_event_id: Option<u64>,
+    /// Id of the caller's earlier request that brought the first event of the stream that it
+    /// resumes; `None` if it names none.
+    pub resumes: Option<Arc<str>>,
     /// Parts of the prompt of a request to a model; without any for other requests.
     pub prompt: Prompt,
     /// SHA-256 digest of the caller's key, in hexadecimal; `None` if there is no readable key.
--- a/crates/ffw-route/src/stream.rs
+++ b/crates/ffw-route/src/stream.rs
@@ -7,6 +7,7 @@
 //! the retry budget, except tries to continue a moved run and retries after attempts that called no
 //! server.
 
+mod affinity;
 mod ask;
 mod calls;
 mod events;
@@ -136,10 +137,11 @@
 
 impl Stream<'_> {
     async fn run(&mut self) -> Outcome {
+        self.find_origin().await;
         let mut reservations = 0;
         loop {
             let requested_at = Instant::now();
-            if let Some(error) = self.quarantine_error() {
+            if let Some(error) = self.quarantine_error().or_else(|| self.affinity_error()) {
                 return self.fail(error);
             }
             let reserving = self.reserve(reservations);
@@ -254,8 +256,7 @@
             let message = format!("the servers of pool {} want no requests", self.request.pool);
             return Err(Error::new(Kind::NoBackend, message).retry_after(pushback));
         }
-        let ask =
-            ask::build(self.request, &self.relay, daemon.identity.next_request(), number, false)?;
+        let ask = ask::build(self.router, self.request, &self.relay, number, false)?;
         match admission::reserve(daemon, &self.request.pool, ask).await? {
             Decision::Reservation(reservation) => Ok(reservation),
             Decision::Refusal(refusal) => Err(refusal_error(&refusal)),
@@ -279,6 +280,7 @@
     ) -> std::result::Result<Persistence, AttemptFailure> {
         timer::sleep(reservation.grant.start_in).await;
         self.check_servers(reservation)?;
+        self.check_affinity(reservation)?;
         // If no prefill server is left, the grant names the decode server twice, and that server
         // prefills the prompt itself.
         let decode_prefills = reservation.grant.prefill.name == reservation.grant.decode.name;
@@ -290,6 +292,7 @@
         let result_deadline = Instant::now() + self.usable_result_time();
         let mut origin: Option<Origin> = None;
         loop {
+            self.check_affinity(reservation)?;
             reservation.record_phase(Phase::Transfer);
             if origin.is_none() {
                 self.check_not_held()?;
@@ -396,9 +399,8 @@
             return None;
         }
         let daemon = &self.router.daemon;
-        let request_id = daemon.identity.next_request();
         let mut ask =
-            ask::build(self.request, &self.relay, request_id, RESERVATIONS_MAX, true).ok()?;
+            ask::build(self.router, self.request, &self.relay, RESERVATIONS_MAX, true).ok()?;
         ask.patience = ask.patience.min(time_left);
         let reserving = admission::reserve(daemon, &self.request.pool, ask);
         let Some(Ok(Decision::Reservation(reservation))) =
--- /dev/null
+++ b/crates/ffw-route/src/stream/affinity.rs
@@ -0,0 +1,142 @@
+//! Keeps a stream at the software version that wrote its first event: finds out where a stream that
+//! its caller takes up began, and which servers may go on with it.
+//!
+//! The rule itself is [`ffw_decide::affinity`]. It binds each way on which a run goes on: another
+//! run within the same answer, a move, another decode server for a prefilled prompt, and a caller
+//! that returns.
+
+use {
+    super::{Stream, failure::AttemptFailure},
+    crate::{caller::RoutedRequest, router::Router},
+    ffw_control::{admission::Reservation, origin},
+    ffw_decide::affinity::Origin,
+    ffw_protocol::{
+        error::{Error, Kind},
+        instance::{Instance, Role},
+        software::Version,
+    },
+    log::info,
+    std::{sync::Arc, time::Duration},
+};
+
+/// Longest time for which other daemons are asked where a stream began.
+const FIND_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Retry-After of a stream that no server may go on with now.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// Names of the listed decode servers of a pool, in order.
+pub(super) fn decode_servers(router: &Router, pool: &str) -> Vec<Arc<str>> {
+    let roster = router.daemon.view.roster();
+    let is_decode = |listed: &&Instance| listed.role == Role::Decode && &*listed.pool == pool;
+    roster.instances.iter().filter(is_decode).map(|listed| listed.name.clone()).collect()
+}
+
+/// Listed decode servers of a pool that may not go on with a stream of this origin, in order.
+pub(super) fn excluded(router: &Router, pool: &str, origin: &Origin) -> Vec<Arc<str>> {
+    if *origin == Origin::Fresh {
+        return Vec::new();
+    }
+    let software = &router.daemon.software;
+    let mut servers = decode_servers(router, pool);
+    servers.retain(|server| !origin.allows(software.of(server).as_ref()));
+    servers
+}
+
+/// Records that a server of this version has written events of a stream, before they are sent. The
+/// first ones decide where the stream may go on, for the callers of resumable routes also at other
+/// daemons.
+pub(super) fn record_event(
+    router: &Router,
+    request: &RoutedRequest,
+    origin: &mut Origin,
+    version: Option<&Version>,
+    is_first: bool,
+) {
+    origin.record_event(version);
+    if !is_first || !request.route.is_resumable {
+        return;
+    }
+    if let Origin::At(version) = origin {
+        origin::record(&router.daemon, &request.pool, first_request(request), version.clone());
+    }
+}
+
+/// Id of the request that brought, or brings, the first event of the stream.
+fn first_request(request: &RoutedRequest) -> &str {
+    let info = &request.request_info;
+    info.resumes.as_deref().unwrap_or(&info.id)
+}
+
+impl Stream<'_> {
+    /// Finds out where the stream began, if its caller takes up one that has begun.
+    pub(super) async fn find_origin(&mut self) {
+        let info = &self.request.request_info;
+        if info.resumes.is_none() && info.last_event_id.is_none() {
+            return;
+        }
+        let (daemon, pool) = (&self.router.daemon, &self.request.pool);
+        let found = match &info.resumes {
+            Some(first) => origin::find(daemon, pool, first, FIND_TIMEOUT).await,
+            None => None,
+        };
+        let (origin, source) = match found {
+            Some(version) => (Origin::At(version), "record"),
+            // Without a record, the version is certain only if no other one can have begun it.
+            None => match daemon.software.sole(pool) {
+                Some(version) => (Origin::At(version), "sole_version"),
+                None => (Origin::Unknown, "none"),
+            },
+        };
+        daemon.metrics.routed.record_resumed(pool, source);
+        info!(
+            "event=stream_resumed request={} resumes={} last_event={:?} origin=\"{origin}\" \
+             known_by={source}",
+            info.id,
+            info.resumes.as_deref().unwrap_or("none"),
+            info.last_event_id,
+        );
+        self.relay.set_origin(origin);
+    }
+
+    /// Why no server may go on with the stream now; `None` if one may.
+    pub(super) fn affinity_error(&self) -> Option<Error> {
+        let (router, pool, origin) = (self.router, &self.request.pool, self.relay.origin());
+        let cause = match origin {
+            Origin::Fresh => return None,
+            Origin::Unknown => "it is not known which software version began the stream".to_owned(),
+            Origin::At(version) => {
+                let software = &router.daemon.software;
+                let may_go_on = |server: &Arc<str>| {
+                    origin.allows(software.of(server).as_ref())
+                        && router.daemon.view.takes_work(server)
+                };
+                if decode_servers(router, pool).iter().any(may_go_on) {
+                    return None;
+                }
+                format!("no server of pool {pool} with software {version}, which began the stream")
+            }
+        };
+        Some(Error::new(Kind::NoBackend, cause).retry_after(RETRY_AFTER))
+    }
+
+    /// Checks that the decode server of a reservation may go on with the stream, as the owner may
+    /// list servers that this daemon does not know yet.
+    pub(super) fn check_affinity(
+        &self,
+        reservation: &Reservation,
+    ) -> std::result::Result<(), AttemptFailure> {
+        let server = &reservation.grant.decode.name;
+        let version = self.router.daemon.software.of(server);
+        if self.relay.origin().allows(version.as_ref()) {
+            return Ok(());
+        }
+        let message = format!("backend server {server} may not go on with the stream");
+        Err(AttemptFailure {
+            error: Error::new(Kind::BackendRefused, message).retry_after(RETRY_AFTER),
+            failed: None,
+            may_retry: self.may_restart(),
+            retry_calls: 0,
+        })
+    }
+}
--- a/crates/ffw-route/src/stream/ask.rs
+++ b/crates/ffw-route/src/stream/ask.rs
@@ -1,8 +1,8 @@
 //! Builds the admission request that an entry sends to the owner of a shard for a stream.
 
 use {
-    super::relay::Relay,
-    crate::{caller::RoutedRequest, dialect::Tokens},
+    super::{affinity, relay::Relay},
+    crate::{caller::RoutedRequest, dialect::Tokens, router::Router},
     ffw_protocol::{
         admission::{Ask, Attempt},
         error::{Error, Kind, Result},
@@ -31,12 +31,14 @@
 /// of a request. It is the number of earlier reservations of a prefill and a decode server, the
 /// largest number of these (`RESERVATIONS_MAX`) for another decode server, and 1 for a move.
 ///
+/// Servers that may not go on with the stream are to be avoided.
+///
 /// # Errors
 /// [`Kind::Malformed`] if the request does not state its sizes.
 pub(super) fn build(
+    router: &Router,
     request: &RoutedRequest,
     relay: &Relay<'_>,
-    request_id: id::Request,
     number: u32,
     is_prefilled: bool,
 ) -> Result<Ask> {
@@ -48,6 +50,7 @@
     let target = if relay.has_begun() { gap } else { route.target() };
     let patience =
         PATIENCE_MIN.max(route.target() * PATIENCE_PER_TARGET).max(gap * PATIENCE_PER_GAP);
+    let request_id: id::Request = router.daemon.identity.next_request();
     let since_last_event = relay.last_sent_at().elapsed();
     let remaining = |total: Duration| total.saturating_sub(since_last_event + EVENT_TRANSIT_TIME);
     Ok(Ask {
@@ -65,6 +68,6 @@
         target: remaining(target),
         patience: remaining(patience).min(request.time_left()),
         prefix: Vec::new(),
-        avoid: Vec::new(),
+        avoid: affinity::excluded(router, &request.pool, relay.origin()),
     })
 }
--- a/crates/ffw-route/src/stream/moving.rs
+++ b/crates/ffw-route/src/stream/moving.rs
@@ -8,6 +8,7 @@
 //! therefore never complete once its server was, or may have been, told to stop the run.
 
 use {
+    super::affinity,
     crate::{
         dialect::{Move, Source},
         router::Router,
@@ -98,7 +99,8 @@
         let can_advance = match &self.state {
             State::Idle { reserve_after } => {
                 let may_reserve = reserve_after.is_none_or(|time| Instant::now() >= time);
-                may_reserve && (self.is_leaving() || reservation.must_move())
+                let must_move = self.is_leaving() || reservation.must_move();
+                may_reserve && must_move && self.has_target()
             }
             State::Reserving(task) => task.is_finished(),
             State::Moving(task) => task.is_finished(),
@@ -138,8 +140,19 @@
         !self.router.daemon.view.takes_work(&self.server.name)
     }
 
-    fn takes_work(&self, reservation: &Reservation) -> bool {
-        self.router.may_send(&reservation.grant.decode.name)
+    /// Whether another server may take the run over.
+    fn has_target(&self) -> bool {
+        let (router, pool) = (&self.router, &self.pool);
+        let is_target = |name: &Arc<str>| *name != self.server.name && self.may_move_to(name);
+        affinity::decode_servers(router, pool).iter().any(is_target)
+    }
+
+    /// Whether a server takes work and has the software version of the run's server, whose KV cache
+    /// it goes on from.
+    fn may_move_to(&self, server: &str) -> bool {
+        let software = &self.router.daemon.software;
+        let version = software.of(&self.server.name);
+        version.is_some() && version == software.of(server) && self.router.may_send(server)
     }
 
     fn start_reserving(&self, ask: Ask) -> State {
--- a/crates/ffw-route/src/stream/relay.rs
+++ b/crates/ffw-route/src/stream/relay.rs
@@ -2,7 +2,7 @@
 //! that another run can continue after the last one.
 
 use {
-    super::{Outcome, ask, events::Events, moving::Mover},
+    super::{Outcome, affinity, ask, events::Events, moving::Mover},
     crate::{
         caller::{self, RoutedRequest},
         response::{self, Persistence, UNREAD_TIMEOUT},
@@ -10,6 +10,7 @@
         transport::IncomingResponse,
     },
     ffw_control::admission::Reservation,
+    ffw_decide::affinity::Origin,
     ffw_http::{
         connection::{Connection, Fault},
         message::Response,
@@ -59,6 +60,7 @@
     request: &'a RoutedRequest,
     caller: &'a mut Connection,
     has_begun: bool,
+    origin: Origin,
     /// Media type of the response, which is that of the first run.
     media_type: Option<Vec<u8>>,
     last_event_id: Option<u64>,
@@ -76,6 +78,7 @@
             request,
             caller,
             has_begun: false,
+            origin: Origin::default(),
             media_type: None,
             last_event_id: request.request_info.last_event_id,
             events: 0,
@@ -86,6 +89,16 @@
         }
     }
 
+    /// Where the first event of the stream was written.
+    pub(super) fn origin(&self) -> &Origin {
+        &self.origin
+    }
+
+    /// Sets where the stream that the caller takes up began.
+    pub(super) fn set_origin(&mut self, origin: Origin) {
+        self.origin = origin;
+    }
+
     /// Whether the head of the response was sent.
     pub(super) fn has_begun(&self) -> bool {
         self.has_begun
@@ -148,6 +161,15 @@
                 if !self.record_events(&events) {
                     return broken("the ids of the events do not increase");
                 }
+                let version = router.daemon.software.of(&reservation.grant.decode.name);
+                let (request, is_first) = (self.request, !self.has_begun);
+                affinity::record_event(
+                    router,
+                    request,
+                    &mut self.origin,
+                    version.as_ref(),
+                    is_first,
+                );
                 reservation.record_emitted(self.emitted_tokens());
                 if self.send(router, &response, &events).await.is_err() {
                     return RelayEnd::CallerGone;
@@ -211,7 +233,7 @@
 
     /// Builds the admission request for a reservation to which the run is moved.
     fn build_ask(&self, router: &Router) -> Option<Ask> {
-        ask::build(self.request, self, router.daemon.identity.next_request(), 1, true).ok()
+        ask::build(router, self.request, self, 1, true).ok()
     }
 
     /// Records events that are to be sent; returns whether their ids increase. If not, records
--- a/crates/ffw-route/tests/support/harness.rs
+++ b/crates/ffw-route/tests/support/harness.rs
@@ -18,6 +18,7 @@
         instance::{Instance, Role, State},
         quarantine::Prompt,
         rate::Statement,
+        software,
     },
     ffw_route::{
         caller,
@@ -364,7 +365,8 @@
             Duration::from_millis(text.parse().expect("a number"))
         })),
         tokens: Some(Tokens { prompt: 100, output: 50, output_hint: None }),
-        last_event_id: None,
+        last_event_id: head.fields.text("Last-Event").and_then(|text| text.parse().ok()),
+        resumes: head.fields.text("Resumes").map(Arc::from),
         prompt: Prompt::default(),
         key_digest: head.fields.text("Key").map(|key| digest::hex(key.as_bytes())),
     })
@@ -547,8 +549,11 @@
     Router::new(daemon, DIALECT, limits)
 }
 
-/// Replaces the servers of the instance list.
+/// Replaces the servers of the instance list, none of which states a software version.
 pub(crate) fn set_instances(daemon: &Daemon, version: u64, servers: Vec<Instance>) {
+    for server in &servers {
+        daemon.software.record_server(server, software::Version::Unstated);
+    }
     daemon.view.offer_roster(Roster::new(version, servers));
 }
 
