Add failing tests of streams at servers of two software versions

Nothing in the router reads a server's software version or a caller's Resumes, so that a stream may go on at servers of another version. Change: the soak's servers state a software version in their store entry and show it in their events, end streams with their connection on request, and answer moves in five ways; their defaults are as before. software_versions plays three daemons before servers of v1, to which four idle decode servers of v2 come while six streams run.

--- a/crates/ffw-soak/src/worker.rs
+++ b/crates/ffw-soak/src/worker.rs
@@ -3,10 +3,15 @@
 //! are checked.
 
 mod oddity;
+mod stream;
 
-pub use oddity::Oddity;
+pub use {
+    oddity::Oddity,
+    stream::{MoveAnswer, StreamFraming},
+};
 
 use {
+    self::stream::Streams,
     crate::{
         caller::CRASHING_PART,
         wire::{self, Exchange, Listener},
@@ -26,8 +31,6 @@
 
 /// Number of events of a complete stream.
 pub const EVENT_COUNT: u32 = 20;
-/// Time between two events of a stream.
-const EVENT_INTERVAL: Duration = Duration::from_millis(40);
 
 /// Time from the start of a run that crashes its server to the crash.
 const CRASH_DELAY: Duration = Duration::from_millis(10);
@@ -108,22 +111,6 @@
     }
 }
 
-fn lock(ids: &Mutex<Vec<String>>) -> MutexGuard<'_, Vec<String>> {
-    ids.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-/// Removes the id of a run from its server's list of running ids when dropped.
-struct RunningId {
-    ids: Arc<Mutex<Vec<String>>>,
-    id: String,
-}
-
-impl Drop for RunningId {
-    fn drop(&mut self) {
-        lock(&self.ids).retain(|id| *id != self.id);
-    }
-}
-
 /// Counts a run as running until dropped.
 struct RunGuard(Arc<AtomicUsize>);
 
@@ -167,16 +154,10 @@
     odd_turns: Arc<AtomicUsize>,
     /// Its listener, which a crash closes together with all connections.
     listener: Listener,
-    /// Ids of the streams that are running on this server.
-    running_ids: Arc<Mutex<Vec<String>>>,
-    /// Ids of the streams that are to stop because they move to another server.
-    stopping_ids: Arc<Mutex<Vec<String>>>,
+    streams: Streams,
     log: Log,
 }
 
-/// Prefix of the KV cache handle of a moved run.
-const MOVED_PREFIX: &str = "moved-";
-
 impl Worker {
     /// Starts a server on a free loopback port.
     ///
@@ -198,8 +179,7 @@
             oddity: Arc::default(),
             odd_turns: Arc::default(),
             listener: listener.clone(),
-            running_ids: Arc::default(),
-            stopping_ids: Arc::default(),
+            streams: Streams::default(),
             log: log.clone(),
         };
         let worker_clone = worker.clone();
@@ -283,7 +263,7 @@
             return Some(exchange);
         }
         head.fields.set("Server-Signature", format!("sig-{}", self.name));
-        let is_moved = header("Kv-Source").contains(MOVED_PREFIX);
+        let is_moved = stream::is_moved(&header("Kv-Source"));
         if !is_moved {
             self.log.lock().push(Run {
                 id: id.clone(),
@@ -307,23 +287,6 @@
         }
     }
 
-    /// Requests the end of a run that is to move to another server, and returns the handle with
-    /// which the other server continues it.
-    async fn stop_run(self, mut exchange: Exchange) -> Option<Exchange> {
-        let body: serde_json::Value = serde_json::from_slice(&exchange.body).ok()?;
-        let id = body["id"].as_str().unwrap_or_default().to_owned();
-        let is_running = lock(&self.running_ids).contains(&id);
-        let (status, answer) = match is_running {
-            true => (200, format!(r#"{{"kvHandle":"{MOVED_PREFIX}{id}","created":0}}"#)),
-            false => (404, "{}".to_owned()),
-        };
-        if is_running {
-            lock(&self.stopping_ids).push(id);
-        }
-        exchange.answer(self.new_head(status), answer.as_bytes()).await.ok()?;
-        Some(exchange)
-    }
-
     async fn run_plain(self, mut exchange: Exchange, head: Response, id: &str) -> Option<Exchange> {
         let time = *self.plain_time.lock().unwrap_or_else(PoisonError::into_inner);
         timer::sleep(time).await;
@@ -334,54 +297,4 @@
         exchange.answer(head, body.as_bytes()).await.ok()?;
         Some(exchange)
     }
-
-    async fn run_stream(
-        self,
-        mut exchange: Exchange,
-        mut head: Response,
-        id: &str,
-    ) -> Option<Exchange> {
-        let last = exchange.head.fields.text("Last-Event-Id").and_then(|text| text.parse().ok());
-        let first: u32 = last.map_or(0, |last: u32| last + 1);
-        if let Some((error, body)) = self.error_for(&head, first) {
-            exchange.answer(error, body.as_bytes()).await.ok()?;
-            return Some(exchange);
-        }
-        head.fields.set("Content-Type", "text/event-stream");
-        head.fields.set("Transfer-Encoding", "chunked");
-        let mut bytes = head.to_bytes();
-        if self.is_endless() {
-            oddity::write_without_end(&mut exchange, &bytes).await?;
-        }
-        let watcher = exchange.connection.close_watcher();
-        lock(&self.running_ids).push(id.to_owned());
-        let _running_id = RunningId { ids: self.running_ids.clone(), id: id.to_owned() };
-        for number in first..EVENT_COUNT {
-            if lock(&self.stopping_ids).iter().any(|stopping| stopping == id) {
-                lock(&self.stopping_ids).retain(|stopping| stopping != id);
-                return None;
-            }
-            let event = format!("id: {number}\ndata: {id}\n\n");
-            bytes.extend(format!("{:x}\r\n{event}\r\n", event.len()).into_bytes());
-            exchange.connection.write(&bytes, wire::IO_TIMEOUT).await.ok()?;
-            bytes.clear();
-            if self.aborts_responses.load(Ordering::SeqCst) && number > EVENT_COUNT / 2 {
-                return None;
-            }
-            // A run ends when its caller has closed the connection.
-            let closed_by_caller = async {
-                watcher.closed().await;
-                true
-            };
-            let pause = async {
-                timer::sleep(EVENT_INTERVAL).await;
-                false
-            };
-            if smol::future::or(closed_by_caller, pause).await {
-                return None;
-            }
-        }
-        exchange.connection.write(b"0\r\n\r\n", wire::IO_TIMEOUT).await.ok()?;
-        Some(exchange)
-    }
 }
--- /dev/null
+++ b/crates/fireflyworks/tests/software_versions.rs
@@ -0,0 +1,262 @@
+//! Servers of two software versions side by side in one service, with daemons as processes.
+//!
+//! Guards against a stream that holds events of two versions, in one answer or over a caller's tries,
+//! and against streams that don't go on although servers of their version take work.
+
+#[path = "support/streams.rs"]
+#[allow(dead_code, reason = "each test file uses a part of it")]
+mod streams;
+
+use {
+    ffw_runtime::{executor, timer},
+    ffw_soak::worker::{EVENT_COUNT, Worker},
+    ffw_support::permit,
+    rstest::rstest,
+    smol::Task,
+    std::{num::NonZero, sync::atomic::Ordering, time::Duration},
+    streams::{Call, Fleet, LIST_TIME, Part, begin_streams},
+};
+
+/// Processor cores for each run.
+const CORES: NonZero<usize> = NonZero::new(2).expect("not zero");
+
+/// Versions of the servers that serve first, and of those that come later.
+const OLD: &str = "v1";
+const NEW: &str = "v2";
+
+/// Streams of one test.
+const STREAMS: usize = 6;
+
+/// Servers of the new version, which have more room than those of the old one.
+const NEW_SERVERS: usize = 4;
+
+/// Events that a caller has got of a stream when its connection breaks.
+const EVENTS_SEEN: u32 = 5;
+
+/// Time from the start of a stream in which its first events arrive.
+const BEGIN_TIME: Duration = Duration::from_millis(300);
+
+/// Time for which the daemons know the server list before they are killed.
+const KNOWN_TIME: Duration = Duration::from_secs(3);
+
+fn assert_one_version(parts: &[Part], version: &str) {
+    let joined = parts.iter().filter(|part| part.versions().iter().any(|one| one != version));
+    let joined: Vec<&Part> = joined.collect();
+    assert!(joined.is_empty(), "{} of {} were joined: {joined:?}", joined.len(), parts.len());
+}
+
+fn assert_rest(parts: &[Part], last_event: Option<u32>) {
+    let unserved: Vec<&Part> =
+        parts.iter().filter(|part| !part.is_rest_after(last_event)).collect();
+    let (unserved_count, count) = (unserved.len(), parts.len());
+    assert!(unserved.is_empty(), "{unserved_count} of {count} did not go on: {unserved:?}");
+}
+
+async fn all(tasks: Vec<Task<Part>>) -> Vec<Part> {
+    let mut parts = Vec::new();
+    for task in tasks {
+        parts.push(task.await);
+    }
+    parts
+}
+
+/// Gets the first events of streams at a daemon. Their connections end at the same time.
+async fn first_parts(fleet: &Fleet, daemon: usize) -> Vec<Part> {
+    let address = fleet.address(daemon);
+    let begin = |number: usize| async move {
+        Call::new(&format!("first-{number}")).begin(address, EVENTS_SEEN).await
+    };
+    let tasks = (0..STREAMS).map(|number| executor::spawn(begin(number))).collect();
+    let parts = all(tasks).await;
+    assert!(parts.iter().all(|part| part.ids().len() == EVENTS_SEEN as usize), "{parts:?}");
+    parts
+}
+
+/// Takes all streams up at a daemon.
+async fn take_up(fleet: &Fleet, daemon: usize) -> Vec<Part> {
+    let address = fleet.address(daemon);
+    let take_up = |number: usize| async move {
+        let (id, resumes) = (format!("again-{number}"), format!("first-{number}"));
+        let last_event = Some(EVENTS_SEEN - 1);
+        let call = Call { last_event, resumes: Some(&resumes), ..Call::new(&id) };
+        call.send(address).await
+    };
+    all((0..STREAMS).map(|number| executor::spawn(take_up(number))).collect()).await
+}
+
+fn busiest(servers: &[Worker]) -> &Worker {
+    let busiest = servers.iter().max_by_key(|server| server.stream_count());
+    busiest.expect("a server")
+}
+
+/// Streams begin at servers of the old version, and servers of the new one come, with more room.
+async fn begin_before_release(fleet: &mut Fleet) -> Vec<Task<Part>> {
+    let streams = begin_streams(fleet.address(0), "stream", STREAMS);
+    timer::sleep(BEGIN_TIME).await;
+    fleet.add_servers(Some(NEW), NEW_SERVERS).await;
+    timer::sleep(LIST_TIME).await;
+    streams
+}
+
+/// The server of some streams breaks off in their middle. The rest comes in the same answer, from the
+/// other server of the version.
+#[test]
+fn a_broken_stream_goes_on_at_its_version_in_one_answer() {
+    smol::block_on(async {
+        let _permit = permit::acquire(CORES).await;
+        let mut fleet = Fleet::start("one-answer", Some(OLD)).await;
+        let streams = begin_before_release(&mut fleet).await;
+        let old = fleet.decode_servers(OLD);
+        let broken = busiest(&old);
+        assert!(broken.stream_count() > 0, "no stream runs there");
+        broken.aborts_responses.store(true, Ordering::SeqCst);
+        let parts = all(streams).await;
+        assert_one_version(&parts, OLD);
+        assert_rest(&parts, None);
+    });
+}
+
+/// Callers return to another daemon, which knows of the streams only what their callers name.
+#[test]
+fn a_stream_that_is_taken_up_elsewhere_goes_on_at_its_version() {
+    smol::block_on(async {
+        let _permit = permit::acquire(CORES).await;
+        let mut fleet = Fleet::start("taken-up", Some(OLD)).await;
+        first_parts(&fleet, 0).await;
+        fleet.add_servers(Some(NEW), NEW_SERVERS).await;
+        timer::sleep(LIST_TIME).await;
+        let parts = take_up(&fleet, 1).await;
+        assert_one_version(&parts, OLD);
+        assert_rest(&parts, Some(EVENTS_SEEN - 1));
+    });
+}
+
+/// Callers return to another daemon after the one that served them was killed, and so can't be
+/// asked.
+#[test]
+fn a_stream_whose_daemon_was_killed_goes_on_at_its_version() {
+    smol::block_on(async {
+        let _permit = permit::acquire(CORES).await;
+        let mut fleet = Fleet::start("daemon-killed", Some(OLD)).await;
+        first_parts(&fleet, 0).await;
+        fleet.kill(0);
+        fleet.add_servers(Some(NEW), NEW_SERVERS).await;
+        timer::sleep(LIST_TIME).await;
+        let parts = take_up(&fleet, 2).await;
+        assert_one_version(&parts, OLD);
+        assert_rest(&parts, Some(EVENTS_SEEN - 1));
+    });
+}
+
+/// Drains the busiest server of the old version, or all of them. Returns the streams, and whether a
+/// move went to the new version.
+async fn drain(fleet: &mut Fleet, drains_all: bool) -> (Vec<Part>, bool) {
+    let streams = begin_before_release(fleet).await;
+    let old = fleet.decode_servers(OLD);
+    let leaving = busiest(&old);
+    assert!(leaving.stream_count() > 0, "no stream runs there");
+    let draining = old.iter().filter(|server| drains_all || server.name == leaving.name);
+    draining.for_each(|server| fleet.drain(server));
+    let parts = all(streams).await;
+    let targets: Vec<_> = old.iter().flat_map(Worker::move_targets).collect();
+    assert!(drains_all || !targets.is_empty(), "nothing was moved");
+    let new = fleet.decode_servers(NEW);
+    let is_new = |target| new.iter().any(|server| server.address == target);
+    (parts, targets.into_iter().any(is_new))
+}
+
+/// A server with streams drains while another one of its version takes work.
+#[test]
+fn a_run_is_moved_to_its_version() {
+    smol::block_on(async {
+        let _permit = permit::acquire(CORES).await;
+        let mut fleet = Fleet::start("moved", Some(OLD)).await;
+        let (parts, has_moved_to_new) = drain(&mut fleet, false).await;
+        assert_one_version(&parts, OLD);
+        assert!(!has_moved_to_new, "a run was moved to a server of the other version");
+        assert_rest(&parts, None);
+    });
+}
+
+/// A server with streams drains, and no other one of its version takes work. It goes on until the
+/// streams have ended.
+#[test]
+fn a_run_is_not_moved_if_its_version_takes_no_work() {
+    smol::block_on(async {
+        let _permit = permit::acquire(CORES).await;
+        let mut fleet = Fleet::start("not-moved", Some(OLD)).await;
+        let (parts, has_moved_to_new) = drain(&mut fleet, true).await;
+        assert_one_version(&parts, OLD);
+        assert!(!has_moved_to_new, "a run was moved to a server of the other version");
+        assert_rest(&parts, None);
+    });
+}
+
+/// When the servers of the new version come, and those of the old one leave.
+#[derive(Clone, Copy, PartialEq, Eq)]
+enum Release {
+    /// The new ones come before the daemons are killed, and the old ones leave before they are back.
+    Begun,
+    /// Both happen while there is no daemon.
+    Unseen,
+    /// The new ones come before the daemons are killed, and the old ones stay.
+    Unfinished,
+}
+
+/// All daemons are killed while there are two versions, so that nothing tells at which one a stream
+/// began. It may be refused; it may go on at its own version only.
+#[rstest]
+#[case::begun("release-begun", Release::Begun)]
+#[case::unseen("release-unseen", Release::Unseen)]
+#[case::unfinished("release-unfinished", Release::Unfinished)]
+fn a_stream_is_not_joined_after_all_daemons_were_killed(
+    #[case] name: &str,
+    #[case] release: Release,
+) {
+    smol::block_on(async {
+        let _permit = permit::acquire(CORES).await;
+        let mut fleet = Fleet::start(name, Some(OLD)).await;
+        first_parts(&fleet, 0).await;
+        if release != Release::Unseen {
+            fleet.add_servers(Some(NEW), NEW_SERVERS).await;
+        }
+        timer::sleep(LIST_TIME).await;
+        fleet.kill_all().await;
+        if release == Release::Unseen {
+            fleet.add_servers(Some(NEW), NEW_SERVERS).await;
+        }
+        if release != Release::Unfinished {
+            fleet.remove_version(OLD);
+        }
+        fleet.start_again().await;
+        for daemon in 0..fleet.daemons.len() {
+            let parts = take_up(&fleet, daemon).await;
+            assert_one_version(&parts, OLD);
+            let is_refused = |part: &Part| part.status != Some(200);
+            assert!(release == Release::Unfinished || parts.iter().all(is_refused), "{parts:?}");
+        }
+    });
+}
+
+/// There is one version only, stated or not, and all daemons were killed after they had known the
+/// list for some seconds. Streams go on at any server.
+#[rstest]
+#[case::stated("one-stated", Some(OLD))]
+#[case::unstated("one-unstated", None)]
+fn streams_of_the_only_version_go_on_after_all_daemons_were_killed(
+    #[case] name: &str,
+    #[case] version: Option<&str>,
+) {
+    smol::block_on(async {
+        let _permit = permit::acquire(CORES).await;
+        let mut fleet = Fleet::start(name, version).await;
+        first_parts(&fleet, 0).await;
+        timer::sleep(KNOWN_TIME).await;
+        fleet.kill_all().await;
+        fleet.start_again().await;
+        let parts = take_up(&fleet, 1).await;
+        assert_one_version(&parts, version.unwrap_or_default());
+        assert_rest(&parts, Some(EVENTS_SEEN - 1));
+        assert!(parts.iter().all(|part| part.ids().last() == Some(&(EVENT_COUNT - 1))));
+    });
+}
