Test where streams began over daemons' connections, and count it

The record of a stream's origin was kept by the first three daemons of its order, of which the writer could be one. Then the end of the writer, for which streams are taken up, and of two more daemons lost all copies: six daemons can't pass the test that any three of them may end. The writer now counts as none of the three.

Metrics: copies sent by outcome, lookups by outcome, records in memory; a line of the log for each lookup that asks others.

--- a/crates/ffw-control/src/metrics/routed.rs
+++ b/crates/ffw-control/src/metrics/routed.rs
@@ -75,6 +75,12 @@
     quotas: IntCounterVec,
     /// Workspaces that have series of their own, in order.
     quota_names: Arc<Mutex<Vec<Arc<str>>>>,
+    /// Copies of records of where streams began, by outcome.
+    origin_records: IntCounterVec,
+    /// Lookups of where a stream began, by outcome.
+    origin_lookups: IntCounterVec,
+    /// Records of where streams began that are in memory.
+    pub origins_held: IntGauge,
     /// Share of the plain requests that is sent to other data centres, 0 to 1, by pool.
     pub away_share: GaugeVec,
     /// Calls to servers of other data centres, by pool, data centre and cause.
@@ -144,6 +150,21 @@
                 &["workspace", "outcome"],
             )?,
             quota_names: Arc::default(),
+            origin_records: IntCounterVec::new(
+                Opts::new(
+                    "fireflyworks_origin_records_total",
+                    "Copies of records of where streams began that were sent",
+                ),
+                &["outcome"],
+            )?,
+            origin_lookups: IntCounterVec::new(
+                Opts::new("fireflyworks_origin_lookups_total", "Lookups of where a stream began"),
+                &["outcome"],
+            )?,
+            origins_held: IntGauge::new(
+                "fireflyworks_origins_held",
+                "Records of where streams began that are in memory",
+            )?,
             away_share: GaugeVec::new(
                 Opts::new(
                     "fireflyworks_away_share",
@@ -197,6 +218,9 @@
         registry.register(Box::new(routed.limits.clone()))?;
         registry.register(Box::new(routed.limited.clone()))?;
         registry.register(Box::new(routed.quotas.clone()))?;
+        registry.register(Box::new(routed.origin_records.clone()))?;
+        registry.register(Box::new(routed.origin_lookups.clone()))?;
+        registry.register(Box::new(routed.origins_held.clone()))?;
         registry.register(Box::new(routed.away_share.clone()))?;
         registry.register(Box::new(routed.away.clone()))?;
         registry.register(Box::new(routed.callers.clone()))?;
@@ -247,6 +271,17 @@
         self.quotas.with_label_values(&[label, outcome]).inc();
     }
 
+    /// Counts copies of records of where streams began; `outcome` is *sent*, *resent*, to a daemon
+    /// that stands in for one that did not answer, or *lost*.
+    pub fn record_origin_copies(&self, outcome: &str, count: usize) {
+        self.origin_records.with_label_values(&[outcome]).inc_by(count as u64);
+    }
+
+    /// Counts a lookup of where a stream began; `outcome` is *own*, *peer*, *none* or *conflict*.
+    pub fn record_origin_lookup(&self, outcome: &str) {
+        self.origin_lookups.with_label_values(&[outcome]).inc();
+    }
+
     /// Counts a call to a server of another data centre.
     pub fn record_away(&self, pool: &str, data_centre: &str, cause: &str) {
         self.away.with_label_values(&[pool, data_centre, cause]).inc();
--- a/crates/ffw-control/src/origin.rs
+++ b/crates/ffw-control/src/origin.rs
@@ -123,6 +123,7 @@
     for record in records {
         memory.record(now, record);
     }
+    daemon.metrics.routed.origins_held.set(memory.len() as i64);
 }
 
 /// The live daemons in rendezvous order for a key.
--- a/crates/ffw-control/src/origin/lookup.rs
+++ b/crates/ffw-control/src/origin/lookup.rs
@@ -45,31 +45,33 @@
     limit: Duration,
 ) -> Option<Version> {
     let key = Key::new(pool, request);
-    let started_at = Instant::now();
-    {
-        let memory = lock(&daemon.origins.memory);
-        let now = identity::now();
-        let version = memory.find(now, key);
-        if version.is_some() || memory.is_conflicting(now, key) {
-            return version;
-        }
+    let metrics = &daemon.metrics.routed;
+    if let Some(known) = recall(daemon, key) {
+        metrics.record_origin_lookup(if known.is_some() { "own" } else { "conflict" });
+        return known;
     }
-    let tally = ask(daemon, key, limit).await;
-    let Tally { asked, answered, found, is_conflicting } = tally;
-    match found.filter(|_| !is_conflicting) {
-        Some(Found { version, by }) => {
-            info!("event=origin_found request={request} pool={pool} version={version} by={by}");
-            Some(version)
-        }
-        None => {
-            info!(
-                "event=origin_unknown request={request} pool={pool} asked={asked} \
-                 answered={answered} conflicting={is_conflicting} ms={}",
-                started_at.elapsed().as_millis()
-            );
-            None
-        }
+    let started_at = Instant::now();
+    let Tally { asked, answered, found, is_conflicting } = ask(daemon, key, limit).await;
+    if let Some(Found { version, by }) = found.filter(|_| !is_conflicting) {
+        metrics.record_origin_lookup("peer");
+        info!("event=origin_found request={request} pool={pool} version={version} by={by}");
+        return Some(version);
     }
+    metrics.record_origin_lookup(if is_conflicting { "conflict" } else { "none" });
+    info!(
+        "event=origin_unknown request={request} pool={pool} conflicting={is_conflicting} \
+         asked={asked} answered={answered} ms={}",
+        started_at.elapsed().as_millis()
+    );
+    None
+}
+
+/// What this daemon remembers of a stream: nothing, its version, or that there are two.
+fn recall(daemon: &Daemon, key: Key) -> Option<Option<Version>> {
+    let now = identity::now();
+    let memory = lock(&daemon.origins.memory);
+    let version = memory.find(now, key);
+    (version.is_some() || memory.is_conflicting(now, key)).then_some(version)
 }
 
 /// Asks the daemons that may have the record, until one has it, or none is left, or `limit` has
--- a/crates/ffw-control/src/origin/outbox.rs
+++ b/crates/ffw-control/src/origin/outbox.rs
@@ -73,7 +73,7 @@
         Ok(index) if outboxes[index].letters.len() < QUEUE_MAX => {
             outboxes[index].letters.push(letter);
         }
-        Ok(_) => {}
+        Ok(_) => daemon.metrics.routed.record_origin_copies("lost", 1),
         Err(index) => {
             outboxes.insert(index, Outbox { address: target.address, letters: vec![letter] });
             executor::detach(run(daemon.clone(), target));
@@ -87,6 +87,7 @@
         timer::sleep(BATCH_WINDOW).await;
         let Some(letters) = take(&daemon, target.address) else { return };
         if call(&daemon, &target, &letters).await {
+            daemon.metrics.routed.record_origin_copies("sent", letters.len());
             continue;
         }
         // What has come meanwhile would wait for another timeout.
@@ -114,19 +115,28 @@
     found.map(|index| mem::take(&mut outboxes[index].letters)).unwrap_or_default()
 }
 
+/// The next daemon that stands in for a replica; it is not used again for the same record.
+fn next_spare(daemon: &Daemon, sending: &Sending) -> Option<Instance> {
+    let passed_over = super::passed_over(daemon);
+    let mut spares = lock(&sending.spares);
+    while let Some(spare) = spares.pop_front() {
+        if !passed_over.contains(&spare.name) {
+            return Some(spare);
+        }
+    }
+    None
+}
+
 /// Sends a record to the next daemon that stands in, unless this was done already.
 fn retry(daemon: &Arc<Daemon>, letter: Letter) {
-    let passed_over = super::passed_over(daemon);
-    let mut spares = lock(&letter.sending.spares);
-    let spare = loop {
-        match spares.pop_front() {
-            Some(spare) if passed_over.contains(&spare.name) => {}
-            spare => break spare,
+    let spare = if letter.is_retry { None } else { next_spare(daemon, &letter.sending) };
+    let metrics = &daemon.metrics.routed;
+    match spare {
+        Some(spare) => {
+            metrics.record_origin_copies("resent", 1);
+            enqueue(daemon, spare, Letter { sending: letter.sending, is_retry: true });
         }
-    };
-    drop(spares);
-    if let Some(spare) = spare.filter(|_| !letter.is_retry) {
-        enqueue(daemon, spare, Letter { sending: letter.sending, is_retry: true });
+        None => metrics.record_origin_copies("lost", 1),
     }
 }
 
--- a/crates/ffw-decide/src/origin/placement.rs
+++ b/crates/ffw-decide/src/origin/placement.rs
@@ -10,7 +10,8 @@
     std::{collections::VecDeque, sync::Arc},
 };
 
-/// Daemons that keep a record, beside the one that made it.
+/// Daemons that keep a record, beside the one that made it: streams are taken up because that one
+/// ended, and two more may be lost with it.
 pub const REPLICAS: usize = 3;
 
 /// Daemons that are asked for a record.
@@ -19,7 +20,7 @@
 /// Where a record goes.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Targets {
-    /// Daemons to which it is sent. The daemon that made it has it already.
+    /// Daemons to which it is sent.
     pub replicas: Vec<Instance>,
     /// Daemons that stand in, in order, for a replica that does not answer.
     pub spares: VecDeque<Instance>,
@@ -28,11 +29,11 @@
 /// The targets of a record that the daemon `own` has made. `ranked` are the live daemons in
 /// rendezvous order, `suspects` names those that are passed over.
 pub fn targets(ranked: &[Instance], own: &str, suspects: &[Arc<str>]) -> Targets {
-    let mut reachable = order(ranked).filter(|daemon| !suspects.contains(&daemon.name));
-    let first = reachable.by_ref().take(REPLICAS);
-    let replicas = first.filter(|daemon| *daemon.name != *own).cloned().collect();
-    let others = reachable.filter(|daemon| *daemon.name != *own);
-    Targets { replicas, spares: others.take(REPLICAS).cloned().collect() }
+    let mut reachable = order(ranked)
+        .filter(|daemon| *daemon.name != *own && !suspects.contains(&daemon.name))
+        .cloned();
+    let replicas = reachable.by_ref().take(REPLICAS).collect();
+    Targets { replicas, spares: reachable.take(REPLICAS).collect() }
 }
 
 /// The daemons that the daemon `own` asks for a record, at most [`ASKED`]. Suspects come last.
