Learn software versions from the peer that sent the list of servers

Cause: a daemon that does not reach the store takes the list of servers from peers, whose layout has no versions, so it knew none of them.

Change: a call `software_of` at the end of the trait. After a peer's answer, that peer is asked for the versions of listed servers that are not known, on a connection of its own until it has answered one. What is not known stays unknown, and a version that is known is not replaced.

--- a/crates/ffw-control/src/belief.rs
+++ b/crates/ffw-control/src/belief.rs
@@ -166,6 +166,11 @@
         self.of(kind).age(clock::boot_time())
     }
 
+    /// Whether the belief about a kind is older than the bound, or there is none.
+    pub fn is_overdue(&self, kind: Kind) -> bool {
+        self.age(kind).is_none_or(|age| age > self.bound())
+    }
+
     /// Sets the bound on the ages; a shorter one than [`BOUND_MIN`] counts as that.
     pub fn set_bound(&self, bound: Duration) {
         let millis = u64::try_from(bound.max(BOUND_MIN).as_millis()).unwrap_or(u64::MAX);
--- a/crates/ffw-control/src/calls.rs
+++ b/crates/ffw-control/src/calls.rs
@@ -19,6 +19,7 @@
     let (for_burn, for_status) = (shared(), shared());
     let (for_evidence, for_holds, for_lift) = (shared(), shared(), shared());
     let (for_permits, for_confirmations, for_quota) = (shared(), shared(), shared());
+    let for_software = shared();
     Handlers {
         admit: Box::new(move |call| {
             let daemon = for_admit.clone();
@@ -46,6 +47,10 @@
         take_permits: Box::new(move |ask| ready(rate::account::grant(&for_permits, &ask))),
         confirmations: Box::new(move |()| ready(for_confirmations.beliefs.confirmations())),
         take_quota: Box::new(move |ask| ready(quota::grant(&for_quota, &ask))),
+        software_of: Box::new(move |servers| {
+            let versions = servers.iter().map(|server| for_software.software.of(server));
+            ready(versions.collect())
+        }),
     }
 }
 
--- a/crates/ffw-control/src/relay.rs
+++ b/crates/ffw-control/src/relay.rs
@@ -372,6 +372,7 @@
     if let Some(roster) = updates.roster {
         daemon.view.offer_roster(roster);
     }
+    software::learn_from(daemon, address).await;
     daemon.view.accept_leaving(&updates.leaving);
     if updates.known.config > daemon.view.config_number() && fetches_from_peers(daemon) {
         fetch_config(daemon, address).await;
--- a/crates/ffw-control/src/software.rs
+++ b/crates/ffw-control/src/software.rs
@@ -4,18 +4,21 @@
 //! The reader of the store's list fills the table before it publishes the list. For servers that
 //! only a peer has listed, that peer is asked.
 
+
 use {
     crate::{belief::Beliefs, daemon::Daemon},
     arc_swap::ArcSwap,
     ffw_decide::affinity::history::{self, History, Listed},
+    ffw_peer::{link::Answering, service::PeerClient},
     ffw_protocol::{
         belief::Kind,
         instance::{Instance, Role},
         time::Moment,
     },
     ffw_runtime::clock,
-    log::info,
+    log::{debug, info},
     std::{
+        net::SocketAddr,
         sync::{Arc, Mutex, MutexGuard, PoisonError},
         time::Duration,
     },
@@ -27,6 +30,9 @@
 /// serves may last that long.
 const KEEP_UNLISTED: Duration = Duration::from_secs(600);
 
+/// Timeout of a call to a peer.
+const ASK_TIMEOUT: Duration = Duration::from_millis(400);
+
 /// What a daemon knows of the software of backend servers. Times are of [`clock::boot_time`].
 #[derive(Debug)]
 pub struct Software {
@@ -35,6 +41,8 @@
     /// Held by each write of `known`, too.
     history: Mutex<History>,
     beliefs: Arc<Beliefs>,
+    /// Daemons that know the call for versions.
+    answering: Answering,
 }
 
 #[derive(Clone, Debug)]
@@ -48,7 +56,12 @@
 impl Software {
     /// Knows nothing yet. `beliefs` tell whether the list of servers is confirmed.
     pub fn new(beliefs: Arc<Beliefs>) -> Software {
-        Software { known: ArcSwap::default(), history: Mutex::default(), beliefs }
+        Software {
+            known: ArcSwap::default(),
+            history: Mutex::default(),
+            beliefs,
+            answering: Answering::default(),
+        }
     }
 
     /// Version of a server's software; `None` if it is not known.
@@ -60,8 +73,7 @@
     /// `None` if there are several, if not all are known, or if the list of servers is older than
     /// its bound, since servers of another version may have come meanwhile.
     pub fn sole(&self, pool: &str) -> Option<Version> {
-        let age = self.beliefs.age(Kind::Servers)?;
-        if age > self.beliefs.bound() {
+        if self.beliefs.is_overdue(Kind::Servers) {
             return None;
         }
         self.history().sole(clock::boot_time(), pool)
@@ -90,6 +102,18 @@
         self.known.store(Arc::new(known));
     }
 
+    /// Records what a peer has answered, unless a version of the server is known already.
+    fn record_answer(&self, server: &Arc<str>, version: Version) {
+        let _write = self.history();
+        let known = self.known.load();
+        if let Err(index) = known.binary_search_by(|known| known.server.cmp(server)) {
+            let mut known = Vec::clone(&known);
+            let listed_at = clock::boot_time();
+            known.insert(index, Known { server: server.clone(), version, listed_at });
+            self.known.store(Arc::new(known));
+        }
+    }
+
     /// Records that changes of the list may have been missed until now.
     pub fn record_gap(&self) {
         self.history().record_gap(clock::boot_time());
@@ -143,3 +167,32 @@
     }
     software.forget(&history, now, &list);
 }
+
+/// Asks a peer that has just answered for the versions of listed servers that are not known, as its
+/// list may have come without them, and records the list.
+pub async fn learn_from(daemon: &Daemon, address: SocketAddr) {
+    let roster = daemon.view.roster();
+    let servers = roster.instances.iter().filter(|instance| instance.role != Role::Entry);
+    let names = servers.map(|server| server.name.clone());
+    let missing: Vec<Arc<str>> =
+        names.filter(|server| daemon.software.of(server).is_none()).collect();
+    if missing.is_empty() {
+        return;
+    }
+    // In case that the peer does not answer.
+    record_list(daemon);
+    let asked = missing.clone();
+    let calling = async move |peer: PeerClient, context| peer.software_of(context, asked).await;
+    let answering = &daemon.software.answering;
+    match answering.call(&daemon.peers, address, ASK_TIMEOUT, calling).await {
+        Ok(versions) => {
+            for (server, version) in missing.iter().zip(versions) {
+                if let Some(version) = version {
+                    daemon.software.record_answer(server, version);
+                }
+            }
+            record_list(daemon);
+        }
+        Err(error) => debug!("event=software_not_learned peer={address} error=\"{error}\""),
+    }
+}
--- a/crates/ffw-peer/src/handler.rs
+++ b/crates/ffw-peer/src/handler.rs
@@ -8,7 +8,7 @@
         config::Version,
         ledger::{Record, Segment},
         quarantine::{Evidence, Exchange, Hold},
-        quota, rate,
+        quota, rate, software,
     },
     std::{future::Future, pin::Pin, sync::Arc},
     tarpc::context::Context,
@@ -75,6 +75,8 @@
     pub confirmations: Handler<(), Vec<Confirmation>>,
     /// Handles [`Peer::take_quota`].
     pub take_quota: Handler<quota::Ask, quota::Grant>,
+    /// Handles [`Peer::software_of`].
+    pub software_of: Handler<Vec<Arc<str>>, Vec<Option<software::Version>>>,
 }
 
 #[derive(Clone)]
@@ -152,4 +154,12 @@
     async fn take_quota(self, _: Context, ask: quota::Ask) -> quota::Grant {
         (self.handlers.take_quota)(ask).await
     }
+
+    async fn software_of(
+        self,
+        _: Context,
+        servers: Vec<Arc<str>>,
+    ) -> Vec<Option<software::Version>> {
+        (self.handlers.software_of)(servers).await
+    }
 }
--- a/crates/ffw-peer/src/service.rs
+++ b/crates/ffw-peer/src/service.rs
@@ -8,7 +8,7 @@
         instance::Instance,
         ledger::{Record, Segment},
         quarantine::{Evidence, Exchange, Hold},
-        quota, rate,
+        quota, rate, software,
     },
     serde::{Deserialize, Serialize},
     std::sync::Arc,
@@ -182,4 +182,8 @@
     /// Asks for units of a workspace's quota for a request. Daemons of earlier builds do not know
     /// this call.
     async fn take_quota(ask: quota::Ask) -> quota::Grant;
+    /// Returns the software versions of backend servers, in the order of their names in the call;
+    /// none for a server whose version the receiver does not know. Daemons of earlier builds do not
+    /// know this call.
+    async fn software_of(servers: Vec<Arc<str>>) -> Vec<Option<software::Version>>;
 }
--- a/crates/ffw-peer/tests/wire_layout.rs
+++ b/crates/ffw-peer/tests/wire_layout.rs
@@ -18,6 +18,7 @@
         quarantine::{Cause, Clearing, Crash, Evidence, Exchange, Prompt},
         quota,
         rate::{self, Stated},
+        software,
     },
     serde::Serialize,
     std::{net::SocketAddr, time::Duration},
@@ -40,6 +41,7 @@
 take_permits 13 91 5b7606807518
 confirmations 14 4 01b4f6bd5d6a
 take_quota 15 74 9f76e7aceb23
+software_of 16 30 68569c6b7028
 admitted 0 148 bdeb152e10e9
 renewed 1 92 6647698c50de
 updates 3 200 ce92ef26b9ac
@@ -47,6 +49,7 @@
 permits 13 54 c40b47965728
 confirmed 14 52 24dbfe0b3323
 units 15 20 258a0cf4351d
+versions 16 33 211e66da22e1
 ";
 
 fn attempt() -> Attempt {
@@ -204,6 +207,10 @@
     }
 }
 
+fn software_versions() -> Vec<Option<software::Version>> {
+    vec![None, Some(software::Version::Unstated), Some(software::Version::Stated("v1".into()))]
+}
+
 fn confirmation() -> Confirmation {
     Confirmation {
         kind: belief::Kind::Servers,
@@ -237,6 +244,7 @@
         line("take_permits", &PeerRequest::TakePermits { ask: permits() }),
         line("confirmations", &PeerRequest::Confirmations {}),
         line("take_quota", &PeerRequest::TakeQuota { ask: units() }),
+        line("software_of", &PeerRequest::SoftwareOf { servers: vec!["d".into(), "e".into()] }),
     ]
     .concat()
 }
@@ -264,6 +272,7 @@
         line("permits", &PeerResponse::TakePermits(granted())),
         line("confirmed", &PeerResponse::Confirmations(vec![confirmation()])),
         line("units", &PeerResponse::TakeQuota(quota::Grant::Exceeded(Duration::from_millis(15)))),
+        line("versions", &PeerResponse::SoftwareOf(software_versions())),
     ]
     .concat()
 }
--- a/crates/ffw-runtime/src/lib.rs
+++ b/crates/ffw-runtime/src/lib.rs
@@ -1,5 +1,5 @@
-//! Runtime of a daemon: the executor, timers, clocks, signals, listeners, and the byte counts of
-//! connections.
+//! Runtime of a daemon: the executor, timers, clocks, signals, listeners, the byte counts of
+//! connections, and notices of events and of odd input.
 
 pub mod budget;
 pub mod clock;
@@ -7,5 +7,7 @@
 pub mod executor;
 pub mod listener;
 pub mod meter;
+pub mod oddity;
 pub mod shutdown;
+pub mod signal;
 pub mod timer;
--- a/platform/src/oddity.rs
+++ b/crates/ffw-runtime/src/oddity.rs
@@ -18,14 +18,14 @@
 
 /// The oddities that were logged.
 #[derive(Debug, Default)]
-pub(crate) struct Oddities {
+pub struct Oddities {
     /// Digests of kind and text, in order.
     logged: Mutex<Vec<u64>>,
 }
 
 impl Oddities {
     /// Logs, as `event`, that something of a kind is left out; `text` is what was read.
-    pub(crate) fn record(&self, event: &str, kind: &str, text: &[u8], cause: &str) {
+    pub fn record(&self, event: &str, kind: &str, text: &[u8], cause: &str) {
         let mut hasher = DefaultHasher::new();
         (kind, text).hash(&mut hasher);
         let digest = hasher.finish();
@@ -46,6 +46,6 @@
 }
 
 /// The first characters of a text, without control characters.
-pub(crate) fn excerpt(text: &str) -> String {
+pub fn excerpt(text: &str) -> String {
     text.chars().flat_map(char::escape_debug).take(TEXT_CHARS_MAX).collect()
 }
--- a/platform/src/signal.rs
+++ b/crates/ffw-runtime/src/signal.rs
@@ -7,13 +7,13 @@
 
 /// Something that happens now and then.
 #[derive(Debug, Default)]
-pub(crate) struct Signal {
+pub struct Signal {
     subscribers: Mutex<Vec<Sender<()>>>,
 }
 
 impl Signal {
     /// A channel that receives a message each time, unless it holds one already.
-    pub(crate) fn subscribe(&self) -> Receiver<()> {
+    pub fn subscribe(&self) -> Receiver<()> {
         let (sender, receiver) = channel::bounded(1);
         let mut subscribers = self.subscribers.lock().unwrap_or_else(PoisonError::into_inner);
         subscribers.retain(|subscriber| !subscriber.is_closed());
@@ -22,7 +22,7 @@
     }
 
     /// Sends the message.
-    pub(crate) fn notify(&self) {
+    pub fn notify(&self) {
         let mut subscribers = self.subscribers.lock().unwrap_or_else(PoisonError::into_inner);
         subscribers.retain(|subscriber| !subscriber.is_closed());
         // A full channel holds a message that its subscriber has not read yet.
