Record the software versions of pools in the store

Cause: what daemons know is lost when all of them are killed at once, and the servers of the old version may just have left then. A daemon that starts sees the new version alone and would call it the only one.

Change: one object of kind `fireflyworks-software` for each pool of a stream route, written when the set of versions changes, by the first daemon in rendezvous order; the next two write after 2 and 4 s if the change is still missing when they read again. Each daemon lists all records once after its first list of servers, after it has missed changes of that list, and after a restore. A record is created only by a daemon that knows the past: at the first start of the system (`bootstrap`), or after it has observed the list for the lifetime of an origin.

--- a/crates/ffw-control/src/software.rs
+++ b/crates/ffw-control/src/software.rs
@@ -4,6 +4,7 @@
 //! The reader of the store's list fills the table before it publishes the list. For servers that
 //! only a peer has listed, that peer is asked.
 
+pub mod record;
 
 use {
     crate::{belief::Beliefs, daemon::Daemon},
--- a/crates/ffw-soak/src/store.rs
+++ b/crates/ffw-soak/src/store.rs
@@ -79,6 +79,7 @@
     /// Number of further writes that are never answered, nor executed.
     unanswered_writes: Arc<AtomicU64>,
     reads: Arc<AtomicU64>,
+    writes: Arc<AtomicU64>,
 }
 
 impl Object {
@@ -221,6 +222,11 @@
         self.reads.load(Ordering::SeqCst)
     }
 
+    /// Number of writes that have arrived, refused ones included.
+    pub fn writes(&self) -> u64 {
+        self.writes.load(Ordering::SeqCst)
+    }
+
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -233,6 +239,7 @@
         let name = parts.next().map(str::to_owned);
         let is_write = &*exchange.head.method != "GET";
         self.reads.fetch_add(u64::from(!is_write), Ordering::SeqCst);
+        self.writes.fetch_add(u64::from(is_write), Ordering::SeqCst);
         if self.is_silent.load(Ordering::SeqCst) {
             return smol::future::pending().await;
         }
--- a/crates/fireflyworks/src/command/route.rs
+++ b/crates/fireflyworks/src/command/route.rs
@@ -11,6 +11,7 @@
         announce, calls,
         daemon::{Daemon, Mode, Setup},
         owner, quarantine, relay,
+        software::record,
     },
     ffw_decide::baseline::Policy,
     ffw_peer::{handshake::Secret, link::PeerConnections},
@@ -27,7 +28,8 @@
         timer,
     },
     fireflyworks_platform::{
-        announce::storage, dialect::DIALECT, follow, lease, settings::Settings, store::Store,
+        announce::storage, dialect::DIALECT, follow, lease, settings::Settings, software,
+        store::Store,
     },
     log::{LevelFilter, info, warn},
     smol::channel::Receiver,
@@ -139,6 +141,8 @@
     daemon.beliefs.set_bound(belief_age_max(&settings));
     daemon.quotas.set_tolerance(settings.quota_tolerance);
     follow::start(&daemon, &store);
+    let records = software::storage(&store);
+    executor::detach(record::run(daemon.clone(), records, settings.is_first_start));
     let entries = storage(&store);
     let own = own_instance(&settings);
     let announcing = executor::spawn(announce::announce(entries.clone(), daemon.clone(), own));
