--- a/crates/ffw-control/src/calls.rs
+++ b/crates/ffw-control/src/calls.rs
@@ -20,6 +20,7 @@
     let (for_evidence, for_holds, for_lift) = (shared(), shared(), shared());
     let (for_permits, for_confirmations, for_quota) = (shared(), shared(), shared());
     let (for_origins, for_origin) = (shared(), shared());
+    let for_software = shared();
     Handlers {
         admit: Box::new(move |call| {
             let daemon = for_admit.clone();
@@ -49,6 +50,10 @@
         take_quota: Box::new(move |ask| ready(quota::grant(&for_quota, &ask))),
         record_origins: Box::new(move |records| ready(origin::accept(&for_origins, &records))),
         find_origin: Box::new(move |key| ready(origin::recall(&for_origin, key))),
+        software_of: Box::new(move |servers| {
+            let versions = servers.iter().map(|server| for_software.software.of(server));
+            ready(versions.collect())
+        }),
     }
 }
 
--- a/crates/ffw-peer/src/handler.rs
+++ b/crates/ffw-peer/src/handler.rs
@@ -80,6 +80,8 @@
     pub record_origins: Handler<Vec<origin::Record>, bool>,
     /// Handles [`Peer::find_origin`].
     pub find_origin: Handler<origin::Key, Option<software::Version>>,
+    /// Handles [`Peer::software_of`].
+    pub software_of: Handler<Vec<Arc<str>>, Vec<Option<software::Version>>>,
 }
 
 #[derive(Clone)]
@@ -165,4 +167,12 @@
     async fn find_origin(self, _: Context, key: origin::Key) -> Option<software::Version> {
         (self.handlers.find_origin)(key).await
     }
+
+    async fn software_of(
+        self,
+        _: Context,
+        servers: Vec<Arc<str>>,
+    ) -> Vec<Option<software::Version>> {
+        (self.handlers.software_of)(servers).await
+    }
 }
--- a/crates/ffw-peer/src/service.rs
+++ b/crates/ffw-peer/src/service.rs
@@ -188,4 +188,8 @@
     async fn record_origins(records: Vec<origin::Record>) -> bool;
     /// Returns the version at which a stream began, if the receiver remembers it.
     async fn find_origin(key: origin::Key) -> Option<software::Version>;
+    /// Returns the software versions of backend servers, in the order of their names in the call;
+    /// none for a server whose version the receiver does not know. Daemons of earlier builds do not
+    /// know this call.
+    async fn software_of(servers: Vec<Arc<str>>) -> Vec<Option<software::Version>>;
 }
--- a/crates/ffw-peer/tests/wire_layout.rs
+++ b/crates/ffw-peer/tests/wire_layout.rs
@@ -44,6 +44,7 @@
 take_quota 15 74 9f76e7aceb23
 record_origins 16 33 f5972a23a0df
 find_origin 17 12 eb7756e42204
+software_of 18 30 e9e53c5bd38a
 admitted 0 148 bdeb152e10e9
 renewed 1 92 6647698c50de
 updates 3 200 ce92ef26b9ac
@@ -53,6 +54,7 @@
 units 15 20 258a0cf4351d
 recorded 16 5 659831580542
 origin 17 18 7977486b4cdd
+versions 18 33 ee5d88e93cbf
 ";
 
 fn attempt() -> Attempt {
@@ -215,6 +217,10 @@
     origin::Record { key: origin::Key::new("llm", "r"), software }
 }
 
+fn software_versions() -> Vec<Option<software::Version>> {
+    vec![None, Some(software::Version::Unstated), Some(software::Version::Stated("v1".into()))]
+}
+
 fn confirmation() -> Confirmation {
     Confirmation {
         kind: belief::Kind::Servers,
@@ -250,6 +256,7 @@
         line("take_quota", &PeerRequest::TakeQuota { ask: units() }),
         line("record_origins", &PeerRequest::RecordOrigins { records: vec![origin()] }),
         line("find_origin", &PeerRequest::FindOrigin { key: origin().key }),
+        line("software_of", &PeerRequest::SoftwareOf { servers: vec!["d".into(), "e".into()] }),
     ]
     .concat()
 }
@@ -279,6 +286,7 @@
         line("units", &PeerResponse::TakeQuota(quota::Grant::Exceeded(Duration::from_millis(15)))),
         line("recorded", &PeerResponse::RecordOrigins(true)),
         line("origin", &PeerResponse::FindOrigin(Some(origin().software))),
+        line("versions", &PeerResponse::SoftwareOf(software_versions())),
     ]
     .concat()
 }
