Take no end of a connection for the end of a body if the request was cut

Callers saw a part of an answer as a complete one: a server answers a long upload at once with a 200 that has neither a length nor chunks, sends a part of the body, and resets the connection while the upload is still being written.

Cause: `exchange` writes the upload and reads the head at the same time, and drops the writer once the head is there. If the write meets the reset first, it takes the error from the socket; the bytes received before are still read, and the read after them returns 0 like a regular end. A reset that follows a regular end (a server that closes while bytes of the upload are on their way) never shows in a read either. Class: the end of a connection is taken for the end of a message without regard to the other direction.

Change: a connection remembers whether the last request was written whole. Such a body whose request was not is broken, as the outcome is unknown; one whose request was written is broken if the socket has an error at its end. All users of `Connection` share this: plain answers, streams, prefills, control calls and the store. Answers with a length or chunks are served as before, and so is one that ends with its connection after the whole request was read.

Not covered: an upload that lies in the kernel's buffers when a regular end is read, before the reset arrives.

--- a/crates/ffw-http/src/connection.rs
+++ b/crates/ffw-http/src/connection.rs
@@ -105,6 +105,9 @@
     head_search: Search,
     /// Digests of the ids of the requests that were sent, in order.
     sent: Vec<u64>,
+    /// Whether the response to the last request began before that request was completely written;
+    /// the rest is never written.
+    is_request_cut: bool,
     /// Account that is charged with what the connection holds.
     holder: Option<Holder>,
 }
@@ -123,7 +126,8 @@
         sockopt::set_socket_keepalive(&stream, true).ok();
         let (buffer, head_search) = (Buffer::default(), Search::default());
         let stream = Metered::new(stream, wire);
-        Connection { stream, buffer, head_search, sent: Vec::new(), holder: None }
+        let (sent, is_request_cut) = (Vec::new(), false);
+        Connection { stream, buffer, head_search, sent, is_request_cut, holder: None }
     }
 
     /// Charges what the connection holds to an account, and bounds the sizes of the socket's
@@ -353,11 +357,30 @@
             future::pending().await
         };
         let head = smol::future::or(self.read_response(limit), writing).await?;
+        self.is_request_cut = !is_written;
         Ok((head, is_written))
     }
 
+    /// Checks that the end of the connection is that of a body. A failed write takes the error of a
+    /// reset from the socket, and a reset after a regular end does not show in what is read; both
+    /// concern a request that the other side has not read whole.
+    fn check_end(&self) -> Result<(), Fault> {
+        if self.is_request_cut {
+            return Err(Fault::Broken(io::Error::new(
+                io::ErrorKind::UnexpectedEof,
+                "the connection ended before the request was sent whole",
+            )));
+        }
+        match sockopt::socket_error(self.stream.get_ref()) {
+            Ok(Err(errno)) => Err(Fault::Broken(errno.into())),
+            // If the system does not tell, the end that was read applies.
+            Ok(Ok(())) | Err(_) => Ok(()),
+        }
+    }
+
     /// Reads the next part of a body, which is not empty; `None` at the end of the body. A part is
-    /// all that has been received, of however many chunks.
+    /// all that has been received, of however many chunks. The end of the connection is that of a
+    /// body only if the request was completely written and no reset was received.
     ///
     /// # Errors
     /// The connection ended or failed within the body, or the framing is malformed.
@@ -383,7 +406,9 @@
                     self.consume(skip + length);
                 }
                 Step::More => match self.fill().await {
-                    Err(Fault::Closed) if decoder.ends_with_connection() => return Ok(None),
+                    Err(Fault::Closed) if decoder.ends_with_connection() => {
+                        return self.check_end().map(|()| None);
+                    }
                     Err(Fault::Closed) => {
                         return Err(Fault::Broken(io::ErrorKind::UnexpectedEof.into()));
                     }
--- a/crates/ffw-route/tests/support/harness.rs
+++ b/crates/ffw-route/tests/support/harness.rs
@@ -43,6 +43,9 @@
 /// Limit on connecting, on each write, and on the time for which bytes stay unacknowledged.
 const TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Largest body of a request that a backend server reads, in bytes.
+const BODY_BYTES_MAX: usize = 32 << 20;
+
 /// Reply of a backend server to a call, given the call's number from 0 on and its head.
 pub(crate) type Script = Arc<dyn Fn(usize, &Request) -> Reply + Send + Sync>;
 
@@ -110,6 +113,20 @@
     }
 }
 
+/// How a server ends the connection on which it has answered before it has read the request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum EarlyEnd {
+    /// With a reset.
+    Reset,
+    /// By closing it; the system makes that a reset if bytes are unread.
+    Close,
+    /// With a regular end; the rest of the request is never read.
+    Regular,
+}
+
+/// Time for which a server leaves the rest of a request unread after a regular end.
+const UNREAD_TIME: Duration = Duration::from_secs(2);
+
 /// How a slow server answers a move, by which it has stopped the run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum MoveAnswer {
@@ -194,6 +211,40 @@
         backend
     }
 
+    /// A server that answers each request as soon as it has read its head, and then ends the
+    /// connection.
+    pub(crate) async fn start_early(answer: fn(&Request) -> Vec<u8>, end: EarlyEnd) -> Backend {
+        let backend = Backend::gone().await;
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a listener");
+        let address = listener.local_addr().expect("an address");
+        let backend = Backend { address, ..backend };
+        let serving = backend.clone();
+        executor::detach(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                executor::detach(serving.clone().serve_early(stream, answer, end));
+            }
+        });
+        backend
+    }
+
+    async fn serve_early(self, stream: TcpStream, answer: fn(&Request) -> Vec<u8>, end: EarlyEnd) {
+        let mut connection = Connection::new(stream.clone(), Wire::Request, TIMEOUT);
+        let Ok(head) = connection.read_request(1 << 16).await else { return };
+        let step = head.fields.text("Step").unwrap_or("run").to_owned();
+        self.calls.lock().expect("no panic").push(step);
+        if connection.write(&answer(&head), TIMEOUT).await.is_err() {
+            return;
+        }
+        match end {
+            EarlyEnd::Reset => connection.reset_on_close(),
+            EarlyEnd::Close => {}
+            EarlyEnd::Regular => {
+                stream.shutdown(std::net::Shutdown::Write).expect("an open connection");
+                timer::sleep(UNREAD_TIME).await;
+            }
+        }
+    }
+
     /// Number of connections that were accepted.
     pub(crate) fn connections(&self) -> usize {
         self.connections.load(Ordering::SeqCst)
@@ -204,7 +255,7 @@
         while let Ok(head) = connection.read_request(1 << 16).await {
             let framing = Framing::of_request(&head).expect("a framing");
             let mut decoder = Decoder::new(framing);
-            connection.read_body(&mut decoder, 1 << 20).await.expect("a body");
+            connection.read_body(&mut decoder, BODY_BYTES_MAX).await.expect("a body");
             if !is_of_dialect(&head) {
                 // Another process may call a port that was free when this server got it.
                 let refusal = response(&head, 421, "", "");
@@ -510,6 +561,12 @@
 
 /// A router whose daemon knows the routes and these servers.
 pub(crate) fn router(servers: Vec<Instance>) -> Arc<Router> {
+    router_with_memory(servers, 1 << 20)
+}
+
+/// The same with this memory for the bodies of requests and responses, in bytes. One body may be as
+/// large as that, and 4 MiB in any case.
+pub(crate) fn router_with_memory(servers: Vec<Instance>, bytes: usize) -> Arc<Router> {
     let daemon = Daemon::new(Setup {
         instance: "entry".into(),
         data_centre: "a".into(),
@@ -528,7 +585,7 @@
         reason: "".into(),
         at_ms: 0,
         previous: "".into(),
-        declaration: DECLARATION.into(),
+        declaration: format!("{DECLARATION}{}", limits_section(bytes)).into(),
         drained: Vec::new(),
     };
     assert!(daemon.update_config(version, Arrival::offered()), "the declaration is not usable");
@@ -540,13 +597,22 @@
         retry_ratio: 1.0,
         retry_slack: 100.0,
         retry_window: Duration::from_secs(10),
-        buffered_bytes_max: 1 << 20,
+        buffered_bytes_max: bytes,
         connections_max: 100,
         shutdown_grace: Duration::from_secs(8),
     };
     Router::new(daemon, DIALECT, limits)
 }
 
+/// The limits of the configuration; all but the size of a body are the usual ones.
+fn limits_section(bytes: usize) -> String {
+    let body_bytes = bytes.max(4 << 20);
+    format!(
+        "[limits]\nheader_bytes = 16384\nbody_bytes = {body_bytes}\nheader_ms = 3000\n\
+         idle_ms = 15000\n"
+    )
+}
+
 /// Replaces the servers of the instance list.
 pub(crate) fn set_instances(daemon: &Daemon, version: u64, servers: Vec<Instance>) {
     daemon.view.offer_roster(Roster::new(version, servers));
