--- a/crates/fireflyworks/tests/support/streams.rs
+++ b/crates/fireflyworks/tests/support/streams.rs
@@ -66,6 +66,12 @@
     })
 }
 
+/// States in a daemon's settings whether the whole system starts for the first time.
+fn set_first_start(daemon: &Daemon, is_first: bool) {
+    let change = |file: &mut Value| file["bootstrap"] = json!(is_first);
+    daemon.change_settings(change).expect("settings");
+}
+
 /// Three daemons before a store and servers of one service.
 pub(crate) struct Fleet {
     pub(crate) daemons: Vec<Daemon>,
@@ -90,6 +96,7 @@
         for (number, ports) in ports.into_iter().enumerate() {
             let daemon = Daemon::new(&folder, number, ports, &seeds, store_address);
             let mut daemon = daemon.expect("settings");
+            set_first_start(&daemon, true);
             daemon.start(Path::new(PROGRAM)).expect("a daemon");
             fleet.daemons.push(daemon);
         }
@@ -160,6 +167,7 @@
     pub(crate) async fn start_again(&mut self) {
         for daemon in &mut self.daemons {
             daemon.take_exit_code();
+            set_first_start(daemon, false);
             daemon.start(Path::new(PROGRAM)).expect("a daemon");
         }
         self.wait_until_it_serves().await;
