Refuse a response whose status is not in 100..=599

Callers got responses of status 000 (as `0`), 099 and 600 from a server in trouble as if they were answers, and a 503 with its promise if such a response carried the statement that the request did not run. What it said of leaving, of a rate limit or of a time without requests was believed as well.

Cause: `httparse` accepts any three digits, and nothing behind it looked at the range. Class: a parser's syntax is taken for the protocol's meaning. Interim responses were handled: `read_response` skips up to eight and refuses a 101.

Change: `Response::parse` finds such a head malformed, so that the call is broken and its outcome unknown: 502, or a retry where the route is idempotent. Plain answers, streams, prefills, control calls and the store read their heads there.

--- a/crates/ffw-http/src/message.rs
+++ b/crates/ffw-http/src/message.rs
@@ -3,7 +3,7 @@
 //! `async-h1` rewrites targets and header names, and can't continue after a response that belongs
 //! to no request. Routed requests therefore use its parser, `httparse`, directly.
 
-use std::fmt;
+use std::{fmt, ops::RangeInclusive};
 
 /// Header fields of a message that are parsed without an allocation. A head with more is parsed
 /// again with as many as it has lines, which its size in bytes bounds.
@@ -256,6 +256,9 @@
     }
 }
 
+/// Status codes that a response can have; servers in trouble have sent 000, 099 and 600.
+const STATUSES: RangeInclusive<u16> = 100..=599;
+
 /// Head of a response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Response {
@@ -281,14 +284,19 @@
     /// it is incomplete.
     ///
     /// # Errors
-    /// The bytes are not the head of a response.
+    /// The bytes are not the head of a response, or its status is not in 100..=599.
     pub fn parse(bytes: &[u8]) -> Result<Option<(Response, usize)>, Malformed> {
         let mut parsed = Response::parse_into(bytes, &mut [httparse::EMPTY_HEADER; USUAL_FIELDS]);
         if parsed == Err(httparse::Error::TooManyHeaders) {
             let mut room = vec![httparse::EMPTY_HEADER; count_lines(bytes)];
             parsed = Response::parse_into(bytes, &mut room);
         }
-        parsed.map_err(|_| Malformed("the head of the response is malformed"))
+        let parsed = parsed.map_err(|_| Malformed("the head of the response is malformed"))?;
+        let is_none = |(response, _): &(Response, usize)| !STATUSES.contains(&response.status);
+        if parsed.as_ref().is_some_and(is_none) {
+            return Err(Malformed("the status of the response is not in 100..=599"));
+        }
+        Ok(parsed)
     }
 
     fn parse_into<'a>(
