--- a/crates/ffw-control/src/software.rs
+++ b/crates/ffw-control/src/software.rs
@@ -8,7 +8,6 @@
 
 use {
     crate::{belief::Beliefs, daemon::Daemon},
-    arc_swap::ArcSwap,
     ffw_decide::affinity::history::{self, History, Listed},
     ffw_peer::{link::Answering, service::PeerClient},
     ffw_protocol::{
@@ -20,7 +19,7 @@
     log::{debug, info},
     std::{
         net::SocketAddr,
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock, RwLockReadGuard, RwLockWriteGuard},
         time::Duration,
     },
 };
@@ -38,8 +37,7 @@
 #[derive(Debug)]
 pub struct Software {
     /// In order of server.
-    known: ArcSwap<Vec<Known>>,
-    /// Held by each write of `known`, too.
+    known: RwLock<Vec<Known>>,
     history: Mutex<History>,
     beliefs: Arc<Beliefs>,
     /// Daemons that know the call for versions.
@@ -58,7 +56,7 @@
     /// Knows nothing yet. `beliefs` tell whether the list of servers is confirmed.
     pub fn new(beliefs: Arc<Beliefs>) -> Software {
         Software {
-            known: ArcSwap::default(),
+            known: RwLock::default(),
             history: Mutex::default(),
             beliefs,
             answering: Answering::default(),
@@ -67,7 +65,7 @@
 
     /// Version of a server's software; `None` if it is not known.
     pub fn of(&self, server: &str) -> Option<Version> {
-        find(&self.known.load(), server).cloned()
+        find(&self.known(), server).cloned()
     }
 
     /// The only version at which a stream of a pool that callers may still take up can have begun;
@@ -83,35 +81,26 @@
     /// Records the version of a server that a list or a change of it holds.
     pub fn record_server(&self, server: &Instance, version: Version) {
         let now = clock::boot_time();
-        let mut history = self.history();
         let listed = Listed {
             server: server.name.clone(),
             pool: server.pool.clone(),
             version: Some(version.clone()),
         };
-        history.record_server(now, &listed);
-        let known = self.known.load();
-        if find(&known, &server.name) == Some(&version) {
-            return;
-        }
-        let mut known = Vec::clone(&known);
+        self.history().record_server(now, &listed);
+        let mut known = self.known_to_write();
         let new = Known { server: server.name.clone(), version, listed_at: now };
         match known.binary_search_by(|known| known.server.cmp(&server.name)) {
             Ok(index) => known[index] = new,
             Err(index) => known.insert(index, new),
         }
-        self.known.store(Arc::new(known));
     }
 
     /// Records what a peer has answered, unless a version of the server is known already.
     fn record_answer(&self, server: &Arc<str>, version: Version) {
-        let _write = self.history();
-        let known = self.known.load();
+        let mut known = self.known_to_write();
         if let Err(index) = known.binary_search_by(|known| known.server.cmp(server)) {
-            let mut known = Vec::clone(&known);
             let listed_at = clock::boot_time();
             known.insert(index, Known { server: server.clone(), version, listed_at });
-            self.known.store(Arc::new(known));
         }
     }
 
@@ -124,18 +113,24 @@
         self.history.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Forgets servers that have not been listed for [`KEEP_UNLISTED`]; the guard shows that no
-    /// other write is under way.
-    fn forget(&self, _history: &MutexGuard<'_, History>, now: Moment, list: &[Listed]) {
-        let known = self.known.load();
-        let is_listed =
-            |server: &str| list.binary_search_by(|listed| (*listed.server).cmp(server)).is_ok();
-        let kept = known.iter().filter_map(|known| {
-            let listed_at = if is_listed(&known.server) { now } else { known.listed_at };
-            let is_kept = now.since(listed_at) < KEEP_UNLISTED;
-            is_kept.then(|| Known { listed_at, ..known.clone() })
+    /// Forgets servers that have not been listed for [`KEEP_UNLISTED`]. `list` is in order of
+    /// server.
+    fn forget(&self, now: Moment, list: &[Listed]) {
+        self.known_to_write().retain_mut(|known| {
+            let found = list.binary_search_by(|listed| listed.server.cmp(&known.server));
+            if found.is_ok() {
+                known.listed_at = now;
+            }
+            now.since(known.listed_at) < KEEP_UNLISTED
         });
-        self.known.store(Arc::new(kept.collect()));
+    }
+
+    fn known(&self) -> RwLockReadGuard<'_, Vec<Known>> {
+        self.known.read().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn known_to_write(&self) -> RwLockWriteGuard<'_, Vec<Known>> {
+        self.known.write().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
@@ -155,18 +150,20 @@
     if let Some(snapshot) = config {
         history.set_lifetime(history::lifetime(&snapshot.deployment));
     }
-    let known = software.known.load();
-    let listed = servers.map(|server| Listed {
-        server: server.name.clone(),
-        pool: server.pool.clone(),
-        version: find(&known, &server.name).cloned(),
-    });
-    let list: Vec<Listed> = listed.collect();
+    let list: Vec<Listed> = {
+        let known = software.known();
+        let listed = servers.map(|server| Listed {
+            server: server.name.clone(),
+            pool: server.pool.clone(),
+            version: find(&known, &server.name).cloned(),
+        });
+        listed.collect()
+    };
     for change in history.record_list(now, &list) {
         let history::Change { pool, version, is_listed } = change;
         info!("event=software_listed pool={pool} version={version} is_listed={is_listed}");
     }
-    software.forget(&history, now, &list);
+    software.forget(now, &list);
 }
 
 /// Asks a peer that has just answered for the versions of listed servers that are not known, as its
