Charge what servers make a daemon hold to the memory budget

Cause: each response had limits (head, body, event), their sum had none for streams, heads and buffers. The limit on the plain bodies counted received bytes, while bodies grew by reallocation and were copied to be written.

Ruled out: a single response without a limit.

Now responses are charged to the budget of the process before they take memory, and may hold half of it. A call for whose first bytes there is no room is not made (not run). A response for which there is no more room is given up (unknown). Unfinished responses of 64 kB and more give way first, so that requests find room. Plain bodies stay in the segments of 64 kB that request bodies use, and are written from there. buffered_bytes_max counts request bodies only. Idle connections hold no buffer, and there are at most 256.

--- a/crates/ffw-control/src/metrics/routed.rs
+++ b/crates/ffw-control/src/metrics/routed.rs
@@ -85,6 +85,10 @@
     pub caller_memory: IntGaugeVec,
     /// Refusals because of the memory budget so far, by cause.
     pub memory_refusals: IntGaugeVec,
+    /// Memory that connections to servers are charged with, in bytes, by kind.
+    pub server_memory: IntGaugeVec,
+    /// Responses of servers that were given up because of the memory budget so far, by cause.
+    pub server_memory_refusals: IntGaugeVec,
     /// Time of the store's last answer, in seconds since the Unix epoch, by kind of object.
     pub store_answered: IntGaugeVec,
     /// Time since the store last showed that there is nothing newer than what this daemon believes,
@@ -173,6 +177,20 @@
                 ),
                 &["cause"],
             )?,
+            server_memory: IntGaugeVec::new(
+                Opts::new(
+                    "fireflyworks_server_memory_bytes",
+                    "Memory that connections to servers are charged with",
+                ),
+                &["kind"],
+            )?,
+            server_memory_refusals: IntGaugeVec::new(
+                Opts::new(
+                    "fireflyworks_server_memory_refusals",
+                    "Responses given up so far because of the memory budget",
+                ),
+                &["cause"],
+            )?,
             store_answered: IntGaugeVec::new(
                 Opts::new(
                     "fireflyworks_store_answered_timestamp_seconds",
@@ -202,6 +220,8 @@
         registry.register(Box::new(routed.callers.clone()))?;
         registry.register(Box::new(routed.caller_memory.clone()))?;
         registry.register(Box::new(routed.memory_refusals.clone()))?;
+        registry.register(Box::new(routed.server_memory.clone()))?;
+        registry.register(Box::new(routed.server_memory_refusals.clone()))?;
         registry.register(Box::new(routed.store_answered.clone()))?;
         registry.register(Box::new(routed.belief_age.clone()))?;
         Ok(routed)
--- a/crates/ffw-http/src/connection.rs
+++ b/crates/ffw-http/src/connection.rs
@@ -12,7 +12,7 @@
         message::{Malformed, Request, Response},
     },
     ffw_runtime::{
-        budget::{Holder, Kind},
+        budget::{Holder, Kind, Side},
         meter::{Metered, Wire},
         timer,
     },
@@ -40,8 +40,9 @@
 /// Largest number of interim responses before a response.
 const MAX_INTERIM_RESPONSES: u32 = 8;
 
-/// Largest number of requests that are sent on one connection.
-const SENT_MAX: usize = 4_096;
+/// Largest number of requests that are sent on one connection. It bounds the memory of their
+/// digests, 8 bytes each, which idle connections keep.
+const SENT_MAX: usize = 1_024;
 
 /// Pause between two checks whether the other side closed, while unread bytes hide the end.
 const CLOSE_CHECK_PAUSE: Duration = Duration::from_millis(50);
@@ -136,6 +137,26 @@
         self
     }
 
+    /// Charges a response that is to be read to an account. Returns `false` if there is no memory
+    /// for its first bytes.
+    pub fn charge_response_to(&mut self, holder: Holder) -> bool {
+        self.holder = Some(holder);
+        self.charge(Kind::Buffer, self.buffer.next_capacity())
+    }
+
+    /// Bounds the size of the socket's receive buffer, whose bytes count to the machine's memory.
+    pub fn bound_unread(&self, socket_bytes: usize) {
+        // If the system refuses a size, its own default applies.
+        sockopt::set_socket_recv_buffer_size(self.stream.get_ref(), socket_bytes).ok();
+    }
+
+    /// Releases the memory of the receive buffer if it holds nothing, and ends the charges of the
+    /// connection; returns the account.
+    pub fn take_holder(&mut self) -> Option<Holder> {
+        self.release_buffer();
+        self.holder.take()
+    }
+
     /// Charges what is held of a kind; returns `false` if there is no memory for more.
     pub fn charge(&mut self, kind: Kind, bytes: usize) -> bool {
         self.holder.as_mut().is_none_or(|holder| holder.set(kind, bytes))
@@ -236,12 +257,24 @@
     /// Waits for bytes and appends them to the buffer. Cancel-safe: dropping the call leaves the
     /// buffer unchanged.
     async fn fill(&mut self) -> Result<(), Fault> {
-        if !self.charge(Kind::Buffer, self.buffer.next_capacity()) {
+        // A caller's connection is closed by the task that serves it.
+        let server = self.holder.as_ref().filter(|holder| holder.side() == Side::Server);
+        let is_evicted = server.is_some_and(Holder::is_evicted);
+        let evicted = server.map(Holder::evicted);
+        if is_evicted || !self.charge(Kind::Buffer, self.buffer.next_capacity()) {
             return Err(Fault::OutOfMemory);
         }
         let (stream, buffer) = (&mut self.stream, &mut self.buffer);
         let reading = future::poll_fn(|cx| Pin::new(&mut *stream).poll_read(cx, buffer.room()));
-        match reading.await {
+        let evicting = async {
+            match evicted {
+                Some(evicted) => evicted.recv().await.ok(),
+                None => future::pending().await,
+            };
+            None
+        };
+        let read = future::or(async { Some(reading.await) }, evicting).await;
+        match read.ok_or(Fault::OutOfMemory)? {
             Ok(0) if self.buffer.is_empty() => Err(Fault::Closed),
             Ok(0) => Err(Fault::Broken(io::ErrorKind::UnexpectedEof.into())),
             Ok(count) => {
@@ -412,6 +445,21 @@
         Ok(body)
     }
 
+    /// Reads and discards a whole body of at most `limit` bytes.
+    ///
+    /// # Errors
+    /// As [`Connection::read_body`].
+    pub async fn skip_body(&mut self, decoder: &mut Decoder, limit: usize) -> Result<(), Fault> {
+        let mut skipped = 0;
+        while let Some(part) = self.read_part(decoder).await? {
+            skipped += part.len();
+            if skipped > limit {
+                return Err(Fault::TooLarge);
+            }
+        }
+        Ok(())
+    }
+
     /// Writes bytes to the socket within `limit`.
     ///
     /// # Errors
--- a/crates/ffw-http/src/pool.rs
+++ b/crates/ffw-http/src/pool.rs
@@ -15,6 +15,10 @@
 /// Maximum number of idle connections to one server.
 const MAX_IDLE_PER_SERVER: usize = 8;
 
+/// Maximum number of idle connections to all servers together. With their digests of sent ids they
+/// take at most some 9 kB each, which is part of what the process needs for itself.
+const MAX_IDLE: usize = 256;
+
 /// Idle connections to all servers.
 #[derive(Debug, Default)]
 pub struct Pool {
@@ -59,11 +63,16 @@
 
     /// Keeps a connection whose last response was read to its end. `lifetime` is the time for which
     /// the server is expected to keep it open. The connection is closed instead if the maximum
-    /// number of idle connections to the server is reached.
-    pub fn put(&self, server: &Arc<str>, connection: Connection, lifetime: Duration) {
+    /// number of idle connections to the server is reached; at the maximum of all servers, the one
+    /// that has been idle for longest is closed.
+    pub fn put(&self, server: &Arc<str>, mut connection: Connection, lifetime: Duration) {
+        connection.release_buffer();
         let mut idle = self.lock();
         idle.retain(|entry| !entry.has_expired());
         if idle.iter().filter(|entry| entry.server == *server).count() < MAX_IDLE_PER_SERVER {
+            if idle.len() >= MAX_IDLE {
+                idle.remove(0);
+            }
             let (server, idle_since) = (server.clone(), Instant::now());
             idle.push(Idle { server, connection, idle_since, lifetime });
         }
--- a/crates/ffw-route/src/caller.rs
+++ b/crates/ffw-route/src/caller.rs
@@ -6,7 +6,6 @@
 //! carry a time after which the caller may retry.
 
 mod authenticate;
-mod body;
 mod confirm;
 mod filter;
 mod quota;
@@ -294,7 +293,10 @@
             response.fields.remove_hop_by_hop();
             response.fields.remove("content-length");
             let persistence = persistence_after(router, head);
-            let written = response::write(caller, head, response, &served.body, persistence).await;
+            let body = &served.body;
+            let writing =
+                response::write_segments(caller, head, response, body.segments(), persistence);
+            let written = writing.await;
             disposition(written.is_ok(), persistence)
         }
     }
--- a/crates/ffw-route/src/caller/filter.rs
+++ b/crates/ffw-route/src/caller/filter.rs
@@ -5,11 +5,11 @@
     super::{
         RoutedRequest,
         authenticate::{self, Authenticated},
-        body::Body,
         confirm::{Confirmed, confirm},
         quota,
     },
     crate::{
+        body::Body,
         response,
         router::{CounterGuard, Router},
     },
--- a/crates/ffw-route/src/lib.rs
+++ b/crates/ffw-route/src/lib.rs
@@ -5,6 +5,7 @@
 //!
 //! The crate also probes engines that have failed and orders engines to change their roles.
 
+mod body;
 pub mod caller;
 pub mod dialect;
 pub mod engine;
--- a/crates/ffw-route/src/plain.rs
+++ b/crates/ffw-route/src/plain.rs
@@ -11,6 +11,7 @@
 
 use {
     crate::{
+        body::Payload,
         caller::RoutedRequest,
         dialect::Step,
         locality,
@@ -61,7 +62,7 @@
 /// A whole response for the caller.
 pub(crate) struct PlainResponse {
     pub(crate) head: Response,
-    pub(crate) body: Vec<u8>,
+    pub(crate) body: Payload,
 }
 
 /// Serves a plain request.
--- a/crates/ffw-route/src/response.rs
+++ b/crates/ffw-route/src/response.rs
@@ -7,6 +7,7 @@
         message::{Request, Response},
     },
     ffw_protocol::error::{Error, Kind, Run},
+    ffw_runtime::timer,
     std::{io, time::Duration},
 };
 
@@ -54,20 +55,41 @@
 pub async fn write(
     caller: &mut Connection,
     request: &Request,
-    mut head: Response,
+    head: Response,
     body: &[u8],
     persistence: Persistence,
+) -> io::Result<()> {
+    write_segments(caller, request, head, [body].into_iter(), persistence).await
+}
+
+/// As [`write`], with a body in segments, which are not copied together.
+///
+/// # Errors
+/// As [`write`].
+pub(crate) async fn write_segments<'a>(
+    caller: &mut Connection,
+    request: &Request,
+    mut head: Response,
+    body: impl Iterator<Item = &'a [u8]> + Clone,
+    persistence: Persistence,
 ) -> io::Result<()> {
     let has_no_body = matches!(head.status, 204 | 304) || request.method.as_ref() == "HEAD";
     if !has_no_body {
-        head.fields.set("Content-Length", body.len().to_string());
+        head.fields.set("Content-Length", body.clone().map(<[u8]>::len).sum::<usize>().to_string());
     }
     set_connection(&mut head, request, persistence);
     let mut bytes = head.to_bytes();
-    if !has_no_body {
-        bytes.extend_from_slice(body);
-    }
-    caller.write(&bytes, UNREAD_TIMEOUT).await
+    let mut segments = body.filter(|_| !has_no_body);
+    bytes.extend_from_slice(segments.next().unwrap_or_default());
+    let writing = async {
+        caller.write(&bytes, UNREAD_TIMEOUT).await?;
+        for segment in segments {
+            caller.write(segment, UNREAD_TIMEOUT).await?;
+        }
+        Ok(())
+    };
+    let is_unread = || Err(io::ErrorKind::TimedOut.into());
+    timer::timeout(UNREAD_TIMEOUT, writing).await.unwrap_or_else(is_unread)
 }
 
 /// Sets the Connection field; HTTP/1.1 needs none for a persistent connection.
--- a/crates/ffw-route/src/router.rs
+++ b/crates/ffw-route/src/router.rs
@@ -12,7 +12,7 @@
     ffw_http::pool::Pool,
     ffw_protocol::instance::Role,
     ffw_runtime::{
-        budget::{Budget as Memory, Kind as Held},
+        budget::{Budget as Memory, Kind as Held, Side},
         timer,
     },
     log::info,
@@ -40,7 +40,7 @@
     pub started_at: Instant,
     /// Idle connections to backend servers.
     pub idle_connections: Pool,
-    /// Memory that the connections of callers may take together.
+    /// Memory that the connections of callers and those to servers may take together.
     pub memory: Arc<Memory>,
     limits: Mutex<Limits>,
     balancer: Mutex<Balancer>,
@@ -63,11 +63,11 @@
     pub retry_slack: f64,
     /// Length of the window in which requests and retries are counted.
     pub retry_window: Duration,
-    /// Largest sum of the bodies that are held at once, in bytes.
+    /// Largest sum of the request bodies that are held at once, in bytes, within the budget.
     pub buffered_bytes_max: usize,
-    /// Memory that callers' connections may take together, in bytes, with their heads, bodies and
-    /// buffers.
-    pub caller_bytes_max: usize,
+    /// Memory that callers' connections and those to servers may take together, in bytes, with
+    /// their heads, bodies and buffers.
+    pub charged_bytes_max: usize,
     /// Largest number of callers' connections that are open at once.
     pub connections_max: usize,
     /// Time between the signal to shut down and the end of the process.
@@ -119,7 +119,7 @@
             dialect,
             started_at: Instant::now(),
             idle_connections: Pool::default(),
-            memory: Memory::new(limits.caller_bytes_max),
+            memory: Memory::new(limits.charged_bytes_max),
             limits: Mutex::new(limits),
             balancer: Mutex::default(),
             locality: Mutex::default(),
@@ -139,7 +139,7 @@
     /// Replaces the limits; what the retry budget has counted stays.
     pub fn configure(&self, limits: Limits) {
         *self.limits.lock().unwrap_or_else(PoisonError::into_inner) = limits;
-        self.memory.configure(limits.caller_bytes_max);
+        self.memory.configure(limits.charged_bytes_max);
         self.budget().configure(limits.retry_ratio, limits.retry_window);
     }
 
@@ -213,7 +213,7 @@
         self.limits().retry_slack * SLACK_SHARE / daemons.max(1) as f64
     }
 
-    /// Updates the gauges of the retry budget, of the callers' memory and of the shares that leave
+    /// Updates the gauges of the retry budget, of the memory budget and of the shares that leave
     /// the data centre.
     pub fn update_gauges(&self) {
         self.update_memory_gauges();
@@ -229,14 +229,19 @@
 
     fn update_memory_gauges(&self) {
         let routed = &self.daemon.metrics.routed;
-        for kind in Held::ALL {
-            let bytes = i64::try_from(self.memory.held(kind)).unwrap_or(i64::MAX);
-            routed.caller_memory.with_label_values(&[kind.name()]).set(bytes);
-            let refused = self.memory.refused(kind).cast_signed();
-            routed.memory_refusals.with_label_values(&[kind.name()]).set(refused);
+        for (side, memory, refusals) in [
+            (Side::Caller, &routed.caller_memory, &routed.memory_refusals),
+            (Side::Server, &routed.server_memory, &routed.server_memory_refusals),
+        ] {
+            for kind in Held::ALL {
+                let bytes = i64::try_from(self.memory.held(side, kind)).unwrap_or(i64::MAX);
+                memory.with_label_values(&[kind.name()]).set(bytes);
+                let refused = self.memory.refused(side, kind).cast_signed();
+                refusals.with_label_values(&[kind.name()]).set(refused);
+            }
+            let evicted = self.memory.evicted(side).cast_signed();
+            refusals.with_label_values(&["evicted"]).set(evicted);
         }
-        let evicted = self.memory.evicted().cast_signed();
-        routed.memory_refusals.with_label_values(&["evicted"]).set(evicted);
     }
 
     fn budget(&self) -> MutexGuard<'_, Budget> {
@@ -285,13 +290,13 @@
         add_guarded(&self.in_flight, 1)
     }
 
-    /// Reserves memory for a body while the guard exists; `None` if the limit is exceeded.
+    /// Reserves memory for a request body while the guard exists; `None` if the limit is exceeded.
     pub fn reserve(&self, bytes: usize) -> Option<CounterGuard<'_>> {
         let mut guard = add_guarded(&self.buffered_bytes, 0);
         self.reserve_more(&mut guard, bytes).then_some(guard)
     }
 
-    /// Reserves more memory for a body; returns whether the total is within the limit. The bytes
+    /// Reserves more memory for a request body; returns whether the total is within the limit. The bytes
     /// count until the guard is dropped, even if the total is above the limit.
     pub fn reserve_more(&self, guard: &mut CounterGuard<'_>, bytes: usize) -> bool {
         guard.amount += bytes;
--- a/crates/ffw-route/src/server.rs
+++ b/crates/ffw-route/src/server.rs
@@ -10,6 +10,7 @@
     ffw_control::burn,
     ffw_http::{connection::Connection, message::Response},
     ffw_runtime::{
+        budget::Side,
         listener::{self, Tracker},
         meter::Wire,
         timer,
@@ -47,7 +48,7 @@
             warn!("event=connection_refused cause=too_many_connections");
             return;
         }
-        let Some(holder) = router.memory.open(CONNECTION_BYTES) else {
+        let Some(holder) = router.memory.open(Side::Caller, CONNECTION_BYTES) else {
             warn!("event=connection_refused cause=no_memory");
             return;
         };
--- a/crates/ffw-route/src/stream/calls.rs
+++ b/crates/ffw-route/src/stream/calls.rs
@@ -73,7 +73,7 @@
                 cause,
             ));
         }
-        let handle = (self.router.dialect.parse_handle)(&response.body);
+        let handle = (self.router.dialect.parse_handle)(&response.body.bytes());
         let handle = handle.map_err(|cause| not_prefilled(Failing::Broken, cause.to_string()))?;
         Ok(Source { address: server.address, handle })
     }
--- a/crates/ffw-route/src/stream/moving.rs
+++ b/crates/ffw-route/src/stream/moving.rs
@@ -198,7 +198,9 @@
     let (head, body) = (router.dialect.write_move)(&order);
     let result = transport::control_call(router, from, &head, &body, MOVE_TIMEOUT).await;
     let (status, handle) = match &result {
-        Ok(response) => (response.head.status, (router.dialect.parse_handle)(&response.body).ok()),
+        Ok(response) => {
+            (response.head.status, (router.dialect.parse_handle)(&response.body.bytes()).ok())
+        }
         Err(failure) => {
             info!("event=move_failed request={id} from={} error=\"{failure}\"", from.name);
             return match failure {
--- a/crates/ffw-route/src/stream/relay.rs
+++ b/crates/ffw-route/src/stream/relay.rs
@@ -15,7 +15,7 @@
         message::Response,
     },
     ffw_protocol::{admission::Ask, error::Error},
-    ffw_runtime::{meter::Wire, timer},
+    ffw_runtime::{budget::Kind as Held, meter::Wire, timer},
     std::time::{Duration, Instant},
 };
 
@@ -25,6 +25,10 @@
 /// Largest event, in bytes. Many streams may receive bytes without end at the same time.
 const EVENT_BYTES_MAX: usize = 128 << 10;
 
+/// Copies of an event that are held while it is passed on: as received, as taken for the caller, and
+/// as written to it.
+const EVENT_COPIES: usize = 3;
+
 /// Media type of an event stream.
 const EVENT_STREAM: &[u8] = b"text/event-stream";
 
@@ -141,6 +145,10 @@
                 Some(Ok(part)) => part,
             };
             let Some(part) = part else { break };
+            let held = EVENT_COPIES * (unsent.len() + part.len());
+            if !response.connection.charge(Held::Body, held) {
+                return broken("no memory for an event");
+            }
             unsent.push(&part);
             Wire::Request.record_examined(part.len());
             let events = unsent.take_numbered();
--- a/crates/ffw-route/src/transport.rs
+++ b/crates/ffw-route/src/transport.rs
@@ -7,6 +7,7 @@
 
 use {
     crate::{
+        body::{Body, Payload},
         dialect::{Call, Principal, ResponseInfo, Step},
         router::Router,
     },
@@ -18,7 +19,11 @@
         message::{Malformed, Request, Response},
     },
     ffw_protocol::admission::Server,
-    ffw_runtime::{meter::Wire, timer},
+    ffw_runtime::{
+        budget::{Kind as Held, Side},
+        meter::Wire,
+        timer,
+    },
     std::{
         fmt,
         sync::Arc,
@@ -35,6 +40,23 @@
 /// Largest head of a response, in bytes.
 const HEAD_BYTES_MAX: usize = 32 << 10;
 
+/// Memory that a call is charged with for the connection itself.
+const CONNECTION_BYTES: usize = 4 << 10;
+
+/// Size that is requested for the receive buffer of a connection's socket, in bytes. The system
+/// doubles it for its own bookkeeping.
+const SOCKET_BUFFER_BYTES: usize = 64 << 10;
+
+/// Copies of a head that are held while its response is passed on: as received, as passed on, and
+/// as written to the caller.
+const HEAD_COPIES: usize = 3;
+
+/// Why a request is not sent, or a response is given up.
+const NO_MEMORY: &str = "no memory for the response";
+
+/// Why a response is given up that is larger than its limit.
+const BODY_TOO_LARGE: &str = "the body is too large";
+
 /// Largest number of responses to other requests that are read on one connection in one call.
 const STALE_RESPONSES_MAX: u32 = 4;
 
@@ -181,6 +203,9 @@
         })?,
         None => return Err(Failure::TimedOut),
     };
+    if !connection.charge(Held::Head, HEAD_COPIES * head.fields.held_bytes()) {
+        return Err(Failure::Broken(NO_MEMORY.into()));
+    }
     let framing = Framing::of_response(&head, &outgoing.head.method);
     let framing = framing.map_err(|malformed| Failure::Broken(malformed.to_string()))?;
     let (decoder, server) = (Decoder::new(framing), outgoing.server.name.clone());
@@ -279,14 +304,26 @@
     reuse_idle_max: Duration,
     id: &str,
 ) -> Result<Connection, Failure> {
-    if let Some(idle) = router.idle_connections.take(&server.name, reuse_idle_max, id).await {
-        return Ok(idle);
+    let holder = router.memory.open(Side::Server, CONNECTION_BYTES);
+    let holder = holder.ok_or(Failure::Withheld(NO_MEMORY))?;
+    let kept = router.idle_connections.take(&server.name, reuse_idle_max, id).await;
+    let mut connection = match kept {
+        Some(kept) => kept,
+        None => open(server, deadline).await?,
+    };
+    if !connection.charge_response_to(holder) {
+        return Err(Failure::Withheld(NO_MEMORY));
     }
+    Ok(connection)
+}
+
+async fn open(server: &Server, deadline: Instant) -> Result<Connection, Failure> {
     let time_left = deadline.saturating_duration_since(Instant::now());
     let limit = CONNECT_TIMEOUT.min(time_left);
     let opened =
         Connection::open(server.address, Wire::Request, limit, UNACKNOWLEDGED_TIMEOUT).await;
     let opened = opened.map_err(|err| Failure::Unreached(err.to_string()))?;
+    opened.bound_unread(SOCKET_BUFFER_BYTES);
     if !opened.is_reusable().await {
         return Err(Failure::Unreached("the server closed, or answered before a request".into()));
     }
@@ -321,7 +358,7 @@
             }
         }
         let mut decoder = Decoder::new(Framing::of_response(&head, &outgoing.head.method)?);
-        connection.read_body(&mut decoder, UNRELAYED_BODY_BYTES_MAX).await?;
+        connection.skip_body(&mut decoder, UNRELAYED_BODY_BYTES_MAX).await?;
         head = connection.read_response(HEAD_BYTES_MAX).await?;
     }
     // This fault stands for too many responses to other requests.
@@ -338,37 +375,43 @@
         deadline: Instant,
     ) -> Result<FullResponse, Failure> {
         let time_left = deadline.saturating_duration_since(Instant::now());
-        let reading = self.read_body(router, limit);
+        let reading = self.read_body(limit);
         let body = match timer::timeout(time_left, reading).await {
             Some(body) => body?,
             None => return Err(Failure::TimedOut),
         };
         let (head, response_info) = (self.head.clone(), self.response_info.clone());
+        let holder = self.connection.take_holder();
+        // A complete response is not given up for its memory any more.
+        if holder.as_ref().is_some_and(|holder| !holder.begin_request()) {
+            return Err(Failure::Broken(NO_MEMORY.into()));
+        }
         self.keep_connection(router);
-        Ok(FullResponse { head, response_info, body })
+        Ok(FullResponse { head, response_info, body: body.into_payload(holder) })
     }
 
-    /// Reads a whole body of at most `limit` bytes, within the memory for bodies.
-    async fn read_body(&mut self, router: &Router, limit: usize) -> Result<Vec<u8>, Failure> {
+    /// Reads a whole body of at most `limit` bytes.
+    async fn read_body(&mut self, limit: usize) -> Result<Body, Failure> {
         let broken = |cause: &dyn fmt::Display| Failure::Broken(cause.to_string());
-        let mut guard = router.reserve(0).ok_or_else(|| broken(&"no memory for the response"))?;
-        let mut body = Vec::new();
+        if matches!(self.framing, Framing::Length(length) if length > limit as u64) {
+            return Err(broken(&BODY_TOO_LARGE));
+        }
+        let mut body = Body::new(&mut self.connection, 0).ok_or_else(|| broken(&NO_MEMORY))?;
         loop {
             let part = self.connection.read_part(&mut self.decoder).await;
             let Some(part) = part.map_err(|fault| broken(&fault))? else { return Ok(body) };
             if body.len() + part.len() > limit {
-                return Err(broken(&"the body is too large"));
+                return Err(broken(&BODY_TOO_LARGE));
             }
-            if !router.reserve_more(&mut guard, part.len()) {
-                return Err(broken(&"no memory for the response"));
+            if !body.push(&mut self.connection, &part) {
+                return Err(broken(&NO_MEMORY));
             }
-            body.extend_from_slice(&part);
         }
     }
 
     /// Keeps the connection for further calls if the request was sent whole and the response ended
     /// cleanly.
-    pub(crate) fn keep_connection(self, router: &Router) {
+    pub(crate) fn keep_connection(mut self, router: &Router) {
         let may_keep = self.is_request_sent_whole
             && self.head.keeps_connection()
             && self.decoder.has_ended()
@@ -378,18 +421,19 @@
                 .response_info
                 .keep_alive
                 .map_or(IDLE_LIFETIME, |keep_alive| keep_alive.mul_f64(KEEP_ALIVE_SHARE));
+            drop(self.connection.take_holder());
             router.idle_connections.put(&self.server, self.connection, lifetime);
         }
     }
 }
 
 /// A response with its whole body.
-#[derive(Clone, Debug)]
+#[derive(Debug)]
 pub(crate) struct FullResponse {
     pub(crate) head: Response,
     /// What the adapter's dialect parsed from the head.
     pub(crate) response_info: ResponseInfo,
-    pub(crate) body: Vec<u8>,
+    pub(crate) body: Payload,
 }
 
 impl FullResponse {
--- a/crates/ffw-route/tests/endless_answers.rs
+++ b/crates/ffw-route/tests/endless_answers.rs
@@ -11,6 +11,7 @@
     ffw_http::message::Request,
     ffw_protocol::instance::{Role, State},
     ffw_route::router::Router,
+    ffw_runtime::budget::{Kind, Side},
     harness::{Backend, Reply, Script, instance, request, requests_ended, router, router_before},
     rstest::rstest,
     std::sync::Arc,
@@ -102,7 +103,7 @@
     });
 }
 
-/// A plain body without end; the memory for bodies of the harness is 1 MiB.
+/// A plain body without end.
 #[rstest]
 #[case::until_close("")]
 #[case::chunked("Transfer-Encoding: chunked\r\n")]
@@ -123,6 +124,7 @@
         requests_ended(&router).await;
         // The memory for the request and for its response is free again.
         assert!(router.reserve(1 << 20).is_some());
+        assert_eq!(Kind::ALL.map(|kind| router.memory.held(Side::Server, kind)), [0; 4]);
     });
 }
 
--- a/crates/ffw-route/tests/plain.rs
+++ b/crates/ffw-route/tests/plain.rs
@@ -9,9 +9,10 @@
 
 use {
     ffw_protocol::instance::{Role, State},
+    ffw_runtime::budget::{Kind, Side},
     harness::{
-        Backend, Received, Reply, Script, instance, not_run, request, response, router, send,
-        signed,
+        Backend, Received, Reply, Script, instance, not_run, request, requests_ended, response,
+        router, send, signed,
     },
     rstest::rstest,
     std::sync::Arc,
@@ -276,3 +277,22 @@
         assert!(!router.daemon.metrics.text().contains("fireflyworks_away"));
     });
 }
+
+/// Guards against a large response that is cut, mixed up or refused although there is memory for
+/// it, and against memory that stays charged for it.
+#[test]
+fn a_response_of_the_largest_size_is_passed_on_whole() {
+    const BYTES: usize = 8 << 20;
+    let body: String = (0..BYTES).map(|index| char::from(b'a' + (index % 23) as u8)).collect();
+    smol::block_on(async {
+        let sent = body.clone();
+        let reply = script(move |_, head| Reply::Bytes(signed(head, &sent)));
+        let backend = Backend::start(reply).await;
+        let router = router(vec![instance("a", Role::Plain, &backend, State::Live)]);
+        let received = request(&router, "/once/x").await;
+        assert_eq!((received.status, received.is_whole), (200, true));
+        assert!(received.body == body, "{} bytes arrived", received.body.len());
+        requests_ended(&router).await;
+        assert_eq!(Kind::ALL.map(|kind| router.memory.held(Side::Server, kind)), [0; 4]);
+    });
+}
--- a/crates/ffw-route/tests/support/harness.rs
+++ b/crates/ffw-route/tests/support/harness.rs
@@ -536,7 +536,7 @@
     daemon.record_config_confirmed(clock::boot_time());
     set_instances(&daemon, 1, servers);
     let limits = Limits {
-        caller_bytes_max: 256 << 20,
+        charged_bytes_max: 256 << 20,
         retry_ratio: 1.0,
         retry_slack: 100.0,
         retry_window: Duration::from_secs(10),
--- a/crates/fireflyworks/src/command/route.rs
+++ b/crates/fireflyworks/src/command/route.rs
@@ -47,15 +47,15 @@
 /// Buffered bodies may take the memory divided by this.
 const BODY_MEMORY_DIVISOR: usize = 4;
 
-/// Memory that the process takes without callers, in bytes: 8 MB at rest, and room for peers,
-/// servers and the store's responses.
+/// Memory that the process takes without requests, in bytes: 8 MB at rest, and room for peers, idle
+/// connections to servers, and the store's responses.
 const OWN_BYTES: usize = 20_000_000;
 
-/// Share of the remaining memory that callers may be charged with. The allocator holds more than is
+/// Share of the remaining memory that callers and servers may be charged with. The allocator holds more than is
 /// charged, as freed blocks between others can't be returned to the system.
 const CHARGED_SHARE: f64 = 0.6;
 
-/// Callers may be charged with at least the memory divided by this, so that the smallest machines
+/// Both may be charged with at least the memory divided by this, so that the smallest machines
 /// serve them as well.
 const CALLER_MEMORY_DIVISOR_MAX: usize = 8;
 
@@ -220,8 +220,8 @@
     settings.apply_limit.min(settings.leaving_limit)
 }
 
-/// Memory that callers' connections may be charged with, of the memory of the machine.
-fn caller_bytes_max(memory_bytes: usize) -> usize {
+/// Memory that callers' connections and those to servers may be charged with, of the memory of the machine.
+fn charged_bytes_max(memory_bytes: usize) -> usize {
     let free = (memory_bytes - memory_bytes / 10).saturating_sub(OWN_BYTES);
     let charged = (free as f64 * CHARGED_SHARE) as usize;
     charged.max(memory_bytes / CALLER_MEMORY_DIVISOR_MAX)
@@ -233,7 +233,7 @@
         retry_slack: settings.retry_slack,
         retry_window: settings.retry_window,
         buffered_bytes_max: settings.memory_bytes / BODY_MEMORY_DIVISOR,
-        caller_bytes_max: caller_bytes_max(settings.memory_bytes),
+        charged_bytes_max: charged_bytes_max(settings.memory_bytes),
         connections_max: settings.sockets / 2,
         shutdown_grace: settings.grace.saturating_sub(GRACE_MARGIN),
     }
