Let answers of serve go on only at the software version that began them

Callers saw: an answer whose tokens came from engines of two software versions, if the first engine cut it. Cause: as on routes; each attempt of an answer chose its engine without regard to versions. Change: the entry of serve keeps the origin of an answer and excludes engines of other versions, by the same functions as the router, which move to ffw_control::software. An instance of the list states its version in the field software. Measured: an_answer_goes_on_only_at_the_software_version_that_began_it failed before (two engines used) and passes now, with the ten others of one_answer.

--- a/crates/ffw-control/src/software.rs
+++ b/crates/ffw-control/src/software.rs
@@ -8,7 +8,10 @@
 
 use {
     crate::{belief::Beliefs, daemon::Daemon},
-    ffw_decide::affinity::history::{self, History, Listed},
+    ffw_decide::affinity::{
+        Origin,
+        history::{self, History, Listed},
+    },
     ffw_peer::{link::Answering, service::PeerClient},
     ffw_protocol::{
         belief::Kind,
@@ -139,6 +142,23 @@
     found.ok().map(|index| &known[index].version)
 }
 
+/// Names of the listed decode servers of a pool, in order.
+pub fn decode_servers(daemon: &Daemon, pool: &str) -> Vec<Arc<str>> {
+    let roster = daemon.view.roster();
+    let is_decode = |listed: &&Instance| listed.role == Role::Decode && &*listed.pool == pool;
+    roster.instances.iter().filter(is_decode).map(|listed| listed.name.clone()).collect()
+}
+
+/// Listed decode servers of a pool that may not go on with a stream of this origin, in order.
+pub fn excluded(daemon: &Daemon, pool: &str, origin: &Origin) -> Vec<Arc<str>> {
+    if *origin == Origin::Fresh {
+        return Vec::new();
+    }
+    let mut servers = decode_servers(daemon, pool);
+    servers.retain(|server| !origin.allows(daemon.software.of(server).as_ref()));
+    servers
+}
+
 /// Records the list of servers that the view has, with the versions that are known.
 pub fn record_list(daemon: &Daemon) {
     let software = &daemon.software;
--- a/crates/ffw-entry/src/generate/attempt.rs
+++ b/crates/ffw-entry/src/generate/attempt.rs
@@ -13,7 +13,7 @@
     ffw_backend::engine::{self, Completion, Handoff, Step},
     ffw_control::{
         admission::{self, Decision, Reservation},
-        identity, owner, quarantine,
+        identity, owner, quarantine, software,
     },
     ffw_http::{connection, fault::Fault, server::CallerConnection},
     ffw_protocol::{
@@ -102,7 +102,7 @@
     let resume_from = response.count();
     let started = Instant::now();
     check_quarantine(generation)?;
-    let reservation = admit(generation, attempt, resume_from).await?;
+    let reservation = admit(generation, attempt, response).await?;
     // The owner has recorded the grant in its ledger. If the owner is another daemon, this daemon
     // records it too, so that two daemons hold the record.
     if reservation.grant.owner != generation.recorder.daemon.identity.instance {
@@ -110,6 +110,7 @@
     }
     let mut completion = engine_request(generation, attempt, resume_from);
     let reservation = &*progress.reservation.insert(reservation);
+    let version = check_version(generation, reservation, response)?;
     timer::sleep(reservation.grant.start_in).await;
     if generation.recorder.daemon.quarantines.is_held(&generation.pool, &generation.prompt) {
         check_quarantine(generation)?;
@@ -139,6 +140,9 @@
     progress.decode_begun = true;
     reservation.record_phase(Phase::Decode);
     let decoded = decode(generation, reservation, &completion, response).await;
+    if response.count() > resume_from {
+        response.record_origin(version.as_ref());
+    }
     record_end(generation, reservation, &decoded, response.count() > resume_from);
     decoded
 }
@@ -183,12 +187,29 @@
     }
 }
 
+/// Checks that the decode server of a reservation may go on with the response, as the owner may list
+/// servers that this daemon does not know yet; returns the version of its software.
+fn check_version(
+    generation: &Generation,
+    reservation: &Reservation,
+    response: &ResponseWriter,
+) -> Result<Option<software::Version>, Failure> {
+    let server = &reservation.grant.decode.name;
+    let version = generation.recorder.daemon.software.of(server);
+    if response.origin().allows(version.as_ref()) {
+        return Ok(version);
+    }
+    let message = format!("engine {server} may not go on with the response");
+    Err(Failure::Retryable(Error::new(Kind::NoBackend, message)))
+}
+
 async fn admit(
     generation: &Generation,
     attempt: &Attempt,
-    resume_from: u32,
+    response: &ResponseWriter,
 ) -> Result<Reservation, Failure> {
     let recorder = &generation.recorder;
+    let resume_from = response.count();
     let ask = Ask {
         attempt: attempt.clone(),
         workspace: recorder.workspace.clone(),
@@ -203,7 +224,7 @@
         target: generation.time_to_target(),
         patience: generation.time_to_deadline(resume_from > 0),
         prefix: generation.prefix_hashes.clone(),
-        avoid: Vec::new(),
+        avoid: software::excluded(&recorder.daemon, &generation.pool, response.origin()),
     };
     match admission::reserve(&recorder.daemon, &generation.pool, ask).await {
         Ok(Decision::Reservation(reservation)) => Ok(reservation),
--- a/crates/ffw-entry/src/generate/deliver.rs
+++ b/crates/ffw-entry/src/generate/deliver.rs
@@ -9,11 +9,15 @@
     },
     ffw_backend::engine::Token,
     ffw_control::identity,
+    ffw_decide::affinity::Origin,
     ffw_http::{
         body::{self, Writer},
         server,
     },
-    ffw_protocol::error::{Error, Kind, Result},
+    ffw_protocol::{
+        error::{Error, Kind, Result},
+        software,
+    },
     http_types::Response,
     log::debug,
     smol::channel::Sender,
@@ -46,6 +50,8 @@
     /// Text so far of a response that is not streamed.
     text: String,
     next_position: u32,
+    /// Where the first token was written.
+    origin: Origin,
     /// Reason given with the last token; `None` before it.
     finish_reason: Option<Arc<str>>,
     delivery: Delivery,
@@ -66,6 +72,7 @@
             writer: None,
             text: String::new(),
             next_position: 0,
+            origin: Origin::default(),
             finish_reason: None,
             delivery: Delivery::default(),
         }
@@ -76,6 +83,17 @@
         self.next_position
     }
 
+    /// Where the first token was written.
+    pub fn origin(&self) -> &Origin {
+        &self.origin
+    }
+
+    /// Records that an engine of this software version, `None` if it is not known, has written a
+    /// token.
+    pub fn record_origin(&mut self, version: Option<&software::Version>) {
+        self.origin.record_event(version);
+    }
+
     /// Size and times of the delivered part.
     pub fn delivery(&self) -> Delivery {
         self.delivery
--- a/crates/ffw-route/src/stream/affinity.rs
+++ b/crates/ffw-route/src/stream/affinity.rs
@@ -8,11 +8,10 @@
 use {
     super::{Stream, failure::AttemptFailure},
     crate::{caller::RoutedRequest, router::Router},
-    ffw_control::{admission::Reservation, origin},
+    ffw_control::{admission::Reservation, origin, software},
     ffw_decide::affinity::Origin,
     ffw_protocol::{
         error::{Error, Kind},
-        instance::{Instance, Role},
         software::Version,
     },
     log::info,
@@ -25,24 +24,6 @@
 /// Retry-After of a stream that no server may go on with now.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
-/// Names of the listed decode servers of a pool, in order.
-pub(super) fn decode_servers(router: &Router, pool: &str) -> Vec<Arc<str>> {
-    let roster = router.daemon.view.roster();
-    let is_decode = |listed: &&Instance| listed.role == Role::Decode && &*listed.pool == pool;
-    roster.instances.iter().filter(is_decode).map(|listed| listed.name.clone()).collect()
-}
-
-/// Listed decode servers of a pool that may not go on with a stream of this origin, in order.
-pub(super) fn excluded(router: &Router, pool: &str, origin: &Origin) -> Vec<Arc<str>> {
-    if *origin == Origin::Fresh {
-        return Vec::new();
-    }
-    let software = &router.daemon.software;
-    let mut servers = decode_servers(router, pool);
-    servers.retain(|server| !origin.allows(software.of(server).as_ref()));
-    servers
-}
-
 /// Records that a server of this version has written events of a stream, before they are sent. The
 /// first ones decide where the stream may go on, for the callers of resumable routes also at other
 /// daemons.
@@ -106,12 +87,12 @@
             Origin::Fresh => return None,
             Origin::Unknown => "it is not known which software version began the stream".to_owned(),
             Origin::At(version) => {
-                let software = &router.daemon.software;
+                let daemon = &router.daemon;
                 let may_go_on = |server: &Arc<str>| {
-                    origin.allows(software.of(server).as_ref())
-                        && router.daemon.view.takes_work(server)
+                    origin.allows(daemon.software.of(server).as_ref())
+                        && daemon.view.takes_work(server)
                 };
-                if decode_servers(router, pool).iter().any(may_go_on) {
+                if software::decode_servers(daemon, pool).iter().any(may_go_on) {
                     return None;
                 }
                 format!("no server of pool {pool} with software {version}, which began the stream")
--- a/crates/ffw-route/src/stream/ask.rs
+++ b/crates/ffw-route/src/stream/ask.rs
@@ -1,8 +1,9 @@
 //! Builds the admission request that an entry sends to the owner of a shard for a stream.
 
 use {
-    super::{affinity, relay::Relay},
+    super::relay::Relay,
     crate::{caller::RoutedRequest, dialect::Tokens, router::Router},
+    ffw_control::software,
     ffw_protocol::{
         admission::{Ask, Attempt},
         error::{Error, Kind, Result},
@@ -68,6 +69,6 @@
         target: remaining(target),
         patience: remaining(patience).min(request.time_left()),
         prefix: Vec::new(),
-        avoid: affinity::excluded(router, &request.pool, relay.origin()),
+        avoid: software::excluded(&router.daemon, &request.pool, relay.origin()),
     })
 }
--- a/crates/ffw-route/src/stream/moving.rs
+++ b/crates/ffw-route/src/stream/moving.rs
@@ -8,13 +8,15 @@
 //! therefore never complete once its server was, or may have been, told to stop the run.
 
 use {
-    super::affinity,
     crate::{
         dialect::{Move, Source},
         router::Router,
         transport::{self, Failure},
     },
-    ffw_control::admission::{self, Decision, Reservation},
+    ffw_control::{
+        admission::{self, Decision, Reservation},
+        software,
+    },
     ffw_protocol::{
         admission::{Ask, Server},
         error::Result,
@@ -144,7 +146,7 @@
     fn has_target(&self) -> bool {
         let (router, pool) = (&self.router, &self.pool);
         let is_target = |name: &Arc<str>| *name != self.server.name && self.may_move_to(name);
-        affinity::decode_servers(router, pool).iter().any(is_target)
+        software::decode_servers(&router.daemon, pool).iter().any(is_target)
     }
 
     /// Whether a server takes work and has the software version of the run's server, whose KV cache
--- a/crates/ffw-standin/src/platform.rs
+++ b/crates/ffw-standin/src/platform.rs
@@ -202,8 +202,17 @@
 
     /// Adds or replaces an instance in the instance list, after [`Faults::instance_lag_ms`].
     pub fn put_instance(&self, instance: Instance) {
+        self.put_instance_of_version(instance, None);
+    }
+
+    /// The same with a version of the server's software, if it states one.
+    pub fn put_instance_of_version(&self, instance: Instance, software: Option<&str>) {
+        let software = software.map(str::to_owned);
         self.change_after_lag(move |data| {
-            let spec = serde_json::to_value(&instance).unwrap_or_default();
+            let mut spec = serde_json::to_value(&instance).unwrap_or_default();
+            if let Some(software) = software {
+                spec["software"] = software.into();
+            }
             match data.find("instances", &instance.name) {
                 Ok(index) => {
                     let version = data.objects[index].version.to_string().into();
--- a/crates/ffw-support/src/cluster.rs
+++ b/crates/ffw-support/src/cluster.rs
@@ -220,15 +220,26 @@
 
     /// Marks an engine as leaving in the instance list.
     pub fn mark_leaving(&self, node: &Node<Engine>, role: Role) {
-        self.platform.service.put_instance(Instance {
+        let leaving = self.engine_instance(node, role, State::Leaving);
+        self.platform.service.put_instance(leaving);
+    }
+
+    /// States the software version of an engine in the instance list.
+    pub fn set_software(&self, node: &Node<Engine>, role: Role, version: &str) {
+        let live = self.engine_instance(node, role, State::Live);
+        self.platform.service.put_instance_of_version(live, Some(version));
+    }
+
+    fn engine_instance(&self, node: &Node<Engine>, role: Role, state: State) -> Instance {
+        Instance {
             name: node.name.clone(),
             role,
             data_centre: "nz-north-a".into(),
             address: node.address,
             pool: self.plan.pool.into(),
-            state: State::Leaving,
+            state,
             capacity: 0,
-        });
+        }
     }
 
     /// Applies a declaration against an expected version, through the first daemon. Panics if the
--- a/crates/fireflyworks/tests/one_answer.rs
+++ b/crates/fireflyworks/tests/one_answer.rs
@@ -5,6 +5,7 @@
 //! the answer.
 
 use {
+    ffw_protocol::instance::Role,
     ffw_runtime::timer,
     ffw_standin::{
         answer,
@@ -17,6 +18,9 @@
 
 const BINARY: &str = env!("CARGO_BIN_EXE_fireflyworks");
 
+/// Time in which all daemons learn of a change of the instance list.
+const LIST_TIME: Duration = Duration::from_secs(3);
+
 /// A complete answer has exactly the bytes of the engine's text; every other answer is recognisable
 /// as an error.
 fn check(call: &Completion, answer: &Answer) {
@@ -104,6 +108,27 @@
     });
 }
 
+/// Two engines of different software versions cut each stream after some tokens. Guards against an
+/// answer whose tokens come from both.
+#[test]
+fn an_answer_goes_on_only_at_the_software_version_that_began_it() {
+    smol::block_on(async {
+        let cluster = Cluster::start(Plan::new(BINARY)).await;
+        for (node, version) in cluster.decodes.iter().zip(["v1", "v2"]) {
+            cluster.set_software(node, Role::Decode, version);
+            node.service.set_faults(Faults { cut_streams: 100, cut_after: 5, ..Faults::default() });
+        }
+        timer::sleep(LIST_TIME).await;
+        for number in 0..8 {
+            let transfers = || cluster.decodes.iter().map(|node| node.service.counters().transfers);
+            let before: Vec<u64> = transfers().collect();
+            let answer = cluster.completion(0, number, 24).send().await;
+            let used = transfers().zip(before).filter(|(now, before)| now > before).count();
+            assert_eq!(used, 1, "the answer comes from {used} versions: {answer:?}");
+        }
+    });
+}
+
 /// A transfer of the KV cache stalls until the prefill result has expired, and prefills fail.
 /// Guards against an error instead of another attempt, and against memory that the failed
 /// attempts keep.
