Release new versions of the servers' software in the soak

No run had servers of two versions, streams that end with their connection, or callers that take broken streams up. Change: with `--releases`, one server of the streams' service is replaced by one of the newest version before each step, three in four announced by draining, so that two versions serve most of the time. Servers end each second stream with its connection and answer moves in five ways. Callers leave each second resumable stream early and take those that ended early up at a random daemon, with Resumes and Last-Event-Id. Checked besides: no stream holds events of two versions, in one answer or over its caller's tries; a take-up ends as complete only with the last event; half of the take-ups after the faults go on. Streams that callers left themselves don't count as unserved after the faults; there are none without the option. Each run writes violations.txt. With the option, failed connections to servers are reset, since the end of a stream without framing would else look regular.

--- a/crates/ffw-soak/src/caller.rs
+++ b/crates/ffw-soak/src/caller.rs
@@ -1,8 +1,12 @@
 //! Callers: each sends requests of random kinds to the daemons, one at a time, reuses its
 //! connection for as long as it stays open, and records the outcome of each request.
 
+mod take_up;
+
+pub use take_up::TakeUp;
+
 use {
-    crate::wire::IO_TIMEOUT,
+    crate::{wire::IO_TIMEOUT, worker::EVENT_COUNT},
     ffw_http::{
         connection::Connection,
         framing::{Decoder, Framing},
@@ -65,6 +69,12 @@
     pub kind: Kind,
     /// Whether its prompt has the part under which servers crash.
     pub is_poisonous: bool,
+    /// The stream that it takes up, if any.
+    pub take_up: Option<TakeUp>,
+    /// Number of events after which its caller closes the connection.
+    pub leaves_after: Option<u32>,
+    /// Whether its caller has done so.
+    pub has_left: bool,
     /// When it was sent.
     pub sent_at: Instant,
     /// Time until the response was whole, the connection ended, or [`RESPONSE_TIMEOUT`] had passed.
@@ -77,6 +87,39 @@
     pub body: String,
 }
 
+impl Outcome {
+    /// An outcome of a request that is not sent yet.
+    fn new(id: String, kind: Kind, is_poisonous: bool) -> Outcome {
+        Outcome {
+            id,
+            kind,
+            is_poisonous,
+            take_up: None,
+            leaves_after: None,
+            has_left: false,
+            sent_at: Instant::now(),
+            took: Duration::ZERO,
+            status: None,
+            is_whole: false,
+            body: String::new(),
+        }
+    }
+
+    /// Id of the request that brought the first event of its stream, or its own.
+    pub fn origin(&self) -> &str {
+        self.take_up.as_ref().map_or(&self.id, |take_up| &take_up.origin)
+    }
+
+    /// Number and data of each event that arrived completely; none if its status is not 200.
+    pub fn events(&self) -> impl Iterator<Item = (u32, &str)> {
+        let length = self.body.rfind("\n\n").filter(|_| self.status == Some(200)).unwrap_or(0);
+        self.body[..length].split("\n\n").filter_map(|event| {
+            let (id, data) = event.split_once('\n')?;
+            Some((id.strip_prefix("id: ")?.parse().ok()?, data.strip_prefix("data: ")?))
+        })
+    }
+}
+
 /// Part of a prompt under which a decode server crashes as soon as it begins to answer.
 pub const CRASHING_PART: &str = "bad0";
 
@@ -96,6 +139,8 @@
     pub sends_crashing_part: bool,
     /// Whether they send only plain requests that may run once, each on a connection of its own.
     pub only_bookings: bool,
+    /// Whether they leave some streams, and take those that ended early up at other daemons.
+    pub takes_up: bool,
 }
 
 /// Outcomes of the requests of all callers. Clones share the list.
@@ -125,6 +170,7 @@
 ) {
     // Drawn apart, so that the other draws of a seed stay as they are.
     let mut poison = ChaCha8Rng::seed_from_u64(caller_index as u64);
+    let mut departures = ChaCha8Rng::seed_from_u64(!(caller_index as u64));
     let mut open_connection: Option<Connection> = None;
     let mut sequence = 0;
     while !stop.load(Ordering::SeqCst) {
@@ -138,26 +184,21 @@
         let is_stream = matches!(kind, Kind::Stream | Kind::Resumable);
         let is_poisonous =
             habits.sends_crashing_part && is_stream && poison.gen_range(0..POISONOUS_SHARE) == 0;
-        let mut outcome = Outcome {
-            id,
-            kind,
-            is_poisonous,
-            sent_at: Instant::now(),
-            took: Duration::ZERO,
-            status: None,
-            is_whole: false,
-            body: String::new(),
-        };
-        if open_connection.is_none() {
-            open_connection =
-                Connection::open(daemon, Wire::Request, RESPONSE_TIMEOUT, IO_TIMEOUT).await.ok();
+        let mut outcome = Outcome::new(id, kind, is_poisonous);
+        if habits.takes_up && kind == Kind::Resumable {
+            outcome.leaves_after = take_up::draw_departure(&mut departures);
         }
-        if let Some(connection) = open_connection.take() {
-            outcome.sent_at = Instant::now();
-            let sending = send_request(connection, &mut outcome);
-            let kept = timer::timeout(RESPONSE_TIMEOUT, sending).await.flatten();
-            outcome.took = outcome.sent_at.elapsed();
-            open_connection = kept.filter(|_| !habits.only_bookings);
+        attempt(&mut open_connection, daemon, &mut outcome, habits).await;
+        while let Some(take_up) = TakeUp::after(&outcome).filter(|_| habits.takes_up) {
+            sequence += 1;
+            let mut next =
+                Outcome::new(format!("{caller_index:x}-{sequence:x}"), kind, is_poisonous);
+            next.take_up = Some(take_up);
+            outcomes.record(std::mem::replace(&mut outcome, next));
+            open_connection = None;
+            timer::sleep(take_up::draw_pause(&mut departures)).await;
+            let daemon = daemons[departures.gen_range(0..daemons.len())];
+            attempt(&mut open_connection, daemon, &mut outcome, habits).await;
         }
         outcomes.record(outcome);
         let pause_ms = if habits.only_bookings { BOOKING_PAUSE_MS } else { PAUSE_MS };
@@ -165,17 +206,40 @@
     }
 }
 
+/// Sends one request, on the open connection or a new one to `daemon`, and reads the response.
+async fn attempt(
+    open_connection: &mut Option<Connection>,
+    daemon: SocketAddr,
+    outcome: &mut Outcome,
+    habits: Habits,
+) {
+    outcome.sent_at = Instant::now();
+    if open_connection.is_none() {
+        *open_connection =
+            Connection::open(daemon, Wire::Request, RESPONSE_TIMEOUT, IO_TIMEOUT).await.ok();
+    }
+    if let Some(connection) = open_connection.take() {
+        outcome.sent_at = Instant::now();
+        let sending = send_request(connection, outcome);
+        let kept = timer::timeout(RESPONSE_TIMEOUT, sending).await.flatten();
+        outcome.took = outcome.sent_at.elapsed();
+        *open_connection = kept.filter(|_| !habits.only_bookings);
+    }
+}
+
 /// Sends one request and reads the response into `outcome`. Returns the connection if it can be
 /// used for another request.
 async fn send_request(mut connection: Connection, outcome: &mut Outcome) -> Option<Connection> {
     let (path, id) = (outcome.kind.path(), &outcome.id);
     // The first part is the caller's; the last one is the request's own.
-    let (caller, own) = id.split_once('-').unwrap_or((id, "0"));
+    let origin = outcome.origin();
+    let (caller, own) = origin.split_once('-').unwrap_or((origin, "0"));
+    let take_up = outcome.take_up.as_ref().map(TakeUp::fields).unwrap_or_default();
     let crashing = if outcome.is_poisonous { CRASHING_PART } else { "feed" };
     let head = format!(
         "POST {path}x HTTP/1.1\r\nHost: h\r\nRequest-Id: {id}\r\nModel: m\r\n\
          Token-Count: 100,1000\r\nPrefix-Hash: ca{caller}:40,{crashing}:40,{own}:20\r\n\
-         Deadline-Ms: {}\r\nContent-Length: 2\r\n\r\nhi",
+         {take_up}Deadline-Ms: {}\r\nContent-Length: 2\r\n\r\nhi",
         ROUTE_TIMEOUT.as_millis()
     );
     connection.write(head.as_bytes(), IO_TIMEOUT).await.ok()?;
@@ -185,6 +249,11 @@
     let mut decoder = Decoder::new(framing);
     while let Some(chunk) = connection.read_part(&mut decoder).await.ok()? {
         outcome.body.push_str(&String::from_utf8_lossy(&chunk));
+        let count = outcome.events().count() as u32;
+        if outcome.leaves_after.is_some_and(|events| count >= events) && count < EVENT_COUNT {
+            outcome.has_left = true;
+            return None;
+        }
     }
     outcome.is_whole = true;
     response.keeps_connection().then_some(connection)
--- a/crates/ffw-soak/src/check.rs
+++ b/crates/ffw-soak/src/check.rs
@@ -1,12 +1,15 @@
 //! Checks the guarantees to callers against the outcomes that the callers recorded and the runs
-//! that the servers recorded: no response of another request, streams with all events in order, at
-//! most one run of a request that may not run again, none if it was rejected with 503 or 429,
-//! removals and route changes in force within their bounds, and service again after the faults.
+//! that the servers recorded: no response of another request, streams with all events in order and
+//! of one software version, at most one run of a request that may not run again, none if it was
+//! rejected with 503 or 429, removals and route changes in force within their bounds, and service
+//! again after the faults.
+
+mod streams;
 
 use {
     crate::{
         caller::{Kind, Outcome, RESPONSE_TIMEOUT, ROUTE_TIMEOUT},
-        worker::{Crashing, EVENT_COUNT, Run},
+        worker::{Crashing, Run},
     },
     std::{
         collections::BTreeMap,
@@ -90,6 +93,8 @@
     check_removals(runs, removals, &mut violations);
     check_reroutes(outcomes, &runs_by_id, reroutes, &mut violations);
     check_stable_phase(outcomes, stable_since, &mut violations);
+    streams::check_versions(outcomes, &mut violations);
+    streams::check_take_ups(outcomes, stable_since, &mut violations);
     violations
 }
 
@@ -108,39 +113,7 @@
         }
         return;
     }
-    let data = outcome.body.lines().filter_map(|line| line.strip_prefix("data: "));
-    if data.into_iter().any(|id| id != outcome.id) {
-        violations.push(format!("{} got events of another request", outcome.id));
-    }
-    let ids = outcome.body.lines().filter_map(|line| line.strip_prefix("id: "));
-    let ids: Vec<u32> = ids.filter_map(|id| id.parse().ok()).collect();
-    let in_order = ids.iter().enumerate().all(|(index, id)| index as u32 == *id);
-    if !in_order {
-        violations
-            .push(format!("{} got events out of order, repeated or missing: {ids:?}", outcome.id));
-    }
-    if let Some(foreign) = foreign_line(outcome) {
-        violations.push(format!("{} got `{foreign}` in its stream", outcome.id));
-    }
-    if outcome.is_whole && ids.len() as u32 != EVENT_COUNT {
-        violations.push(format!(
-            "{} got a complete response with {} events",
-            outcome.id,
-            ids.len()
-        ));
-    }
-}
-
-/// A line of the body that belongs to no event.
-fn foreign_line(outcome: &Outcome) -> Option<&str> {
-    let mut lines: Vec<&str> = outcome.body.lines().collect();
-    if !outcome.is_whole {
-        // The last line may have been cut off.
-        lines.pop();
-    }
-    let is_of_event =
-        |line: &str| line.is_empty() || line.starts_with("id: ") || line.starts_with("data: ");
-    lines.into_iter().find(|line| !is_of_event(line))
+    streams::check_stream(outcome, violations);
 }
 
 fn check_runs(outcome: &Outcome, runs: &[&Run], violations: &mut Vec<String>) {
@@ -263,12 +236,16 @@
     }
 }
 
+fn is_served(outcome: &&Outcome) -> bool {
+    outcome.status == Some(200) && outcome.is_whole && outcome.took <= ROUTE_TIMEOUT
+}
+
 fn check_stable_phase(outcomes: &[Outcome], stable_since: Instant, violations: &mut Vec<String>) {
-    let is_later = |outcome: &&Outcome| outcome.sent_at > stable_since && !outcome.is_poisonous;
-    let later: Vec<&Outcome> = outcomes.iter().filter(is_later).collect();
-    let is_served = |outcome: &&Outcome| {
-        outcome.status == Some(200) && outcome.is_whole && outcome.took <= ROUTE_TIMEOUT
+    // Streams that their callers left have no end that could be late or missing.
+    let is_later = |outcome: &&Outcome| {
+        outcome.sent_at > stable_since && !outcome.is_poisonous && !outcome.has_left
     };
+    let later: Vec<&Outcome> = outcomes.iter().filter(is_later).collect();
     let (served, unserved): (Vec<&Outcome>, Vec<&Outcome>) =
         later.iter().partition(|outcome| is_served(outcome));
     if (served.len() as f64) < later.len() as f64 * MIN_SERVED_SHARE || later.is_empty() {
--- a/crates/ffw-soak/src/main.rs
+++ b/crates/ffw-soak/src/main.rs
@@ -32,6 +32,7 @@
         .arg(flag("cut-answers", "Also lose the rest of responses of the store"))
         .arg(flag("only-restarts", "Restart the daemons one after the other, without any fault"))
         .arg(flag("rate-limits", "Also let plain servers state rate limits"))
+        .arg(flag("releases", "Also release new versions of the servers' software"))
         .arg(option("store-delay-ms", "0", "Time by which each response of the store is late"))
         .arg(option("program", "target/release/fireflyworks", "Path of the daemons' program"))
         .arg(option("folder", "target/soak", "Folder for settings, plans and logs"))
@@ -53,6 +54,7 @@
             cut_answers: matches.get_flag("cut-answers"),
             only_restarts: matches.get_flag("only-restarts"),
             rate_limits: matches.get_flag("rate-limits"),
+            releases: matches.get_flag("releases"),
             store_delay: Duration::from_millis(number(&matches, "store-delay-ms")?),
             daemons: number(&matches, "processes")? as usize,
             program: text(&matches, "program").into(),
--- a/crates/ffw-soak/src/plan.rs
+++ b/crates/ffw-soak/src/plan.rs
@@ -36,6 +36,9 @@
     /// A server is replaced by a new one. Its object in the store is set to `draining` if the flag
     /// is true, and is removed otherwise.
     Replace(usize, bool),
+    /// The next server of the streams' service is replaced by one of a newer software version, as
+    /// [`Replace`](Step::Replace) does. The number counts these steps.
+    Upgrade(usize, bool),
     /// The store is away for a time and comes back as it was before that time. Soon after, servers
     /// and the operator write again what it has lost.
     Restore(Duration),
@@ -96,6 +99,18 @@
     with_restores
 }
 
+/// Of the servers that an upgrade replaces, one in this number does not say before that it leaves.
+const UNANNOUNCED_SHARE: u32 = 4;
+
+/// Adds releases of new software versions to a plan, one upgrade of a server before each step, from a
+/// generator of their own.
+pub fn add_releases(seed: u64, steps: Vec<Step>) -> Vec<Step> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed.rotate_left(48));
+    let upgrade = |turn| Step::Upgrade(turn, random.gen_range(0..UNANNOUNCED_SHARE) > 0);
+    let upgrades: Vec<Step> = (0..steps.len()).map(upgrade).collect();
+    upgrades.into_iter().zip(steps).flat_map(|(upgrade, step)| [upgrade, step]).collect()
+}
+
 /// Number of steps after each odd one.
 const STEPS_PER_ODDITY: usize = 2;
 
--- a/crates/ffw-soak/src/proxy.rs
+++ b/crates/ffw-soak/src/proxy.rs
@@ -4,6 +4,7 @@
     crate::wire,
     ffw_runtime::{executor, timer},
     futures_lite::{AsyncReadExt as _, AsyncWriteExt as _},
+    rustix::net::sockopt,
     smol::net::TcpStream,
     std::{
         io,
@@ -97,6 +98,8 @@
     /// Address on which the proxy listens.
     pub address: SocketAddr,
     fault: Arc<AtomicU64>,
+    /// Whether connections that fail are reset, and not closed as if they had come to their end.
+    resets: Arc<AtomicBool>,
     /// The open connections, the oldest first.
     open: Arc<Mutex<Vec<Weak<Losses>>>>,
 }
@@ -108,7 +111,8 @@
     /// No port is free.
     pub async fn start(target: SocketAddr) -> io::Result<Proxy> {
         let (listener, address) = wire::bind().await?;
-        let proxy = Proxy { address, fault: Arc::default(), open: Arc::default() };
+        let proxy =
+            Proxy { address, fault: Arc::default(), resets: Arc::default(), open: Arc::default() };
         let proxy_clone = proxy.clone();
         executor::detach(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -125,6 +129,12 @@
         self.lose_open(fault, 1);
     }
 
+    /// Resets connections that fail from now on, those of [`Fault::Reset`] too, so that a response
+    /// that ends with its connection is not taken for complete.
+    pub fn reset_failed(&self) {
+        self.resets.store(true, Ordering::SeqCst);
+    }
+
     /// Lets one in `every` of the connections that are open lose what is sent on it from now on,
     /// for good. New connections are sound. Does nothing for a fault that loses nothing.
     pub fn lose_open(&self, fault: Fault, every: usize) {
@@ -148,7 +158,14 @@
         let Ok(upstream) = TcpStream::connect(target).await else { return };
         let to_upstream = self.copy(client.clone(), upstream.clone(), &losses, false);
         let to_client = self.copy(upstream.clone(), client.clone(), &losses, true);
-        smol::future::or(smol::future::or(to_upstream, to_client), self.reset_requested()).await;
+        let copying = smol::future::or(to_upstream, to_client);
+        let has_failed = smol::future::or(copying, self.reset_requested()).await;
+        if has_failed && self.resets.load(Ordering::SeqCst) {
+            for stream in [&client, &upstream] {
+                sockopt::set_socket_linger(stream, Some(Duration::ZERO)).ok();
+            }
+            return;
+        }
         // Both streams are closed after the end of one direction or a reset, so that both peers see
         // the end of the connection.
         for stream in [client, upstream] {
@@ -156,27 +173,33 @@
         }
     }
 
-    async fn reset_requested(&self) {
+    /// Waits until connections are to be reset; returns true.
+    async fn reset_requested(&self) -> bool {
         while self.fault() != Fault::Reset {
             timer::sleep(POLL_INTERVAL).await;
         }
+        true
     }
 
+    /// Copies bytes until the end of a connection; returns whether one of them has failed.
     async fn copy(
         &self,
         mut from: TcpStream,
         mut to: TcpStream,
         losses: &Losses,
         is_to_client: bool,
-    ) {
+    ) -> bool {
         let mut buffer = vec![0; 16 << 10];
         loop {
-            let Ok(mut count @ 1..) = from.read(&mut buffer).await else {
-                // The end of a connection is lost too.
-                while is_to_client && losses.is_lost(is_to_client) {
-                    timer::sleep(POLL_INTERVAL).await;
+            let mut count = match from.read(&mut buffer).await {
+                Ok(count @ 1..) => count,
+                end => {
+                    // The end of a connection is lost too.
+                    while is_to_client && losses.is_lost(is_to_client) {
+                        timer::sleep(POLL_INTERVAL).await;
+                    }
+                    return end.is_err();
                 }
-                return;
             };
             if losses.is_lost(is_to_client) {
                 continue;
@@ -191,7 +214,7 @@
                 timer::sleep(POLL_INTERVAL).await;
             }
             if to.write_all(&buffer[..count]).await.is_err() {
-                return;
+                return true;
             }
         }
     }
--- a/crates/ffw-soak/src/run.rs
+++ b/crates/ffw-soak/src/run.rs
@@ -5,6 +5,7 @@
 
 mod limits;
 mod objects;
+mod releases;
 mod restarts;
 mod steps;
 
@@ -69,6 +70,9 @@
     pub only_restarts: bool,
     /// Whether plain servers state rate limits for a time.
     pub rate_limits: bool,
+    /// Whether new software versions of the servers are released, and callers take broken streams up
+    /// at other daemons.
+    pub releases: bool,
     /// Time by which each response of the store is late. If there is one, the configuration is
     /// nearly as large as an object of the store may be.
     pub store_delay: Duration,
@@ -137,6 +141,7 @@
         let habits = Habits {
             sends_crashing_part: harness.options.crashing_part,
             only_bookings: harness.options.only_restarts,
+            takes_up: harness.options.releases,
         };
         callers
             .push(executor::spawn(caller::run(number, addresses, outcomes, stop, random, habits)));
@@ -197,7 +202,9 @@
             ("llm", Role::Decode),
             ("llm", Role::Decode),
         ] {
-            let server = harness.new_server(service, role).await?;
+            let has_version = harness.options.releases && role != Role::Plain;
+            let version = has_version.then(|| releases::FIRST_VERSION.to_owned());
+            let server = harness.new_server(service, role, version).await?;
             harness.servers.push(server);
         }
         harness.configure();
@@ -220,18 +227,30 @@
         if self.options.cut_answers {
             steps = plan::add_losses(seed, steps, &[Fault::LossWithinAnswers]);
         }
+        if self.options.releases {
+            steps = plan::add_releases(seed, steps);
+        }
         if self.options.oddities {
             steps = plan::add_oddities(seed, steps, self.servers.len());
         }
         steps
     }
 
-    async fn new_server(&mut self, service: &str, role: Role) -> Result<Server> {
+    async fn new_server(
+        &mut self,
+        service: &str,
+        role: Role,
+        version: Option<String>,
+    ) -> Result<Server> {
         self.last_server_number += 1;
         let name = format!("server-{}", self.last_server_number);
         let worker = Worker::start(&name, service, role, &self.log).await?;
         let proxy = Proxy::start(worker.address).await?;
+        worker.set_version(version.as_deref());
         let server = Server { worker, proxy };
+        if self.options.releases {
+            releases::vary(&server, self.last_server_number);
+        }
         self.store.put(objects::SERVER_KIND, &name, objects::server(&server, "ready"));
         Ok(server)
     }
@@ -300,7 +319,7 @@
         for index in 0..self.servers.len() {
             let worker = self.servers[index].worker.clone();
             if worker.has_crashed() {
-                let new = self.new_server(&worker.service, worker.role).await?;
+                let new = self.new_server(&worker.service, worker.role, worker.version()).await?;
                 self.store.remove(objects::SERVER_KIND, &worker.name);
                 self.servers[index] = new;
             }
@@ -360,6 +379,7 @@
                 self.log.running_count()
             ));
         }
+        fs::write(self.options.folder.join("violations.txt"), violations.join("\n"))?;
         let served = outcomes
             .iter()
             .filter(|outcome| outcome.status == Some(200) && outcome.is_whole)
--- a/crates/ffw-soak/src/run/objects.rs
+++ b/crates/ffw-soak/src/run/objects.rs
@@ -57,6 +57,9 @@
         Role::Prefill => object["stage"] = json!("prefill"),
         Role::Decode => object["stage"] = json!("decode"),
     }
+    if let Some(version) = server.worker.version() {
+        object["version"] = json!(version);
+    }
     object
 }
 
--- a/crates/ffw-soak/src/run/steps.rs
+++ b/crates/ffw-soak/src/run/steps.rs
@@ -56,7 +56,7 @@
             .retain(|removal| now.saturating_duration_since(removal.written_at) > removal.bound);
     }
 
-    fn is_disturbed(&self) -> bool {
+    pub(super) fn is_disturbed(&self) -> bool {
         Instant::now() < self.disturbed_until
     }
 
@@ -107,9 +107,10 @@
             }
             Step::Replace(index, is_announced) => {
                 let is_checked = !self.is_disturbed();
-                let removal = self.replace(index, is_announced, check::DRAIN_BOUND).await?;
+                let removal = self.replace(index, None, is_announced, check::DRAIN_BOUND).await?;
                 self.removals.extend(Some(removal).filter(|_| is_checked));
             }
+            Step::Upgrade(turn, is_announced) => self.upgrade(turn, is_announced).await?,
             Step::MoveRoutes => self.move_routes(),
             Step::Odd(index, oddity, duration) => self.answer_oddly(index, oddity, duration),
             Step::StoreSilence(duration) => self.silence_store(duration).await,
@@ -191,7 +192,7 @@
         let recovered_in = lost_until + STABLE_TIME - Instant::now();
         self.move_routes();
         self.check_reroute(check::CONFIG_BOUND.max(recovered_in));
-        let removal = self.replace(0, false, check::DRAIN_BOUND.max(recovered_in)).await?;
+        let removal = self.replace(0, None, false, check::DRAIN_BOUND.max(recovered_in)).await?;
         self.removals.push(removal);
         timer::sleep(duration / 2).await;
         self.store_proxy.set_fault(Fault::None);
@@ -210,18 +211,18 @@
         }
     }
 
-    /// Replaces a server; the old one must get no requests a time after it has left.
-    async fn replace(
+    /// Replaces a server by one of another software version, or of the same; the old one must get no
+    /// requests a time after it has left.
+    pub(super) async fn replace(
         &mut self,
         index: usize,
+        version: Option<&str>,
         is_announced: bool,
         bound: Duration,
     ) -> Result<Removal> {
-        let (service, role) = {
-            let worker = &self.servers[index].worker;
-            (worker.service.clone(), worker.role)
-        };
-        let new = self.new_server(&service, role).await?;
+        let worker = self.servers[index].worker.clone();
+        let version = version.map(str::to_owned).or_else(|| worker.version());
+        let new = self.new_server(&worker.service, worker.role, version).await?;
         let old = std::mem::replace(&mut self.servers[index], new);
         let name = old.worker.name.clone();
         if is_announced {
@@ -263,7 +264,7 @@
 }
 
 /// Does something after a time, in the background.
-fn after(duration: Duration, action: impl FnOnce() + Send + 'static) {
+pub(super) fn after(duration: Duration, action: impl FnOnce() + Send + 'static) {
     executor::detach(async move {
         timer::sleep(duration).await;
         action();
--- a/crates/ffw-soak/src/worker.rs
+++ b/crates/ffw-soak/src/worker.rs
@@ -219,6 +219,11 @@
         self.listener.is_closed()
     }
 
+    /// Ends as a server that has left: closes its listener and all connections.
+    pub fn exit(&self) {
+        self.listener.close();
+    }
+
     fn crash(&self) {
         if !self.listener.is_closed() {
             self.log.lock_crashing().crashed_at.push(Instant::now());
--- a/crates/ffw-soak/src/worker/stream.rs
+++ b/crates/ffw-soak/src/worker/stream.rs
@@ -219,10 +219,15 @@
         let is_chunked = self.streams.next_is_chunked();
         match is_chunked {
             true => head.fields.set("Transfer-Encoding", "chunked"),
-            false => head.fields.set("Connection", "close"),
+            false => {
+                head.fields.set("Connection", "close");
+                // Whatever ends the connection early must not look like the end of the stream.
+                exchange.connection.reset_on_close();
+            }
         }
         self.write_events(&mut exchange, head.to_bytes(), first, id, is_chunked).await?;
         if !is_chunked {
+            exchange.connection.end_on_close();
             return None;
         }
         exchange.connection.write(b"0\r\n\r\n", IO_TIMEOUT).await.ok()?;
@@ -246,6 +251,7 @@
         let _running_id = RunningId::new(&self.streams, id);
         for number in first..EVENT_COUNT {
             if self.streams.take_stop(id) {
+                exchange.connection.end_on_close();
                 return None;
             }
             let event = self.event(number, id);
@@ -259,6 +265,7 @@
                 if !is_chunked {
                     // Without a part of an event, the end of the connection is that of the stream.
                     exchange.connection.write(b"id: ", IO_TIMEOUT).await.ok()?;
+                    exchange.connection.end_on_close();
                 }
                 return None;
             }
@@ -276,7 +283,11 @@
                 return None;
             }
         }
-        (!self.streams.take_stop(id)).then_some(())
+        if self.streams.take_stop(id) {
+            exchange.connection.end_on_close();
+            return None;
+        }
+        Some(())
     }
 
     fn event(&self, number: u32, id: &str) -> String {
--- a/crates/fireflyworks/tests/soak.rs
+++ b/crates/fireflyworks/tests/soak.rs
@@ -29,6 +29,7 @@
     cut_answers: bool,
     only_restarts: bool,
     rate_limits: bool,
+    releases: bool,
     store_delay_ms: u64,
 }
 
@@ -40,6 +41,7 @@
     cut_answers: false,
     only_restarts: false,
     rate_limits: false,
+    releases: false,
     store_delay_ms: 0,
 };
 
@@ -106,6 +108,16 @@
     check_run(6, 10, Extra { rate_limits: true, ..PLAIN });
 }
 
+/// New versions of the servers' software are released, servers end streams with their connections and
+/// stop them for moves, and callers take broken streams up at other daemons. Guards against a stream
+/// of two versions, one that is complete after a part, and one that does not go on.
+#[rstest]
+#[case::first(710)]
+#[case::all_daemons_killed(713)]
+fn streams_hold_one_version_during_releases(#[case] seed: u64) {
+    check_run(seed, 12, Extra { releases: true, ..PLAIN });
+}
+
 /// The store takes long for each response, and the configuration has the largest size. Guards
 /// against a version that comes into force too late.
 #[test]
@@ -129,6 +141,7 @@
         cut_answers: extra.cut_answers,
         only_restarts: extra.only_restarts,
         rate_limits: extra.rate_limits,
+        releases: extra.releases,
         store_delay: Duration::from_millis(extra.store_delay_ms),
         daemons,
         program: PathBuf::from(env!("CARGO_BIN_EXE_fireflyworks")),
