Test streams that are taken up as soon as they break

Cause: the tests of take-ups wait a second before they return, in which daemons may share what they know; callers return within milliseconds, and begin streams at both versions. Change: two known red cases, with the first daemon alive and killed at that moment.

--- a/crates/fireflyworks/tests/software_versions.rs
+++ b/crates/fireflyworks/tests/software_versions.rs
@@ -134,6 +134,37 @@
     });
 }
 
+/// Both versions serve when the streams begin, and callers return at once: to a daemon beside the one
+/// that served them, or after that one was killed. In the second case some may be refused, as the
+/// killed daemon may have been the owner that reserves servers.
+#[rstest]
+#[case::beside("at-once-beside", false)]
+#[case::killed("at-once-killed", true)]
+fn a_stream_that_is_taken_up_at_once_goes_on_at_its_version(
+    #[case] name: &str,
+    #[case] is_killed: bool,
+) {
+    smol::block_on(async {
+        let _permit = permit::acquire(CORES).await;
+        let mut fleet = Fleet::start(name, Some(OLD)).await;
+        fleet.add_servers(Some(NEW), 2).await;
+        timer::sleep(LIST_TIME).await;
+        let first = first_parts(&fleet, 0).await;
+        if is_killed {
+            fleet.kill(0);
+        }
+        let rest = take_up(&fleet, 1).await;
+        for (first, rest) in first.iter().zip(&rest) {
+            let served = rest.versions();
+            assert!(served.is_empty() || first.versions() == served, "{first:?} {rest:?}");
+        }
+        let is_whole = |part: &&Part| part.is_rest_after(Some(EVENTS_SEEN - 1));
+        let (whole_count, least) =
+            (rest.iter().filter(is_whole).count(), if is_killed { STREAMS / 2 } else { STREAMS });
+        assert!(whole_count >= least, "{whole_count} of {STREAMS} went on: {rest:?}");
+    });
+}
+
 /// Drains the busiest server of the old version, or all of them. Returns the streams, and whether a
 /// move went to the new version.
 async fn drain(fleet: &mut Fleet, drains_all: bool) -> (Vec<Part>, bool) {
