Ask no daemon where a stream began if no server states a version

Cause: a caller's return was looked up at other daemons, and refused by a daemon that had just started, also where no server of the pool states a software version and so nothing is to be told apart. Change: there the origin is the version unstated, without a call.

--- a/crates/ffw-control/src/software.rs
+++ b/crates/ffw-control/src/software.rs
@@ -149,6 +149,13 @@
     roster.instances.iter().filter(is_decode).map(|listed| listed.name.clone()).collect()
 }
 
+/// Whether none of the listed decode servers of a pool states a version.
+pub fn is_unstated(daemon: &Daemon, pool: &str) -> bool {
+    let servers = decode_servers(daemon, pool);
+    let is_unstated = |server: &Arc<str>| daemon.software.of(server) == Some(Version::Unstated);
+    !servers.is_empty() && servers.iter().all(is_unstated)
+}
+
 /// Listed decode servers of a pool that may not go on with a stream of this origin, in order.
 pub fn excluded(daemon: &Daemon, pool: &str, origin: &Origin) -> Vec<Arc<str>> {
     if *origin == Origin::Fresh {
--- a/crates/ffw-route/src/stream/affinity.rs
+++ b/crates/ffw-route/src/stream/affinity.rs
@@ -57,18 +57,7 @@
             return;
         }
         let (daemon, pool) = (&self.router.daemon, &self.request.pool);
-        let found = match &info.resumes {
-            Some(first) => origin::find(daemon, pool, first, FIND_TIMEOUT).await,
-            None => None,
-        };
-        let (origin, source) = match found {
-            Some(version) => (Origin::At(version), "record"),
-            // Without a record, the version is certain only if no other one can have begun it.
-            None => match daemon.software.sole(pool) {
-                Some(version) => (Origin::At(version), "sole_version"),
-                None => (Origin::Unknown, "none"),
-            },
-        };
+        let (origin, source) = self.look_up_origin().await;
         daemon.metrics.routed.record_resumed(pool, source);
         info!(
             "event=stream_resumed request={} resumes={} last_event={:?} origin=\"{origin}\" \
@@ -80,6 +69,24 @@
         self.relay.set_origin(origin);
     }
 
+    /// Where the stream that the caller takes up began, and how that is known.
+    async fn look_up_origin(&self) -> (Origin, &'static str) {
+        let (daemon, pool) = (&self.router.daemon, &self.request.pool);
+        if software::is_unstated(daemon, pool) {
+            return (Origin::At(Version::Unstated), "unstated");
+        }
+        if let Some(first) = &self.request.request_info.resumes
+            && let Some(version) = origin::find(daemon, pool, first, FIND_TIMEOUT).await
+        {
+            return (Origin::At(version), "record");
+        }
+        // Without a record, the version is certain only if no other one can have begun it.
+        match daemon.software.sole(pool) {
+            Some(version) => (Origin::At(version), "sole_version"),
+            None => (Origin::Unknown, "none"),
+        }
+    }
+
     /// Why no server may go on with the stream now; `None` if one may.
     pub(super) fn affinity_error(&self) -> Option<Error> {
         let (router, pool, origin) = (self.router, &self.request.pool, self.relay.origin());
