Take no empty answer for the rest of a stream that is taken up

Callers saw: a caller takes a broken stream up, a server in trouble answers 200 and ends at once without an event, and the caller gets that as the whole rest, although events are due. Cause: only a run within the same answer counted as one that goes on with a stream; a caller's Last-Event-Id did not. Change: a run that goes on with a stream of either kind has not ended it without an event, unless the output that the caller allows is reached. The new test failed with a length and in chunks (2 of 3) and passes now.

--- a/crates/ffw-route/src/stream/relay.rs
+++ b/crates/ffw-route/src/stream/relay.rs
@@ -145,7 +145,7 @@
         if let Some(cause) = self.unfit(&response) {
             return broken(cause);
         }
-        let (continues, events_before) = (self.has_begun, self.events);
+        let (continues, events_before) = (self.continues(), self.events);
         let mut unsent = Events::default();
         loop {
             let reading = response.connection.read_part(&mut response.decoder);
@@ -204,7 +204,7 @@
             return RelayEnd::Broken { cause, is_disconnect };
         }
         // The run of before broke off, so that something is missing, unless its output had come to
-        // the largest size.
+        // the largest size. This holds for a run of the caller's earlier attempt, too.
         if continues && self.events == events_before && !self.has_full_output() {
             return broken("the continued stream ended without an event");
         }
@@ -233,6 +233,11 @@
         is_another.then_some("the response has another media type than the stream")
     }
 
+    /// Whether the caller has events of an earlier run, of this request or of one that it resumes.
+    fn continues(&self) -> bool {
+        self.has_begun || self.request.request_info.last_event_id.is_some()
+    }
+
     /// Whether the caller has got as much output as it allows.
     fn has_full_output(&self) -> bool {
         let tokens = self.request.request_info.tokens;
--- a/crates/ffw-route/tests/broken_streams.rs
+++ b/crates/ffw-route/tests/broken_streams.rs
@@ -169,6 +169,38 @@
     });
 }
 
+/// A caller takes a stream up, and the first server ends it at once although events are due.
+#[rstest]
+#[case::with_a_length(Next::Empty)]
+#[case::in_chunks(Next::EmptyChunks)]
+#[case::until_close(Next::EmptyUntilClose)]
+fn a_stream_that_is_taken_up_does_not_end_without_an_event(#[case] next: Next) {
+    smol::block_on(async {
+        let prefill: Script = Arc::new(|_, head| Reply::Bytes(response(head, 200, "", "handle")));
+        let prefill = Backend::start(prefill).await;
+        let calls = Arc::new(AtomicUsize::new(0));
+        let script: Script = Arc::new(move |_, head| match calls.fetch_add(1, Ordering::SeqCst) {
+            0 => next_reply(head, next),
+            _ => Reply::Bytes(chunked(head, STREAM, &events(EVENTS / 2..EVENTS), END)),
+        });
+        let mut servers = vec![instance("prefill", Role::Prefill, &prefill, State::Live)];
+        for name in ["decode-0", "decode-1"] {
+            let decode = Backend::start(script.clone()).await;
+            servers.push(instance(name, Role::Decode, &decode, State::Live));
+        }
+        servers.sort_by(|a, b| a.name.cmp(&b.name));
+        let router = router(servers);
+        let last = EVENTS / 2 - 1;
+        let head = format!(
+            "POST /resumable/x HTTP/1.1\r\nHost: h\r\nId: r2\r\nResumes: r1\r\nLast-Event: {last}\r\n\
+             Content-Length: 2\r\n\r\nhi"
+        );
+        let received = send(&router, head.as_bytes()).await;
+        assert_eq!((received.status, received.is_whole), (200, true), "{}", received.body);
+        assert_eq!(received.body, events(EVENTS / 2..EVENTS));
+    });
+}
+
 /// A stream that may not be resumed is cut, whatever the next server would answer.
 #[rstest]
 fn a_stream_that_may_not_be_resumed_is_cut(#[values("1.1", "1.0")] version: &'static str) {
