Wait before a run that goes on after a move is moved again

Operators saw: a leaving server that answers moves with 503 and the handle got 64 orders for 8 streams, one for every second event; each stops the run. Cause: the delay between two reservations for a move is a state of the run's mover, and each run that goes on has a new one without it. Change: the mover of a run that goes on after a move starts with the delay.

--- a/crates/ffw-route/src/stream.rs
+++ b/crates/ffw-route/src/stream.rs
@@ -317,7 +317,8 @@
             let (id, pool) = (&self.request.request_info.id, &self.request.pool);
             let server = &reservation.grant.decode;
             let has_open_order = self.open_orders.contains(&server.name);
-            let mut mover = Mover::new(self.router, id, pool, server, has_open_order);
+            let mut mover =
+                Mover::new(self.router, id, pool, server, has_open_order, origin.is_some());
             let (events_before, framing) = (self.relay.events(), response.framing);
             let end = self.relay.relay_events(self.router, response, reservation, &mut mover).await;
             self.record_run(reservation, framing, mover.is_moving(), &end);
--- a/crates/ffw-route/src/stream/moving.rs
+++ b/crates/ffw-route/src/stream/moving.rs
@@ -79,14 +79,18 @@
 }
 
 impl Mover {
+    /// For a run at a server. `is_moved` states whether it goes on after a move, so that the next
+    /// move follows only after a delay; for `has_open_order` see the field.
     pub(super) fn new(
         router: &Arc<Router>,
         id: &Arc<str>,
         pool: &Arc<str>,
         server: &Server,
         has_open_order: bool,
+        is_moved: bool,
     ) -> Mover {
-        let state = State::Idle { reserve_after: None };
+        let reserve_after = is_moved.then(|| Instant::now() + RESERVE_RETRY_DELAY);
+        let state = State::Idle { reserve_after };
         let (router, id, pool) = (router.clone(), id.clone(), pool.clone());
         Mover { router, id, pool, server: server.clone(), has_open_order, state }
     }
