Let requests in the queue pass only to servers that the one before them can't use

A request whose entry avoids a server let all others pass, also to the servers that it waits for: a large one was passed by all small ones, and each step searched the whole queue. Backoff is judged with the closed servers, so that one in backoff is not used because the others are closed.

--- a/crates/ffw-decide/src/shard/reservation.rs
+++ b/crates/ffw-decide/src/shard/reservation.rs
@@ -16,7 +16,7 @@
         admission::{Ask, Phase},
         time::Moment,
     },
-    std::{cmp::Reverse, time::Duration},
+    std::{cmp::Reverse, sync::Arc, time::Duration},
 };
 
 /// Longest time by which a grant may precede the start of its prefill, beside the delay of the
@@ -153,7 +153,8 @@
 
 /// Selects the prefill server that would finish first, then the decode server at which the transfer
 /// would end first, both delayed by the handicap of servers that fail a part of their requests.
-/// Servers in backoff are used only if all are.
+/// Servers in backoff are used only if all are. `closed` names, in order, decode servers for which
+/// an earlier request waits.
 ///
 /// # Errors
 /// Returns why no reservation can be granted now, and when to search again.
@@ -164,8 +165,10 @@
     settings: &Settings,
     prefills: &Arena<Prefill>,
     decodes: &Arena<Decode>,
+    closed: &[Arc<str>],
     reservations: &Arena<Reservation>,
 ) -> Result<Plan, Blocked> {
+    let is_closed = |server: &str| closed.binary_search_by(|name| (**name).cmp(server)).is_ok();
     let pieces = settings.pieces_of(ask);
     let mut best: Option<Choice> = None;
     let mut blocked = Blocked::NoServer;
@@ -182,9 +185,8 @@
         return Err(Blocked::Until(retry_at));
     }
     let all_back_off = live().all(|(_, server)| server.backoff.is_backing_off(now));
-    for (decode, server) in
-        live().filter(|(_, server)| all_back_off || !server.backoff.is_backing_off(now))
-    {
+    let usable = live().filter(|(_, server)| all_back_off || !server.backoff.is_backing_off(now));
+    for (decode, server) in usable.filter(|(_, server)| !is_closed(&server.server.name)) {
         let room = if settings.memory_grows {
             growing_room(now, server, ask, expected_output, settings, reservations)
         } else {
