Move the era of the store from the platform to ffw-control

The era of the store knows none of the platform's names: the field that states it is read in `store.rs`, and `Era` compares numbers.

--- a/crates/ffw-control/src/lib.rs
+++ b/crates/ffw-control/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod change;
 pub mod claim;
 pub mod daemon;
+pub mod era;
 pub mod freshness;
 pub mod identity;
 pub mod ledger;
