Pass the servers of a shard to a search as one value

Cause: the search had got an eighth argument, which the linter refuses. Change: reservation::Servers. No behaviour changes. Measured: clippy of the workspace is clean, the tests of ffw-decide pass.

--- a/crates/ffw-decide/src/shard/queue.rs
+++ b/crates/ffw-decide/src/shard/queue.rs
@@ -8,7 +8,7 @@
 use {
     super::{
         Effect, Shard, Waiting,
-        reservation::{self, Blocked, Plan, Reservation},
+        reservation::{self, Blocked, Plan, Reservation, Servers},
         review::RETRY_AFTER_MIN,
     },
     crate::order::{Candidate, Pick},
@@ -150,18 +150,14 @@
 
     fn search(&self, now: Moment, index: usize, closed: &[Arc<str>]) -> Result<Plan, Blocked> {
         let ask = &self.waiting[index].ask;
-        let (prefills, decodes) = (&self.prefills, &self.decodes);
-        let expected_output = self.planned_output(ask);
-        reservation::search(
-            now,
-            ask,
-            expected_output,
-            &self.settings,
-            prefills,
-            decodes,
+        let servers = Servers {
+            prefills: &self.prefills,
+            decodes: &self.decodes,
             closed,
-            &self.reservations,
-        )
+            reservations: &self.reservations,
+        };
+        let expected_output = self.planned_output(ask);
+        reservation::search(now, ask, expected_output, &self.settings, &servers)
     }
 
     /// Whether the reservation that was found, or otherwise the one that is predicted next, gives a
--- a/crates/ffw-decide/src/shard/reservation.rs
+++ b/crates/ffw-decide/src/shard/reservation.rs
@@ -151,10 +151,22 @@
     }
 }
 
+/// The servers of a shard, as a search sees them.
+#[derive(Clone, Copy, Debug)]
+pub struct Servers<'a> {
+    /// Prefill servers.
+    pub prefills: &'a Arena<Prefill>,
+    /// Decode servers.
+    pub decodes: &'a Arena<Decode>,
+    /// Names of decode servers for which an earlier request waits, in order.
+    pub closed: &'a [Arc<str>],
+    /// What is reserved at them.
+    pub reservations: &'a Arena<Reservation>,
+}
+
 /// Selects the prefill server that would finish first, then the decode server at which the transfer
 /// would end first, both delayed by the handicap of servers that fail a part of their requests.
-/// Servers in backoff are used only if all are. `closed` names, in order, decode servers for which
-/// an earlier request waits.
+/// Servers in backoff are used only if all are.
 ///
 /// # Errors
 /// Returns why no reservation can be granted now, and when to search again.
@@ -163,11 +175,9 @@
     ask: &Ask,
     expected_output: u32,
     settings: &Settings,
-    prefills: &Arena<Prefill>,
-    decodes: &Arena<Decode>,
-    closed: &[Arc<str>],
-    reservations: &Arena<Reservation>,
+    servers: &Servers<'_>,
 ) -> Result<Plan, Blocked> {
+    let Servers { prefills, decodes, closed, reservations } = *servers;
     let is_closed = |server: &str| closed.binary_search_by(|name| (**name).cmp(server)).is_ok();
     let pieces = settings.pieces_of(ask);
     let mut best: Option<Choice> = None;
