Let requests in the queue pass only to servers that the one before them can't use

A request whose entry avoids a server let all others pass, also to the servers that it waits for: a large one was passed by all small ones, and each step searched the whole queue. A request that waits now closes the servers that it may use to those behind it, and requests that may use no other server are not searched for. Without a server to avoid, that is the end of the search, as before. Backoff is judged with the closed servers, so that one in backoff is not used because the others are closed.

--- a/crates/ffw-decide/src/shard/queue.rs
+++ b/crates/ffw-decide/src/shard/queue.rs
@@ -2,13 +2,13 @@
 //!
 //! The order comes from [`crate::order`]. A request that lacks only memory lets a limited number of
 //! others pass, so that a large request doesn't leave slots idle and isn't passed for ever. One that
-//! only some servers may serve, such as a stream that goes on at its software version, lets all others
-//! pass while it waits for them.
+//! only some servers may serve, such as a stream that goes on at its software version, lets others
+//! pass to the other servers while it waits for its own.
 
 use {
     super::{
         Effect, Shard, Waiting,
-        reservation::{self, Blocked, Plan, Reservation},
+        reservation::{self, Blocked, Plan, Reservation, Servers},
         review::RETRY_AFTER_MIN,
     },
     crate::order::{Candidate, Pick},
@@ -82,13 +82,16 @@
     pub(super) fn grant_all(&mut self, now: Moment) {
         self.wake_at = Moment::NEVER;
         let mut passed: Vec<usize> = Vec::new();
+        // Those that were passed, and those that wait behind them for the same servers.
+        let mut skipped: Vec<usize> = Vec::new();
+        let mut closed: Vec<Arc<str>> = Vec::new();
         let mut candidates = self.candidates(now);
         let mut open = self.open_handovers();
-        while let Some(pick) = self.pick(&candidates, &passed) {
+        while let Some(pick) = self.pick(&candidates, &skipped) {
             if !self.handover.may_grant(open) {
                 break;
             }
-            let found = self.search(now, pick.index);
+            let found = self.search(now, pick.index, &closed);
             if pick.reason != Reason::Started
                 && !candidates[pick.index].is_late
                 && self.misses_target(pick.index, &found)
@@ -106,47 +109,50 @@
                     open += 1;
                     candidates.remove(pick.index);
                     shift_indices(&mut passed, pick.index);
+                    shift_indices(&mut skipped, pick.index);
                 }
-                Err(Blocked::Memory(retry_at))
-                    if self.waiting[pick.index].bypassed < BYPASS_MAX =>
-                {
-                    self.wake_at = self.wake_at.min(retry_at);
-                    passed.push(pick.index);
-                    passed.sort_unstable();
-                }
-                // What it waits for is not what the requests behind it wait for.
-                Err(blocked) if self.excludes_servers(pick.index) => {
+                Err(blocked) => {
                     self.wake_at = self.wake_at.min(blocked.retry_at());
                     passed.push(pick.index);
-                    passed.sort_unstable();
+                    skipped.push(pick.index);
+                    let bypassed = self.waiting[pick.index].bypassed;
+                    if !matches!(blocked, Blocked::Memory(_)) || bypassed >= BYPASS_MAX {
+                        self.close_servers(pick.index, &mut closed);
+                        skipped.extend(self.without_server(&closed));
+                    }
+                    skipped.sort_unstable();
+                    skipped.dedup();
                 }
-                Err(Blocked::Memory(retry_at) | Blocked::Until(retry_at)) => {
-                    self.wake_at = self.wake_at.min(retry_at);
-                    break;
-                }
-                Err(Blocked::NoServer) => break,
             }
         }
     }
 
-    /// Whether only some of the servers may serve a request.
-    fn excludes_servers(&self, index: usize) -> bool {
-        !self.waiting[index].ask.avoid.is_empty()
+    /// Closes the decode servers that a request may use to those behind it; `closed` is sorted.
+    fn close_servers(&self, index: usize, closed: &mut Vec<Arc<str>>) {
+        let ask = &self.waiting[index].ask;
+        let names = self.decodes.iter().map(|(_, decode)| &decode.server.name);
+        closed.extend(names.filter(|name| ask.allows(name)).cloned());
+        closed.sort_unstable();
+        closed.dedup();
+    }
+
+    /// Requests that may use no decode server but closed ones.
+    fn without_server(&self, closed: &[Arc<str>]) -> Vec<usize> {
+        let names = self.decodes.iter().map(|(_, decode)| &decode.server.name);
+        let open: Vec<&Arc<str>> =
+            names.filter(|name| closed.binary_search(name).is_err()).collect();
+        let has_none = |index: &usize| {
+            let ask = &self.waiting[*index].ask;
+            !open.iter().any(|name| ask.allows(name))
+        };
+        (0..self.waiting.len()).filter(has_none).collect()
     }
 
-    fn search(&self, now: Moment, index: usize) -> Result<Plan, Blocked> {
+    fn search(&self, now: Moment, index: usize, closed: &[Arc<str>]) -> Result<Plan, Blocked> {
         let ask = &self.waiting[index].ask;
-        let (prefills, decodes) = (&self.prefills, &self.decodes);
+        let servers = Servers { prefills: &self.prefills, decodes: &self.decodes, closed };
         let expected_output = self.planned_output(ask);
-        reservation::search(
-            now,
-            ask,
-            expected_output,
-            &self.settings,
-            prefills,
-            decodes,
-            &self.reservations,
-        )
+        reservation::search(now, ask, expected_output, &self.settings, &servers, &self.reservations)
     }
 
     /// Whether the reservation that was found, or otherwise the one that is predicted next, gives a
--- a/crates/ffw-decide/src/shard/reservation.rs
+++ b/crates/ffw-decide/src/shard/reservation.rs
@@ -16,7 +16,7 @@
         admission::{Ask, Phase},
         time::Moment,
     },
-    std::{cmp::Reverse, time::Duration},
+    std::{cmp::Reverse, sync::Arc, time::Duration},
 };
 
 /// Longest time by which a grant may precede the start of its prefill, beside the delay of the
@@ -151,6 +151,17 @@
     }
 }
 
+/// The servers among which a reservation is searched.
+#[derive(Clone, Copy, Debug)]
+pub struct Servers<'a> {
+    /// All prefill servers.
+    pub prefills: &'a Arena<Prefill>,
+    /// All decode servers.
+    pub decodes: &'a Arena<Decode>,
+    /// Names, in order, of the decode servers for which an earlier request waits.
+    pub closed: &'a [Arc<str>],
+}
+
 /// Selects the prefill server that would finish first, then the decode server at which the transfer
 /// would end first, both delayed by the handicap of servers that fail a part of their requests.
 /// Servers in backoff are used only if all are.
@@ -162,10 +173,11 @@
     ask: &Ask,
     expected_output: u32,
     settings: &Settings,
-    prefills: &Arena<Prefill>,
-    decodes: &Arena<Decode>,
+    servers: &Servers<'_>,
     reservations: &Arena<Reservation>,
 ) -> Result<Plan, Blocked> {
+    let Servers { prefills, decodes, closed } = *servers;
+    let is_closed = |server: &str| closed.binary_search_by(|name| (**name).cmp(server)).is_ok();
     let pieces = settings.pieces_of(ask);
     let mut best: Option<Choice> = None;
     let mut blocked = Blocked::NoServer;
@@ -182,9 +194,8 @@
         return Err(Blocked::Until(retry_at));
     }
     let all_back_off = live().all(|(_, server)| server.backoff.is_backing_off(now));
-    for (decode, server) in
-        live().filter(|(_, server)| all_back_off || !server.backoff.is_backing_off(now))
-    {
+    let usable = live().filter(|(_, server)| all_back_off || !server.backoff.is_backing_off(now));
+    for (decode, server) in usable.filter(|(_, server)| !is_closed(&server.server.name)) {
         let room = if settings.memory_grows {
             growing_room(now, server, ask, expected_output, settings, reservations)
         } else {
