Tell the caller at once when the version of its stream wants no requests

Callers saw: a stream that is taken up while all servers of its software version push back waited for its whole patience, 3.6 s, and was refused, although a server would have taken it after 1 s. Cause: servers of other versions counted when it was asked whether all push back, and the list of servers to avoid does not change while a request waits in the owner's queue. Change: only servers that may go on with the stream count; if none of them wants requests, the caller gets 503 with the shortest of their times. Measured: version_pushback failed in the case beside another version and passes now, with stream and broken_streams.

--- a/crates/ffw-route/src/stream/affinity.rs
+++ b/crates/ffw-route/src/stream/affinity.rs
@@ -8,14 +8,14 @@
 use {
     super::{Stream, failure::AttemptFailure},
     crate::{caller::RoutedRequest, router::Router},
-    ffw_control::{admission::Reservation, origin, software},
+    ffw_control::{admission::Reservation, identity, origin, software},
     ffw_decide::affinity::Origin,
     ffw_protocol::{
         error::{Error, Kind},
         software::Version,
     },
     log::info,
-    std::{sync::Arc, time::Duration},
+    std::time::Duration,
 };
 
 /// Longest time for which other daemons are asked where a stream began.
@@ -87,25 +87,40 @@
         }
     }
 
-    /// Why no server may go on with the stream now; `None` if one may.
+    /// Why no server may go on with the stream now; `None` if one may. A request that waits in the
+    /// owner's queue would not be told when a server wants requests again.
     pub(super) fn affinity_error(&self) -> Option<Error> {
-        let (router, pool, origin) = (self.router, &self.request.pool, self.relay.origin());
-        let cause = match origin {
+        let (daemon, pool, origin) = (&self.router.daemon, &self.request.pool, self.relay.origin());
+        let version = match origin {
             Origin::Fresh => return None,
-            Origin::Unknown => "it is not known which software version began the stream".to_owned(),
-            Origin::At(version) => {
-                let daemon = &router.daemon;
-                let may_go_on = |server: &Arc<str>| {
-                    origin.allows(daemon.software.of(server).as_ref())
-                        && daemon.view.takes_work(server)
-                };
-                if software::decode_servers(daemon, pool).iter().any(may_go_on) {
-                    return None;
-                }
-                format!("no server of pool {pool} with software {version}, which began the stream")
+            Origin::At(version) => version,
+            Origin::Unknown => {
+                let cause = "it is not known which software version began the stream";
+                return Some(Error::new(Kind::NoBackend, cause).retry_after(RETRY_AFTER));
             }
         };
-        Some(Error::new(Kind::NoBackend, cause).retry_after(RETRY_AFTER))
+        let mut servers = software::decode_servers(daemon, pool);
+        servers.retain(|server| {
+            origin.allows(daemon.software.of(server).as_ref()) && daemon.view.takes_work(server)
+        });
+        if servers.iter().any(|server| self.router.may_send(server)) {
+            return None;
+        }
+        let (state, wait) = match servers.iter().map(|server| self.wait_of(server)).min() {
+            Some(wait) => ("wants requests now", wait),
+            None => ("takes work", RETRY_AFTER),
+        };
+        let cause = format!(
+            "no server of pool {pool} with software {version}, which began the stream, {state}"
+        );
+        Some(Error::new(Kind::NoBackend, cause).retry_after(wait))
+    }
+
+    /// Time until a server that takes work wants requests of this daemon.
+    fn wait_of(&self, server: &str) -> Duration {
+        let daemon = &self.router.daemon;
+        let pushback = daemon.view.notices().pushback_left(identity::now(), server);
+        pushback.max(daemon.rates.wait(server)).unwrap_or_default()
     }
 
     /// Checks that the decode server of a reservation may go on with the stream, as the owner may
