Take an engine that has started anew for another one when it is probed

Cause: a probe names an engine by its id only, so that one which crashed and came back under its id, perhaps of another software version, could be used again as the one that is listed until the list changes, which takes as long as the store is away. Change: a report that states another start than the listed one is refused: the engine counts as failed, and gets no order. Besides, a run whose version has no other server is looked at again only after the usual delay. Not shown across processes.

--- a/crates/ffw-route/src/dialect.rs
+++ b/crates/ffw-route/src/dialect.rs
@@ -184,8 +184,9 @@
     pub parse_handle: fn(&[u8]) -> Result<Arc<str>, Malformed>,
     /// Builds a request that probes the named engine.
     pub write_probe: fn(&str) -> Request,
-    /// Parses the body of the response to [`Dialect::write_probe`].
-    pub parse_report: fn(&[u8]) -> Result<EngineReport, Malformed>,
+    /// Parses the body of the response to [`Dialect::write_probe`] for the named engine. A report of
+    /// another start of the engine is refused: what is known of the engine holds for one start.
+    pub parse_report: fn(&str, &[u8]) -> Result<EngineReport, Malformed>,
     /// Builds head and body of a request that gives an order.
     pub write_order: fn(&Order<'_>) -> (Request, Vec<u8>),
     /// Builds head and body of a request that moves a run to another server.
--- a/crates/ffw-route/src/engine.rs
+++ b/crates/ffw-route/src/engine.rs
@@ -45,7 +45,7 @@
     let result = transport::control_call(router, server, &request, &[], PROBE_TIMEOUT).await;
     let (outcome, detail) = match &result {
         Ok(response) if response.head.status == 200 => {
-            match (router.dialect.parse_report)(&response.body.bytes()) {
+            match (router.dialect.parse_report)(&server.name, &response.body.bytes()) {
                 Ok(report) if report.is_busy => (Probe::Busy, "an order is under way".to_owned()),
                 Ok(_) => (Probe::Sound, "200".to_owned()),
                 Err(malformed) => (Probe::Failed, malformed.to_string()),
--- a/crates/ffw-route/src/roles.rs
+++ b/crates/ffw-route/src/roles.rs
@@ -93,7 +93,7 @@
     let probe = (router.dialect.write_probe)(&server.name);
     let report = match transport::control_call(router, server, &probe, &[], CALL_TIMEOUT).await {
         Ok(response) if response.head.status == 200 => {
-            (router.dialect.parse_report)(&response.body.bytes())
+            (router.dialect.parse_report)(&server.name, &response.body.bytes())
         }
         Ok(response) => {
             return Outcome::NotSent(format!("probe answered {}", response.head.status));
--- a/crates/ffw-route/src/stream/moving.rs
+++ b/crates/ffw-route/src/stream/moving.rs
@@ -105,8 +105,7 @@
         let can_advance = match &self.state {
             State::Idle { reserve_after } => {
                 let may_reserve = reserve_after.is_none_or(|time| Instant::now() >= time);
-                let must_move = self.is_leaving() || reservation.must_move();
-                may_reserve && must_move && self.has_target()
+                may_reserve && (self.is_leaving() || reservation.must_move())
             }
             State::Reserving(task) => task.is_finished(),
             State::Moving(task) => task.is_finished(),
@@ -116,6 +115,7 @@
             return;
         }
         self.state = match self.take_state() {
+            State::Idle { .. } if !self.has_target() => return,
             State::Idle { .. } => match build_ask() {
                 Some(ask) => self.start_reserving(ask),
                 None => return,
--- a/crates/ffw-route/tests/support/harness.rs
+++ b/crates/ffw-route/tests/support/harness.rs
@@ -398,7 +398,7 @@
     parse_response,
     parse_handle,
     write_probe: |_| Request::new("GET", PROBE_PATH),
-    parse_report: |_| Ok(EngineReport { is_busy: false, sequence: 0 }),
+    parse_report: |_, _| Ok(EngineReport { is_busy: false, sequence: 0 }),
     write_order: |_: &Order<'_>| (Request::new("POST", ORDER_PATH), Vec::new()),
     write_move,
     ready_path: "/ready",
