Share the daemons of tests that stood in several files

Cause: `endless_servers.rs` and `untrusted_clients.rs` had the same daemon with lowered limits, the same wait for an answer and the same reading of the peak memory; `origins.rs`, `software_of_peer.rs`, `config_from_peer.rs` and `evidence.rs` of ffw-control built the same daemon and the same server of peers' calls.

Change: `crates/fireflyworks/tests/support/limits.rs` and `crates/ffw-control/tests/support/daemon.rs` have them once. All assertions, limits and time-outs are as before.

--- a/crates/ffw-control/tests/config_from_peer.rs
+++ b/crates/ffw-control/tests/config_from_peer.rs
@@ -3,17 +3,14 @@
 //! Guards against a large configuration that no peer passes on, because its transfer takes longer
 //! than a call between daemons may.
 
+#[path = "support/daemon.rs"]
+#[allow(dead_code, reason = "each test file uses a part of it")]
+mod support;
+
 use {
-    ffw_control::{
-        calls,
-        daemon::{Daemon, Mode, Setup},
-        freshness::Arrival,
-        relay,
-    },
-    ffw_decide::baseline::Policy,
-    ffw_peer::{handshake::Secret, link::PeerConnections, server},
+    ffw_control::{daemon::Daemon, freshness::Arrival, relay},
     ffw_protocol::config::Version,
-    ffw_runtime::{executor, listener::Tracker, timer},
+    ffw_runtime::{executor, timer},
     smol::{
         io::{AsyncReadExt as _, AsyncWriteExt as _},
         net::{TcpListener, TcpStream},
@@ -23,6 +20,7 @@
         sync::Arc,
         time::{Duration, Instant},
     },
+    support::serve,
 };
 
 /// Rate of the link between the daemons, in bytes per second.
@@ -32,21 +30,7 @@
 const PART_BYTES: usize = 16 << 10;
 
 fn daemon(name: &str, seeds: Vec<SocketAddr>) -> Arc<Daemon> {
-    let daemon = Daemon::new(Setup {
-        instance: name.into(),
-        data_centre: "a".into(),
-        deployment: "platform".into(),
-        platform: SocketAddr::from(([127, 0, 0, 1], 9)),
-        peers: PeerConnections::new(secret()),
-        seeds,
-        policy: Policy::Owner,
-        mode: Mode::Routed,
-    });
-    daemon.expect("a daemon")
-}
-
-fn secret() -> Secret {
-    Secret::new("a-shared-key-for-tests")
+    support::create(name, "platform", seeds)
 }
 
 fn version(number: u64, bytes: usize) -> Version {
@@ -99,19 +83,6 @@
     address
 }
 
-/// Starts to answer the calls of peers; returns the address.
-async fn serve(daemon: &Arc<Daemon>) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let address = listener.local_addr().expect("an address");
-    executor::detach(server::serve(
-        listener,
-        secret(),
-        calls::handlers(daemon),
-        Tracker::default(),
-    ));
-    address
-}
-
 #[test]
 fn a_large_configuration_comes_from_a_peer_over_a_slow_link() {
     let waited = executor::run(async {
--- a/crates/ffw-control/tests/evidence.rs
+++ b/crates/ffw-control/tests/evidence.rs
@@ -3,23 +3,20 @@
 //! Guards against a daemon that goes on sending what others know to crash servers, also after it or
 //! the collector has restarted, and against a quarantine that one daemon keeps after it was lifted.
 
+#[path = "support/daemon.rs"]
+#[allow(dead_code, reason = "each test file uses a part of it")]
+mod support;
+
 use {
-    ffw_control::{
-        calls,
-        daemon::{Daemon, Mode, Setup},
-        freshness::Arrival,
-        quarantine,
-    },
-    ffw_decide::baseline::Policy,
-    ffw_peer::{handshake::Secret, link::PeerConnections, server, service::Roster},
+    ffw_control::{daemon::Daemon, freshness::Arrival, quarantine},
+    ffw_peer::service::Roster,
     ffw_protocol::{
         config::Version,
         instance::{Instance, Role, State},
         quarantine::Prompt,
         time::Moment,
     },
-    ffw_runtime::{executor, listener::Tracker, timer},
-    smol::net::TcpListener,
+    ffw_runtime::{executor, timer},
     std::{
         net::SocketAddr,
         sync::Arc,
@@ -55,17 +52,7 @@
 }
 
 async fn start(name: &str) -> Node {
-    let daemon = Daemon::new(Setup {
-        instance: name.into(),
-        data_centre: "a".into(),
-        deployment: "d".into(),
-        platform: SocketAddr::from(([127, 0, 0, 1], 9)),
-        peers: PeerConnections::new(Secret::new("a-shared-key-for-tests")),
-        seeds: Vec::new(),
-        policy: Policy::Owner,
-        mode: Mode::Routed,
-    });
-    let daemon = daemon.expect("a daemon");
+    let daemon = support::create(name, "d", Vec::new());
     let version = Version {
         number: 1,
         change: "c".into(),
@@ -77,10 +64,7 @@
         drained: Vec::new(),
     };
     assert!(daemon.update_config(version, Arrival::offered()));
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let address = listener.local_addr().expect("an address");
-    let secret = Secret::new("a-shared-key-for-tests");
-    executor::detach(server::serve(listener, secret, calls::handlers(&daemon), Tracker::default()));
+    let address = support::serve(&daemon).await;
     executor::detach(quarantine::run(daemon.clone()));
     let instance = Instance {
         name: name.into(),
--- a/crates/ffw-control/tests/origins.rs
+++ b/crates/ffw-control/tests/origins.rs
@@ -4,18 +4,15 @@
 //! after the daemon that began it has ended, alone or with others; against a lookup that waits for
 //! daemons that don't answer; and against a call that breaks the connection to an earlier build.
 
+#[path = "support/daemon.rs"]
+#[allow(dead_code, reason = "each test file uses a part of it")]
+mod support;
+
 use {
-    ffw_control::{
-        calls,
-        daemon::{Daemon, Mode, Setup},
-        origin,
-    },
-    ffw_decide::baseline::Policy,
+    ffw_control::{calls, daemon::Daemon, origin},
     ffw_peer::{
         handler::Handlers,
-        handshake::{self, Secret, Side},
-        link::PeerConnections,
-        server,
+        handshake::{self, Side},
         service::Roster,
     },
     ffw_protocol::{
@@ -96,10 +93,6 @@
     Version::Stated(text.into())
 }
 
-fn secret() -> Secret {
-    Secret::new("a-shared-key-for-tests")
-}
-
 fn instance(name: &str, address: SocketAddr) -> Instance {
     Instance {
         name: name.into(),
@@ -112,29 +105,13 @@
     }
 }
 
-/// A daemon that does not listen.
-fn create(name: &str) -> Arc<Daemon> {
-    let daemon = Daemon::new(Setup {
-        instance: name.into(),
-        data_centre: "a".into(),
-        deployment: "d".into(),
-        platform: SocketAddr::from(([127, 0, 0, 1], 9)),
-        peers: PeerConnections::new(secret()),
-        seeds: Vec::new(),
-        policy: Policy::Owner,
-        mode: Mode::Routed,
-    });
-    daemon.expect("a daemon")
-}
-
 async fn start_with(name: &str, change: impl FnOnce(&mut Handlers)) -> Node {
-    let daemon = create(name);
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let instance = instance(name, listener.local_addr().expect("an address"));
+    let daemon = support::create(name, "d", Vec::new());
     let tracker = Tracker::default();
     let mut handlers = calls::handlers(&daemon);
     change(&mut handlers);
-    executor::detach(server::serve(listener, secret(), handlers, tracker.clone()));
+    let address = support::serve_with(handlers, tracker.clone()).await;
+    let instance = instance(name, address);
     Node { daemon, instance, tracker }
 }
 
@@ -381,7 +358,8 @@
     for number in 0.. {
         let Ok((mut stream, _)) = listener.accept().await else { return };
         executor::detach(async move {
-            if handshake::authenticate(&mut stream, &secret(), Side::Server).await.is_err() {
+            if handshake::authenticate(&mut stream, &support::secret(), Side::Server).await.is_err()
+            {
                 return;
             }
             let is_first = number == 0;
--- a/crates/ffw-control/tests/software_of_peer.rs
+++ b/crates/ffw-control/tests/software_of_peer.rs
@@ -4,37 +4,25 @@
 //! Guards against a stream that goes on at a server whose version was guessed, and against a daemon
 //! that calls a version the only one by a list that it has not itself confirmed.
 
+#[path = "support/daemon.rs"]
+#[allow(dead_code, reason = "each test file uses a part of it")]
+mod support;
+
 use {
     ffw_control::{
-        calls,
-        daemon::{Daemon, Mode, Setup},
+        daemon::Daemon,
         relay,
         software::{self, Version},
     },
-    ffw_decide::baseline::Policy,
-    ffw_peer::{handshake::Secret, link::PeerConnections, server, service::Roster},
+    ffw_peer::service::Roster,
     ffw_protocol::instance::{Instance, Role, State},
-    ffw_runtime::{executor, listener::Tracker},
-    smol::net::TcpListener,
+    ffw_runtime::executor,
     std::{net::SocketAddr, sync::Arc},
+    support::serve,
 };
 
-fn secret() -> Secret {
-    Secret::new("a-shared-key-for-tests")
-}
-
 fn daemon(name: &str) -> Arc<Daemon> {
-    let daemon = Daemon::new(Setup {
-        instance: name.into(),
-        data_centre: "a".into(),
-        deployment: "platform".into(),
-        platform: SocketAddr::from(([127, 0, 0, 1], 9)),
-        peers: PeerConnections::new(secret()),
-        seeds: Vec::new(),
-        policy: Policy::Owner,
-        mode: Mode::Routed,
-    });
-    daemon.expect("a daemon")
+    support::create(name, "platform", Vec::new())
 }
 
 fn instance(name: &str) -> Instance {
@@ -49,14 +37,6 @@
     }
 }
 
-async fn serve(daemon: &Arc<Daemon>) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-    let address = listener.local_addr().expect("an address");
-    let handlers = calls::handlers(daemon);
-    executor::detach(server::serve(listener, secret(), handlers, Tracker::default()));
-    address
-}
-
 #[test]
 fn versions_come_from_the_peer_that_sent_the_list() {
     let tested = executor::run(async {
--- a/crates/fireflyworks/tests/endless_servers.rs
+++ b/crates/fireflyworks/tests/endless_servers.rs
@@ -5,10 +5,13 @@
 //! and ends with the requests of all others. Nothing here depends on the speed of the machine: no
 //! times and no shares of served requests are checked.
 
+#[path = "support/limits.rs"]
+#[allow(dead_code, reason = "each test file uses a part of it")]
+mod limits;
+
 use {
     ffw_runtime::{executor, timer},
     ffw_soak::{
-        client,
         daemon::{Daemon, Ports},
         store::Store,
         worker::{Log, Role, Worker},
@@ -21,24 +24,16 @@
         net::{TcpListener, TcpStream},
     },
     std::{
-        fs,
         net::SocketAddr,
-        num::NonZero,
-        path::Path,
         time::{Duration, Instant},
     },
 };
 
-/// Processor cores for each run: all, so that only one runs at a time.
-const CORES: NonZero<usize> = NonZero::new(1_024).expect("not zero");
-
-const PROGRAM: &str = env!("CARGO_BIN_EXE_fireflyworks");
-
 /// Lowered `limits.memoryMb` of the daemon.
 const MEMORY_MB: u64 = 88;
 
-/// Resident memory that the process must not exceed: `memoryMb` less a tenth.
-const MEMORY_KB_MAX: u64 = MEMORY_MB * 1_000 * 1_000 / 1_024 * 9 / 10;
+/// Resident memory that the process must not exceed.
+const MEMORY_KB_MAX: u64 = limits::memory_kb_max(MEMORY_MB);
 
 /// Callers that ask the endless servers at once.
 const CROWD: usize = 1_000;
@@ -49,10 +44,6 @@
 /// Pause of a caller between two requests.
 const PAUSE: Duration = Duration::from_millis(100);
 
-/// Time for which an ordinary request is tried again. It is far longer than any limit of the
-/// daemon, and bounds only the run of a test that fails.
-const PATIENCE: Duration = Duration::from_secs(60);
-
 /// Bytes of the pieces that are written at once.
 const BLOCK_BYTES: usize = 256 << 10;
 
@@ -170,8 +161,6 @@
 
 impl Deployment {
     async fn start(name: &str, load: Load) -> Deployment {
-        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("endless-{name}"));
-        fs::create_dir_all(&folder).expect("a folder");
         let (store, address) = Store::start().await.expect("a store");
         store.put("config", "main", configuration());
         let log = Log::default();
@@ -191,10 +180,8 @@
         list("endless-1", "endless", start_endless(load).await, None);
         list("decode-1", "llm", start_endless(load).await, Some("decode"));
         let ports = Ports::choose().expect("ports");
-        let mut daemon = Daemon::new(&folder, 0, ports, &[], address).expect("settings");
         let lower = |file: &mut Value| file["limits"]["memoryMb"] = json!(MEMORY_MB);
-        daemon.change_settings(lower).expect("settings");
-        daemon.start(Path::new(PROGRAM)).expect("a daemon");
+        let daemon = limits::start(&format!("endless-{name}"), ports, &[], address, lower);
         let deployment = Deployment { daemon, _store: store, _servers: vec![sound, prefill] };
         deployment.wait_until_serving("start").await;
         deployment
@@ -202,32 +189,14 @@
 
     /// Sends ordinary requests until one is answered.
     async fn wait_until_serving(&self, id: &str) {
-        let started_at = Instant::now();
-        let mut number = 0;
-        let mut last = None;
-        while last != Some(200) {
-            assert!(started_at.elapsed() < PATIENCE, "an ordinary request is answered: {last:?}");
-            number += 1;
-            let request = request("/sound/", &format!("{id}-{number}"));
-            let answer = client::send(self.daemon.caller_address, &request).await;
-            last = answer.map(|answer| answer.status);
-            timer::sleep(Duration::from_millis(50)).await;
-        }
-    }
-
-    /// Peak resident memory of the process, in kilobytes; fails if the process has ended.
-    fn peak_kb(&self) -> u64 {
-        let id = self.daemon.process_id().expect("a process");
-        let status = fs::read_to_string(format!("/proc/{id}/status")).expect("the process lives");
-        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-        let text = line.expect("the process lives").trim().trim_end_matches(" kB");
-        text.parse().expect("a number")
+        let build = |id: &str| request("/sound/", id);
+        limits::wait_until_serving(&self.daemon, id, build).await;
     }
 }
 
 /// Lets the crowd ask endless servers, and checks the process meanwhile and afterwards.
 async fn check(name: &str, load: Load) {
-    let _permit = permit::acquire(CORES).await;
+    let _permit = permit::acquire(limits::CORES).await;
     let mut deployment = Deployment::start(name, load).await;
     let (address, end) = (deployment.daemon.caller_address, Instant::now() + CROWD_TIME);
     let crowd: Vec<_> =
@@ -241,7 +210,7 @@
         caller.await;
     }
     deployment.wait_until_serving("after").await;
-    let peak_kb = deployment.peak_kb();
+    let peak_kb = limits::peak_kb(&deployment.daemon);
     println!("{name}: peak {peak_kb} kB, {served} ordinary requests served beside the crowd");
     assert_eq!(deployment.daemon.take_exit_code(), None, "the process lives");
     assert!(peak_kb <= MEMORY_KB_MAX, "{peak_kb} kB are resident, {MEMORY_KB_MAX} kB are allowed");
--- a/crates/fireflyworks/tests/untrusted_clients.rs
+++ b/crates/fireflyworks/tests/untrusted_clients.rs
@@ -5,10 +5,13 @@
 //! than its settings allow, or that serves no ordinary request afterwards. Nothing here depends on
 //! the speed of the machine: no times and no shares of served requests are checked.
 
+#[path = "support/limits.rs"]
+#[allow(dead_code, reason = "each test file uses a part of it")]
+mod limits;
+
 use {
     ffw_runtime::{executor, timer},
     ffw_soak::{
-        client,
         daemon::{Daemon, Ports},
         store::Store,
         worker::{Log, Role, Worker},
@@ -24,22 +27,15 @@
     std::{
         fs,
         net::SocketAddr,
-        num::NonZero,
-        path::Path,
         time::{Duration, Instant},
     },
 };
 
-/// Processor cores for each run: all, so that only one runs at a time.
-const CORES: NonZero<usize> = NonZero::new(1_024).expect("not zero");
-
-const PROGRAM: &str = env!("CARGO_BIN_EXE_fireflyworks");
-
 /// Lowered `limits.memoryMb` of the daemon.
 const MEMORY_MB: u64 = 56;
 
-/// Resident memory that the process must not exceed: `memoryMb` less a tenth.
-const MEMORY_KB_MAX: u64 = MEMORY_MB * 1_000 * 1_000 / 1_024 * 9 / 10;
+/// Resident memory that the process must not exceed.
+const MEMORY_KB_MAX: u64 = limits::memory_kb_max(MEMORY_MB);
 
 /// Lowered `limits.maxFds` of the daemon.
 const DESCRIPTORS: usize = 1_200;
@@ -53,10 +49,6 @@
 /// Pause between two looks at the process.
 const SAMPLE_PERIOD: Duration = Duration::from_millis(20);
 
-/// Time for which an ordinary request is tried again after the crowd. It is far longer than any
-/// limit of the daemon, and bounds only the run of a test that fails.
-const PATIENCE: Duration = Duration::from_secs(60);
-
 /// What a crowd sends on each connection.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Load {
@@ -154,8 +146,6 @@
 
 impl Deployment {
     async fn start(name: &str) -> Deployment {
-        let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("untrusted-{name}"));
-        fs::create_dir_all(&folder).expect("a folder");
         let (store, address) = Store::start().await.expect("a store");
         store.put("config", "main", configuration());
         let log = Log::default();
@@ -166,12 +156,10 @@
         store.put("servers", "app-1", entry);
         let ports = Ports::choose().expect("ports");
         let seeds = [ports.peers()];
-        let mut daemon = Daemon::new(&folder, 0, ports, &seeds, address).expect("settings");
         let lower = |file: &mut Value| {
             file["limits"] = json!({"memoryMb": MEMORY_MB, "maxFds": DESCRIPTORS});
         };
-        daemon.change_settings(lower).expect("settings");
-        daemon.start(Path::new(PROGRAM)).expect("a daemon");
+        let daemon = limits::start(&format!("untrusted-{name}"), ports, &seeds, address, lower);
         let deployment = Deployment { daemon, _store: store, _server: server };
         deployment.wait_until_serving("start").await;
         deployment
@@ -179,27 +167,8 @@
 
     /// Sends ordinary requests until one is answered.
     async fn wait_until_serving(&self, id: &str) {
-        let started_at = Instant::now();
-        let mut number = 0;
-        let mut last = None;
-        while last != Some(200) {
-            assert!(started_at.elapsed() < PATIENCE, "an ordinary request is answered: {last:?}");
-            number += 1;
-            let request =
-                head(&format!("{id}-{number}"), "Connection: close\r\nContent-Length: 2\r\n\r\nhi");
-            let answer = client::send(self.daemon.caller_address, &request).await;
-            last = answer.map(|answer| answer.status);
-            timer::sleep(Duration::from_millis(50)).await;
-        }
-    }
-
-    /// Peak resident memory of the process, in kilobytes; fails if the process has ended.
-    fn peak_kb(&self) -> u64 {
-        let id = self.daemon.process_id().expect("a process");
-        let status = fs::read_to_string(format!("/proc/{id}/status")).expect("the process lives");
-        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-        let text = line.expect("the process lives").trim().trim_end_matches(" kB");
-        text.parse().expect("a number")
+        let build = |id: &str| head(id, "Connection: close\r\nContent-Length: 2\r\n\r\nhi");
+        limits::wait_until_serving(&self.daemon, id, build).await;
     }
 
     fn descriptors(&self) -> usize {
@@ -220,7 +189,7 @@
 
 /// Sends a crowd's load, and checks the process meanwhile and afterwards.
 async fn check(name: &str, loads: &[Load]) {
-    let _permit = permit::acquire(CORES).await;
+    let _permit = permit::acquire(limits::CORES).await;
     let mut deployment = Deployment::start(name).await;
     let (address, end) = (deployment.daemon.caller_address, Instant::now() + HOLD_TIME);
     let crowd = (0..CROWD).map(|number| {
@@ -229,7 +198,7 @@
     });
     let descriptors_max = deployment.watch(crowd.collect()).await;
     deployment.wait_until_serving("after").await;
-    let peak_kb = deployment.peak_kb();
+    let peak_kb = limits::peak_kb(&deployment.daemon);
     println!("{name}: peak {peak_kb} kB, {descriptors_max} descriptors");
     assert_eq!(deployment.daemon.take_exit_code(), None, "the process lives");
     assert!(peak_kb <= MEMORY_KB_MAX, "{peak_kb} kB are resident, {MEMORY_KB_MAX} kB are allowed");
@@ -260,7 +229,7 @@
     let mut stream = TcpStream::connect(address).await.ok()?;
     stream.write_all(request.as_bytes()).await.ok()?;
     let mut answer = Vec::new();
-    timer::timeout(PATIENCE, stream.read_to_end(&mut answer)).await;
+    timer::timeout(limits::ANSWER_TIMEOUT, stream.read_to_end(&mut answer)).await;
     std::str::from_utf8(&answer).ok()?.split(' ').nth(1)?.parse().ok()
 }
 
@@ -278,7 +247,7 @@
     #[case] expected: u16,
 ) {
     smol::block_on(async {
-        let _permit = permit::acquire(CORES).await;
+        let _permit = permit::acquire(limits::CORES).await;
         let deployment = Deployment::start(name).await;
         let line = format!("a:{}\r\n", "v".repeat(value_bytes));
         let rest =
