--- a/crates/ffw-control/src/metrics/routed.rs
+++ b/crates/ffw-control/src/metrics/routed.rs
@@ -55,8 +55,8 @@
 pub struct Routed {
     /// Requests that ended, by pool and outcome.
     requests: IntCounterVec,
-    /// Runs of streams that ended, by pool, framing of the body, whether the run was to be moved, and
-    /// how it ended.
+    /// Runs of streams that ended, by pool, framing of the body, whether the run was to be moved,
+    /// and how it ended.
     runs: IntCounterVec,
     /// Streams that callers took up, by pool and by how their origin was known.
     resumed: IntCounterVec,
@@ -264,14 +264,14 @@
         self.requests.with_label_values(&[pool, outcome]).inc();
     }
 
-    /// Counts a run of a stream that ended. `is_moved` states whether its server was told to stop it
-    /// for a move, and `end` is *complete*, *broken* or *caller_gone*.
+    /// Counts a run of a stream that ended. `is_moved` states whether its server was told to stop
+    /// it for a move, and `end` is *complete*, *broken* or *caller_gone*.
     pub fn record_run(&self, pool: &str, framing: &str, is_moved: bool, end: &str) {
         self.runs.with_label_values(&[pool, framing, yes_or_no(is_moved), end]).inc();
     }
 
-    /// Counts a stream that its caller took up; `known_by` is *record*, *sole_version*, or *none* if
-    /// its origin is not known.
+    /// Counts a stream that its caller took up; `known_by` is *record*, *sole_version*, or *none*
+    /// if its origin is not known.
     pub fn record_resumed(&self, pool: &str, known_by: &str) {
         self.resumed.with_label_values(&[pool, known_by]).inc();
     }
--- a/crates/ffw-control/src/origin.rs
+++ b/crates/ffw-control/src/origin.rs
@@ -2,8 +2,8 @@
 //!
 //! The daemon that relays a stream's first event records the version and sends the record to the
 //! first daemons in the order of [`placement`]. A daemon whose caller takes the stream up asks the
-//! daemons of that order, as the one that relayed the stream may have ended. What none of them knows
-//! is unknown.
+//! daemons of that order, as the one that relayed the stream may have ended. What none of them
+//! knows is unknown.
 
 mod lookup;
 mod outbox;
--- a/crates/ffw-control/src/origin/outbox.rs
+++ b/crates/ffw-control/src/origin/outbox.rs
@@ -36,12 +36,12 @@
 #[derive(Debug)]
 struct Outbox {
     address: SocketAddr,
-    letters: Vec<Letter>,
+    deliveries: Vec<Delivery>,
 }
 
 /// A record on its way to one of its replicas.
 #[derive(Clone, Debug)]
-struct Letter {
+struct Delivery {
     sending: Arc<Sending>,
     is_retry: bool,
 }
@@ -63,19 +63,19 @@
     debug_assert!(replicas.len() <= REPLICAS);
     let sending = Arc::new(Sending { record, spares: Mutex::new(spares) });
     for replica in replicas {
-        enqueue(daemon, replica, Letter { sending: sending.clone(), is_retry: false });
+        enqueue(daemon, replica, Delivery { sending: sending.clone(), is_retry: false });
     }
 }
 
-fn enqueue(daemon: &Arc<Daemon>, target: Instance, letter: Letter) {
+fn enqueue(daemon: &Arc<Daemon>, target: Instance, delivery: Delivery) {
     let mut outboxes = lock(&daemon.origins.outboxes.0);
     match outboxes.binary_search_by_key(&target.address, |outbox| outbox.address) {
-        Ok(index) if outboxes[index].letters.len() < QUEUE_MAX => {
-            outboxes[index].letters.push(letter);
+        Ok(index) if outboxes[index].deliveries.len() < QUEUE_MAX => {
+            outboxes[index].deliveries.push(delivery);
         }
         Ok(_) => daemon.metrics.routed.record_origin_copies("lost", 1),
         Err(index) => {
-            outboxes.insert(index, Outbox { address: target.address, letters: vec![letter] });
+            outboxes.insert(index, Outbox { address: target.address, deliveries: vec![delivery] });
             executor::detach(run(daemon.clone(), target));
         }
     }
@@ -85,34 +85,34 @@
 async fn run(daemon: Arc<Daemon>, target: Instance) {
     loop {
         timer::sleep(BATCH_WINDOW).await;
-        let Some(letters) = take(&daemon, target.address) else { return };
-        if call(&daemon, &target, &letters).await {
-            daemon.metrics.routed.record_origin_copies("sent", letters.len());
+        let Some(deliveries) = take(&daemon, target.address) else { return };
+        if call(&daemon, &target, &deliveries).await {
+            daemon.metrics.routed.record_origin_copies("sent", deliveries.len());
             continue;
         }
         // What has come meanwhile would wait for another timeout.
-        let failed = letters.into_iter().chain(take_all(&daemon, target.address));
-        failed.for_each(|letter| retry(&daemon, letter));
+        let failed = deliveries.into_iter().chain(take_all(&daemon, target.address));
+        failed.for_each(|delivery| retry(&daemon, delivery));
     }
 }
 
 /// Takes the records for a daemon; closes its outbox and returns `None` if there are none.
-fn take(daemon: &Daemon, address: SocketAddr) -> Option<Vec<Letter>> {
+fn take(daemon: &Daemon, address: SocketAddr) -> Option<Vec<Delivery>> {
     let mut outboxes = lock(&daemon.origins.outboxes.0);
     let index = outboxes.binary_search_by_key(&address, |outbox| outbox.address).ok()?;
-    let letters = mem::take(&mut outboxes[index].letters);
-    if letters.is_empty() {
+    let deliveries = mem::take(&mut outboxes[index].deliveries);
+    if deliveries.is_empty() {
         outboxes.remove(index);
         return None;
     }
-    Some(letters)
+    Some(deliveries)
 }
 
 /// Takes the records for a daemon, and leaves its outbox open.
-fn take_all(daemon: &Daemon, address: SocketAddr) -> Vec<Letter> {
+fn take_all(daemon: &Daemon, address: SocketAddr) -> Vec<Delivery> {
     let mut outboxes = lock(&daemon.origins.outboxes.0);
     let found = outboxes.binary_search_by_key(&address, |outbox| outbox.address);
-    found.map(|index| mem::take(&mut outboxes[index].letters)).unwrap_or_default()
+    found.map(|index| mem::take(&mut outboxes[index].deliveries)).unwrap_or_default()
 }
 
 /// The next daemon that stands in for a replica; it is not used again for the same record.
@@ -128,22 +128,23 @@
 }
 
 /// Sends a record to the next daemon that stands in, unless this was done already.
-fn retry(daemon: &Arc<Daemon>, letter: Letter) {
-    let spare = if letter.is_retry { None } else { next_spare(daemon, &letter.sending) };
+fn retry(daemon: &Arc<Daemon>, delivery: Delivery) {
+    let spare = if delivery.is_retry { None } else { next_spare(daemon, &delivery.sending) };
     let metrics = &daemon.metrics.routed;
     match spare {
         Some(spare) => {
             metrics.record_origin_copies("resent", 1);
-            enqueue(daemon, spare, Letter { sending: letter.sending, is_retry: true });
+            enqueue(daemon, spare, Delivery { sending: delivery.sending, is_retry: true });
         }
         None => metrics.record_origin_copies("lost", 1),
     }
 }
 
 /// Sends records in one call; returns whether they have arrived.
-async fn call(daemon: &Arc<Daemon>, target: &Instance, letters: &[Letter]) -> bool {
+async fn call(daemon: &Arc<Daemon>, target: &Instance, deliveries: &[Delivery]) -> bool {
     let origins = &daemon.origins;
-    let records: Vec<Record> = letters.iter().map(|letter| letter.sending.record.clone()).collect();
+    let records: Vec<Record> =
+        deliveries.iter().map(|delivery| delivery.sending.record.clone()).collect();
     let is_known = origins.answering.has_answered(target.address);
     let calling =
         async move |peer: PeerClient, context| peer.record_origins(context, records).await;
--- a/crates/ffw-control/tests/origins.rs
+++ b/crates/ffw-control/tests/origins.rs
@@ -266,7 +266,8 @@
     });
 }
 
-/// Four of the five daemons that are asked hang in the call. Fails if daemons are asked one after the other.
+/// Four of the five daemons that are asked hang in the call. Fails if daemons are asked one after
+/// the other.
 #[test]
 fn a_daemon_that_hangs_delays_no_lookup() {
     run(async {
--- a/crates/ffw-decide/src/affinity.rs
+++ b/crates/ffw-decide/src/affinity.rs
@@ -1,7 +1,7 @@
 //! Version affinity: which backend servers may go on with a stream.
 //!
-//! The load pattern is servers of several software versions side by side, during a release. What two
-//! versions write does not fit together, so a stream goes on only at the version that wrote its
+//! The load pattern is servers of several software versions side by side, during a release. What
+//! two versions write does not fit together, so a stream goes on only at the version that wrote its
 //! first event. This holds for every way on which a run goes on: a retry within one answer, a move
 //! of a run, and a caller that takes up a broken stream at another daemon. A version that can't be
 //! known is not guessed.
--- a/crates/ffw-decide/src/origin/placement.rs
+++ b/crates/ffw-decide/src/origin/placement.rs
@@ -2,8 +2,8 @@
 //!
 //! Both follow one order of all daemons, so that a daemon that knows only the key finds the record.
 //! The first daemons of the order are in different data centres: the loss of one must not lose all
-//! copies. Daemons that join or leave meanwhile shift the order by a place each, and a writer passes
-//! over daemons that it can't reach; therefore more are asked than are written to.
+//! copies. Daemons that join or leave meanwhile shift the order by a place each, and a writer
+//! passes over daemons that it can't reach; therefore more are asked than are written to.
 
 use {
     ffw_protocol::instance::Instance,
--- a/crates/ffw-decide/src/shard/queue.rs
+++ b/crates/ffw-decide/src/shard/queue.rs
@@ -1,9 +1,9 @@
 //! The queue: which request is granted next, and the reservation that it gets.
 //!
 //! The order comes from [`crate::order`]. A request that lacks only memory lets a limited number of
-//! others pass, so that a large request doesn't leave slots idle and isn't passed for ever. One that
-//! only some servers may serve, such as a stream that goes on at its software version, lets all others
-//! pass while it waits for them.
+//! others pass, so that a large request doesn't leave slots idle and isn't passed for ever. One
+//! that only some servers may serve, such as a stream that goes on at its software version, lets
+//! all others pass while it waits for them.
 
 use {
     super::{
--- a/crates/ffw-decide/tests/origin.rs
+++ b/crates/ffw-decide/tests/origin.rs
@@ -226,8 +226,8 @@
     /// Beside the end of the writer, four daemons join, or two join or end, between the record and
     /// the question. Fails with a replica less, and if no more are asked than are written to.
     ///
-    /// Two that end and one that joins can be too many: the replica that is left may be displaced as
-    /// the first of its data centre.
+    /// Two that end and one that joins can be too many: the replica that is left may be displaced
+    /// as the first of its data centre.
     #[test]
     fn a_record_is_found_after_daemons_came_and_went(
         order in Just((0..40usize).collect::<Vec<_>>()).prop_shuffle(),
--- a/crates/ffw-entry/src/generate/attempt.rs
+++ b/crates/ffw-entry/src/generate/attempt.rs
@@ -187,8 +187,8 @@
     }
 }
 
-/// Checks that the decode server of a reservation may go on with the response, as the owner may list
-/// servers that this daemon does not know yet; returns the version of its software.
+/// Checks that the decode server of a reservation may go on with the response, as the owner may
+/// list servers that this daemon does not know yet; returns the version of its software.
 fn check_version(
     generation: &Generation,
     reservation: &Reservation,
--- a/crates/ffw-route/src/router.rs
+++ b/crates/ffw-route/src/router.rs
@@ -296,8 +296,8 @@
         self.reserve_more(&mut guard, bytes).then_some(guard)
     }
 
-    /// Reserves more memory for a request body; returns whether the total is within the limit. The bytes
-    /// count until the guard is dropped, even if the total is above the limit.
+    /// Reserves more memory for a request body; returns whether the total is within the limit. The
+    /// bytes count until the guard is dropped, even if the total is above the limit.
     pub fn reserve_more(&self, guard: &mut CounterGuard<'_>, bytes: usize) -> bool {
         guard.amount += bytes;
         self.buffered_bytes.fetch_add(bytes, Ordering::SeqCst) + bytes
--- a/crates/ffw-route/src/stream/attempt.rs
+++ b/crates/ffw-route/src/stream/attempt.rs
@@ -35,8 +35,8 @@
 
 /// State of an attempt.
 struct Attempt {
-    /// Location of the KV cache from which the next run starts; `None` if its decode server prefills
-    /// the prompt itself.
+    /// Location of the KV cache from which the next run starts; `None` if its decode server
+    /// prefills the prompt itself.
     source: Option<Source>,
     /// Time until which the result of the prefill can be relied on.
     result_deadline: Instant,
--- a/crates/ffw-route/src/stream/moving.rs
+++ b/crates/ffw-route/src/stream/moving.rs
@@ -3,9 +3,10 @@
 //!
 //! The state advances only between two events, so that no write to the caller is interrupted.
 //!
-//! The server ends a run that it was told to move by closing its stream without an end. If the end of
-//! the stream is that of the connection, both look the same. A stream that ends with its connection is
-//! therefore never complete once its server was, or may have been, told to stop the run.
+//! The server ends a run that it was told to move by closing its stream without an end. If the end
+//! of the stream is that of the connection, both look the same. A stream that ends with its
+//! connection is therefore never complete once its server was, or may have been, told to stop the
+//! run.
 
 use {
     crate::{
--- a/crates/ffw-route/src/stream/record.rs
+++ b/crates/ffw-route/src/stream/record.rs
@@ -15,8 +15,8 @@
         self.router.daemon.metrics.routed.record_stage(&self.request.pool, step, span);
     }
 
-    /// Counts a run that has ended, and logs it if its end can't be told from the framing alone: the
-    /// body ends with the connection, or the server was told to stop the run.
+    /// Counts a run that has ended, and logs it if its end can't be told from the framing alone:
+    /// the body ends with the connection, or the server was told to stop the run.
     pub(super) fn record_run(
         &self,
         reservation: &Reservation,
--- a/crates/ffw-route/src/stream/relay.rs
+++ b/crates/ffw-route/src/stream/relay.rs
@@ -26,8 +26,8 @@
 /// Largest event, in bytes. Many streams may receive bytes without end at the same time.
 const EVENT_BYTES_MAX: usize = 128 << 10;
 
-/// Copies of an event that are held while it is passed on: as received, as taken for the caller, and
-/// as written to it.
+/// Copies of an event that are held while it is passed on: as received, as taken for the caller,
+/// and as written to it.
 const EVENT_COPIES: usize = 3;
 
 /// Media type of an event stream.
@@ -138,89 +138,111 @@
     pub(super) async fn relay_events(
         &mut self,
         router: &Router,
-        mut response: IncomingResponse,
+        response: IncomingResponse,
         reservation: &Reservation,
         mover: &mut Mover,
     ) -> RelayEnd {
+        let relaying = self.relay_response(router, response, reservation, mover);
+        relaying.await.err().unwrap_or(RelayEnd::Complete)
+    }
+
+    async fn relay_response(
+        &mut self,
+        router: &Router,
+        mut response: IncomingResponse,
+        reservation: &Reservation,
+        mover: &mut Mover,
+    ) -> Result<(), RelayEnd> {
         if let Some(cause) = self.unfit(&response) {
-            return broken(cause);
+            return Err(broken(cause));
         }
         let (continues, events_before) = (self.has_begun, self.events);
         let mut unsent = Events::default();
-        loop {
-            let reading = response.connection.read_part(&mut response.decoder);
-            let part = match timer::timeout(EVENT_TIMEOUT, reading).await {
-                None => return broken("no event in time"),
-                Some(Err(fault)) => {
-                    let is_disconnect = matches!(fault, Fault::Closed | Fault::Broken(_));
-                    return RelayEnd::Broken { cause: fault.to_string(), is_disconnect };
-                }
-                Some(Ok(part)) => part,
-            };
-            let Some(part) = part else { break };
-            let held = EVENT_COPIES * (unsent.len() + part.len());
-            if !response.connection.charge(Held::Body, held) {
-                return broken("no memory for an event");
-            }
-            unsent.push(&part);
-            Wire::Request.record_examined(part.len());
-            let events = unsent.take_numbered();
-            if !events.is_empty() {
-                if !self.record_events(&events) {
-                    return broken("the ids of the events do not increase");
-                }
-                let version = router.daemon.software.of(&reservation.grant.decode.name);
-                let (request, is_first) = (self.request, !self.has_begun);
-                affinity::record_event(
-                    router,
-                    request,
-                    &mut self.origin,
-                    version.as_ref(),
-                    is_first,
-                );
-                reservation.record_emitted(self.emitted_tokens());
-                if self.send(router, &response, &events).await.is_err() {
-                    return RelayEnd::CallerGone;
-                }
+        while receive(&mut response, &mut unsent).await? {
+            if self.send_events(router, &response, reservation, &mut unsent).await? {
+                mover.advance(reservation, || self.build_ask(router)).await;
             }
-            if unsent.is_foreign() {
-                return broken("the stream holds something else than events");
-            }
-            if unsent.len() > EVENT_BYTES_MAX {
-                return broken("an event is too large");
-            }
-            if events.is_empty() {
-                continue;
-            }
-            mover.advance(reservation, || self.build_ask(router)).await;
         }
         // A body that ends with its connection may have been cut anywhere.
         let is_disconnect = response.decoder.ends_with_connection();
         if is_disconnect && mover.may_have_stopped_run().await {
-            return broken("the run was stopped for a move");
+            return Err(broken("the run was stopped for a move"));
+        }
+        let is_missing = continues && self.events == events_before;
+        self.check_end(&unsent, is_disconnect, is_missing)?;
+        self.complete(router, response, unsent).await
+    }
+
+    /// Sends the whole events that were received; returns whether there are any.
+    async fn send_events(
+        &mut self,
+        router: &Router,
+        response: &IncomingResponse,
+        reservation: &Reservation,
+        unsent: &mut Events,
+    ) -> Result<bool, RelayEnd> {
+        let events = unsent.take_numbered();
+        if !events.is_empty() {
+            if !self.record_events(&events) {
+                return Err(broken("the ids of the events do not increase"));
+            }
+            let version = router.daemon.software.of(&reservation.grant.decode.name);
+            let (request, is_first) = (self.request, !self.has_begun);
+            affinity::record_event(router, request, &mut self.origin, version.as_ref(), is_first);
+            reservation.record_emitted(self.emitted_tokens());
+            if self.send(router, response, &events).await.is_err() {
+                return Err(RelayEnd::CallerGone);
+            }
+        }
+        if unsent.is_foreign() {
+            return Err(broken("the stream holds something else than events"));
+        }
+        if unsent.len() > EVENT_BYTES_MAX {
+            return Err(broken("an event is too large"));
         }
+        Ok(!events.is_empty())
+    }
+
+    /// Checks that the end of a run's response is the end of the stream. `is_missing` states
+    /// whether the run continues another one and has sent no event.
+    fn check_end(
+        &self,
+        unsent: &Events,
+        is_disconnect: bool,
+        is_missing: bool,
+    ) -> Result<(), RelayEnd> {
         if !unsent.is_whole() {
             let cause = "the stream ended within an event".into();
-            return RelayEnd::Broken { cause, is_disconnect };
+            return Err(RelayEnd::Broken { cause, is_disconnect });
         }
         // The run of before broke off, so that something is missing, unless its output had come to
         // the largest size.
-        if continues && self.events == events_before && !self.has_full_output() {
-            return broken("the continued stream ended without an event");
+        if is_missing && !self.has_full_output() {
+            return Err(broken("the continued stream ended without an event"));
         }
         if is_disconnect && !self.has_begun {
             let cause = "the stream ended without an event".into();
-            return RelayEnd::Broken { cause, is_disconnect };
+            return Err(RelayEnd::Broken { cause, is_disconnect });
         }
+        Ok(())
+    }
+
+    /// Sends what is left of a complete stream, and its end.
+    async fn complete(
+        &mut self,
+        router: &Router,
+        response: IncomingResponse,
+        unsent: Events,
+    ) -> Result<(), RelayEnd> {
         let rest = unsent.into_bytes();
         if !rest.is_empty() && self.send(router, &response, &rest).await.is_err() {
-            return RelayEnd::CallerGone;
+            return Err(RelayEnd::CallerGone);
         }
         if self.finish(router, &response).await.is_err() {
-            return RelayEnd::CallerGone;
+            return Err(RelayEnd::CallerGone);
         }
         response.keep_connection(router);
-        RelayEnd::Complete
+        Ok(())
     }
 
     /// Why a run's response can't be a part of the stream.
@@ -348,6 +370,27 @@
     Some(media_type.trim_ascii().to_ascii_lowercase())
 }
 
+/// Receives the next part of a run's response; returns `false` at its end.
+async fn receive(response: &mut IncomingResponse, unsent: &mut Events) -> Result<bool, RelayEnd> {
+    let reading = response.connection.read_part(&mut response.decoder);
+    let part = match timer::timeout(EVENT_TIMEOUT, reading).await {
+        None => return Err(broken("no event in time")),
+        Some(Err(fault)) => {
+            let is_disconnect = matches!(fault, Fault::Closed | Fault::Broken(_));
+            return Err(RelayEnd::Broken { cause: fault.to_string(), is_disconnect });
+        }
+        Some(Ok(part)) => part,
+    };
+    let Some(part) = part else { return Ok(false) };
+    let held = EVENT_COPIES * (unsent.len() + part.len());
+    if !response.connection.charge(Held::Body, held) {
+        return Err(broken("no memory for an event"));
+    }
+    unsent.push(&part);
+    Wire::Request.record_examined(part.len());
+    Ok(true)
+}
+
 fn broken(cause: &str) -> RelayEnd {
     RelayEnd::Broken { cause: cause.into(), is_disconnect: false }
 }
--- a/crates/ffw-runtime/src/budget.rs
+++ b/crates/ffw-runtime/src/budget.rs
@@ -23,8 +23,8 @@
 /// log from a pair of lines for each connection.
 const RELAXED_SHARE: f64 = 0.6;
 
-/// Share of the budget that the connections to servers may hold together. With 0.75, the process took
-/// 79 MB of 77 beside 1,000 chunked bodies without end.
+/// Share of the budget that the connections to servers may hold together. With 0.75, the process
+/// took 79 MB of 77 beside 1,000 chunked bodies without end.
 const SERVER_SHARE: f64 = 0.5;
 
 /// Bytes from which on an unfinished response gives way to others. Most responses are smaller, and
@@ -293,8 +293,8 @@
         );
     }
 
-    /// Takes note that the budget no longer binds for the sides that have much left.
-    fn relax(&self) {
+    /// Records that the budget no longer binds for the sides that have much left.
+    fn clear_binding(&self) {
         if self.total() >= share(self.bytes_max(Side::Caller), RELAXED_SHARE) {
             return;
         }
@@ -387,6 +387,6 @@
         let mut holders = budget.holders();
         holders.retain(|account| !Arc::ptr_eq(account, &self.account));
         drop(holders);
-        budget.relax();
+        budget.clear_binding();
     }
 }
--- a/crates/ffw-soak/src/worker/stream.rs
+++ b/crates/ffw-soak/src/worker/stream.rs
@@ -34,7 +34,8 @@
     Chunked,
     /// The body ends with the connection.
     UntilClose,
-    /// As [`Chunked`](StreamFraming::Chunked) and [`UntilClose`](StreamFraming::UntilClose) in turn.
+    /// As [`Chunked`](StreamFraming::Chunked) and [`UntilClose`](StreamFraming::UntilClose) in
+    /// turn.
     Alternating,
 }
 
@@ -169,8 +170,8 @@
         self.streams.lock().running.len()
     }
 
-    /// Requests the end of a run that is to move to another server, and answers with the handle with
-    /// which the run continues, or as [`set_move_answer`](Worker::set_move_answer) says.
+    /// Requests the end of a run that is to move to another server, and answers with the handle
+    /// with which the run continues, or as [`set_move_answer`](Worker::set_move_answer) says.
     pub(super) async fn stop_run(self, mut exchange: Exchange) -> Option<Exchange> {
         let body: serde_json::Value = serde_json::from_slice(&exchange.body).ok()?;
         let id = body["id"].as_str().unwrap_or_default().to_owned();
--- a/crates/fireflyworks/src/command/route.rs
+++ b/crates/fireflyworks/src/command/route.rs
@@ -53,8 +53,8 @@
 /// connections to servers, and the store's responses.
 const OWN_BYTES: usize = 20_000_000;
 
-/// Share of the remaining memory that callers and servers may be charged with. The allocator holds more than is
-/// charged, as freed blocks between others can't be returned to the system.
+/// Share of the remaining memory that callers and servers may be charged with. The allocator holds
+/// more than is charged, as freed blocks between others can't be returned to the system.
 const CHARGED_SHARE: f64 = 0.6;
 
 /// Both may be charged with at least the memory divided by this, so that the smallest machines
@@ -224,7 +224,8 @@
     settings.apply_limit.min(settings.leaving_limit)
 }
 
-/// Memory that callers' connections and those to servers may be charged with, of the memory of the machine.
+/// Memory that callers' connections and those to servers may be charged with, of the memory of the
+/// machine.
 fn charged_bytes_max(memory_bytes: usize) -> usize {
     let free = (memory_bytes - memory_bytes / 10).saturating_sub(OWN_BYTES);
     let charged = (free as f64 * CHARGED_SHARE) as usize;
--- a/crates/fireflyworks/tests/endless_servers.rs
+++ b/crates/fireflyworks/tests/endless_servers.rs
@@ -1,9 +1,9 @@
 //! Servers that send bytes without end, in each part of a response, to many callers at once, beside
 //! a daemon with lowered limits.
 //!
-//! Guards against a process that holds all that such servers send, exceeds the memory of its machine
-//! and ends with the requests of all others. Nothing here depends on the speed of the machine: no
-//! times and no shares of served requests are checked.
+//! Guards against a process that holds all that such servers send, exceeds the memory of its
+//! machine and ends with the requests of all others. Nothing here depends on the speed of the
+//! machine: no times and no shares of served requests are checked.
 
 #[path = "support/limits.rs"]
 #[allow(dead_code, reason = "each test file uses a part of it")]
--- a/crates/fireflyworks/tests/moved_streams.rs
+++ b/crates/fireflyworks/tests/moved_streams.rs
@@ -25,8 +25,8 @@
 /// Time from the start of the streams until their server leaves.
 const LEAVING_AFTER: Duration = Duration::from_millis(600);
 
-/// Each second stream of a server comes in chunks. A moved stream reaches its end if its KV cache can
-/// be had or its route lets it run again, and is seen to be cut if not.
+/// Each second stream of a server comes in chunks. A moved stream reaches its end if its KV cache
+/// can be had or its route lets it run again, and is seen to be cut if not.
 #[rstest]
 #[case::copied("copied", MoveAnswer::Copied)]
 #[case::not_copied("not-copied", MoveAnswer::NotCopied)]
--- a/crates/fireflyworks/tests/software_versions.rs
+++ b/crates/fireflyworks/tests/software_versions.rs
@@ -1,7 +1,7 @@
 //! Servers of two software versions side by side in one service, with daemons as processes.
 //!
-//! Guards against a stream that holds events of two versions, in one answer or over a caller's tries,
-//! and against streams that don't go on although servers of their version take work.
+//! Guards against a stream that holds events of two versions, in one answer or over a caller's
+//! tries, and against streams that don't go on although servers of their version take work.
 
 #[path = "support/streams.rs"]
 #[allow(dead_code, reason = "each test file uses a part of it")]
@@ -85,8 +85,8 @@
     streams
 }
 
-/// The server of some streams breaks off in their middle. The rest comes in the same answer, from the
-/// other server of the version.
+/// The server of some streams breaks off in their middle. The rest comes in the same answer, from
+/// the other server of the version.
 #[test]
 fn a_broken_stream_goes_on_at_its_version_in_one_answer() {
     smol::block_on(async {
@@ -180,7 +180,8 @@
 /// When the servers of the new version come, and those of the old one leave.
 #[derive(Clone, Copy, PartialEq, Eq)]
 enum Release {
-    /// The new ones come before the daemons are killed, and the old ones leave before they are back.
+    /// The new ones come before the daemons are killed, and the old ones leave before they are
+    /// back.
     Begun,
     /// Both happen while there is no daemon.
     Unseen,
