Wait for a daemon that keeps a quota if none is reached

Callers saw: after many daemons were killed at once, requests of workspaces with a quota were answered 503 until the daemons that keep their accounts were back, half a second later. Cause: a request asked the two daemons that keep the account once each, and was refused if neither answered. Change: it asks again every 100 ms, for a quarter of its time, at most a second. What is granted is not changed.

--- a/crates/ffw-control/src/quota.rs
+++ b/crates/ffw-control/src/quota.rs
@@ -18,7 +18,7 @@
     log::{debug, info},
     std::{
         sync::{Arc, Mutex, MutexGuard, PoisonError},
-        time::Duration,
+        time::{Duration, Instant},
     },
 };
 
@@ -28,6 +28,9 @@
 /// Number of daemons, in the order of ownership, that are asked for units.
 const KEEPERS_ASKED: usize = 2;
 
+/// Pause before the daemons that keep an account are asked again, after none was reached.
+const KEEPER_RETRY_PAUSE: Duration = Duration::from_millis(100);
+
 /// Groups of workspaces that have the same keepers. Each needs an order of all daemons in memory.
 const KEEPER_GROUPS: u64 = 64;
 
@@ -184,14 +187,36 @@
             limit,
             units,
             patience: quota::patience(time_left),
-            suspects: owner::skipped_daemons(daemon),
+            suspects: Vec::new(),
         };
-        let start_in = take_from_keeper(daemon, ask, allowance, daemons).await?;
+        let limit = quota::keeper_patience(time_left);
+        let start_in = wait_for_keeper(daemon, ask, allowance, daemons, limit).await?;
         timer::sleep(start_in).await;
     }
     Ok(Some(Charge { workspace: name.clone(), units, granted_at: identity::now() }))
 }
 
+/// Asks for units until a daemon that keeps the account is reached, or `limit` has passed. After many
+/// daemons have ended at once, those that keep an account are mostly back within a second.
+async fn wait_for_keeper(
+    daemon: &Arc<Daemon>,
+    ask: Ask,
+    allowance: Limit,
+    daemons: usize,
+    limit: Duration,
+) -> Result<Duration, Denial> {
+    let started_at = Instant::now();
+    loop {
+        let ask = Ask { suspects: owner::skipped_daemons(daemon), ..ask.clone() };
+        let taken = take_from_keeper(daemon, ask, allowance, daemons).await;
+        let waits = started_at.elapsed() + KEEPER_RETRY_PAUSE < limit;
+        if !waits || !matches!(taken, Err(Denial::Unchecked(_))) {
+            return taken;
+        }
+        timer::sleep(KEEPER_RETRY_PAUSE).await;
+    }
+}
+
 /// Asks the daemon that keeps the account, then the one that stands in for it. A daemon that
 /// reaches neither uses a small share of the tolerated overshoot.
 async fn take_from_keeper(
--- a/crates/ffw-decide/src/quota.rs
+++ b/crates/ffw-decide/src/quota.rs
@@ -30,6 +30,12 @@
 /// Largest part of its time left for which a request waits for its units.
 const PATIENCE_SHARE: f64 = 0.1;
 
+/// Longest time for which a request waits for a daemon that keeps its account.
+const KEEPER_PATIENCE_MAX: Duration = Duration::from_secs(1);
+
+/// The same as a share of the time until the request's deadline.
+const KEEPER_PATIENCE_SHARE: f64 = 0.25;
+
 /// Share of the tolerated overshoot by which the keeper's burst exceeds the declared one.
 const BURST_SHARE: f64 = 0.4;
 
@@ -94,6 +100,12 @@
     time_left.mul_f64(PATIENCE_SHARE).min(PATIENCE_MAX)
 }
 
+/// Time for which a request waits until a daemon that keeps its account is reached. A daemon that
+/// has ended is mostly back soon, and many callers have no further try than this one.
+pub fn keeper_patience(time_left: Duration) -> Duration {
+    time_left.mul_f64(KEEPER_PATIENCE_SHARE).min(KEEPER_PATIENCE_MAX)
+}
+
 /// Units that may be used: they come at a rate, and are kept up to the burst.
 #[derive(Clone, Debug)]
 pub struct Account {
--- a/crates/fireflyworks/tests/workspaces.rs
+++ b/crates/fireflyworks/tests/workspaces.rs
@@ -208,3 +208,42 @@
         assert!(!at.is_empty(), "nothing was served");
     });
 }
+
+/// All daemons but one are killed and come back soon, in turn, so that the one that is left keeps no
+/// account in two of three turns. Guards against requests that are refused at once, whose callers
+/// have no second try.
+#[test]
+fn requests_wait_for_a_keeper_that_comes_back_soon() {
+    const DOWN_TIME: Duration = Duration::from_millis(250);
+    const REQUESTS: usize = 150;
+    smol::block_on(async {
+        let _permit = permit::acquire(CORES).await;
+        let workspaces = json!([{"name": "dome", "apiKeys": [KEY], "ratePerS": 1_000.0,
+            "burst": 1_000.0}]);
+        let mut fleet = Fleet::start("keepers-back", workspaces).await;
+        for survivor in 0..DAEMONS {
+            let address = fleet.daemons[survivor].caller_address;
+            let others = |number: &usize| *number != survivor;
+            (0..DAEMONS).filter(others).for_each(|one| fleet.daemons[one].signal(Signal::KILL));
+            let request = move |number: usize| {
+                let request = format!(
+                    "POST /r/x HTTP/1.1\r\nHost: h\r\nRequest-Id: {survivor}-{number}\r\n\
+                     Deadline-Ms: 10000\r\n{}Connection: close\r\nContent-Length: 2\r\n\r\nhi",
+                    with_key(KEY)
+                );
+                async move { client::send(address, &request).await.map(|head| head.status) }
+            };
+            let tasks: Vec<smol::Task<Option<u16>>> =
+                (0..REQUESTS).map(|number| executor::spawn(request(number))).collect();
+            timer::sleep(DOWN_TIME).await;
+            for other in (0..DAEMONS).filter(others) {
+                fleet.daemons[other].take_exit_code();
+                fleet.daemons[other].start(Path::new(PROGRAM)).expect("a daemon");
+            }
+            for task in tasks {
+                assert_eq!(task.await, Some(200), "daemon {survivor} is left");
+            }
+            timer::sleep(Duration::from_secs(4)).await;
+        }
+    });
+}
