Name the server that a run was moved from apart from a stream's origin

Cause: read as a newcomer, two types of ffw-route were called Origin, and event=stream_resumed quoted the version twice. Change: OldServer, moved_from, and one pair of quotes as in docs/OPERATIONS.md.

--- a/crates/ffw-route/src/stream/affinity.rs
+++ b/crates/ffw-route/src/stream/affinity.rs
@@ -60,7 +60,7 @@
         let (origin, source) = self.look_up_origin().await;
         daemon.metrics.routed.record_resumed(pool, source);
         info!(
-            "event=stream_resumed request={} resumes={} last_event={:?} origin=\"{origin}\" \
+            "event=stream_resumed request={} resumes={} last_event={:?} origin={origin} \
              known_by={source}",
             info.id,
             info.resumes.as_deref().unwrap_or("none"),
--- a/crates/ffw-route/src/stream/attempt.rs
+++ b/crates/ffw-route/src/stream/attempt.rs
@@ -41,11 +41,11 @@
     /// Time until which the result of the prefill can be relied on.
     result_deadline: Instant,
     /// Set once a run was moved.
-    origin: Option<Origin>,
+    moved_from: Option<OldServer>,
 }
 
 /// Server of a run before the run was moved.
-struct Origin {
+struct OldServer {
     server: Server,
     /// Number of failed tries to continue the run since it was moved.
     tries: u32,
@@ -65,7 +65,7 @@
         loop {
             self.check_affinity(reservation)?;
             reservation.record_phase(Phase::Transfer);
-            if attempt.origin.is_none() {
+            if attempt.moved_from.is_none() {
                 self.check_not_held()?;
             }
             let Some(response) = self.start_run(reservation, &mut attempt).await? else { continue };
@@ -86,7 +86,7 @@
         let source = if decode_prefills { None } else { Some(self.prefill(reservation).await?) };
         self.record_stage(Stage::Prefill, started_at.elapsed());
         let result_deadline = Instant::now() + self.usable_result_time();
-        Ok(Attempt { source, result_deadline, origin: None })
+        Ok(Attempt { source, result_deadline, moved_from: None })
     }
 
     /// Starts a run at the reservation's decode server; `None` if that failed and another try is to
@@ -100,8 +100,8 @@
             Ok(response) => return Ok(Some(response)),
             Err(failure) => failure,
         };
-        if let Some(origin) = &mut attempt.origin {
-            self.continue_moved(reservation, origin, failure).await?;
+        if let Some(moved_from) = &mut attempt.moved_from {
+            self.continue_moved(reservation, moved_from, failure).await?;
             return Ok(None);
         }
         let has_result = attempt.source.is_some();
@@ -121,7 +121,7 @@
         let (id, pool) = (&self.request.request_info.id, &self.request.pool);
         let server = &reservation.grant.decode;
         let has_open_order = self.open_orders.contains(&server.name);
-        let is_moved = attempt.origin.is_some();
+        let is_moved = attempt.moved_from.is_some();
         let mut mover = Mover::new(self.router, id, pool, server, has_open_order, is_moved);
         let (events_before, framing) = (self.relay.events(), response.framing);
         let end = self.relay.relay_events(self.router, response, reservation, &mut mover).await;
@@ -159,7 +159,7 @@
         continuation: Continuation,
     ) {
         let Continuation { reservation: next, source } = continuation;
-        attempt.origin = Some(Origin { server: reservation.grant.decode.clone(), tries: 0 });
+        attempt.moved_from = Some(OldServer { server: reservation.grant.decode.clone(), tries: 0 });
         if let Some(next) = next {
             self.replace_reservation(reservation, next, None);
         }
@@ -186,17 +186,17 @@
     async fn continue_moved(
         &self,
         reservation: &mut Reservation,
-        origin: &mut Origin,
+        moved_from: &mut OldServer,
         failure: AttemptFailure,
     ) -> Result<(), AttemptFailure> {
         let is_refused =
             failure.failed.as_ref().is_some_and(|failed| failed.how == Failing::Refused);
-        origin.tries += 1;
-        if !is_refused || origin.tries > CONTINUE_TRIES_MAX {
+        moved_from.tries += 1;
+        if !is_refused || moved_from.tries > CONTINUE_TRIES_MAX {
             return Err(failure);
         }
-        if self.router.may_send(&origin.server.name) {
-            reservation.grant.decode = origin.server.clone();
+        if self.router.may_send(&moved_from.server.name) {
+            reservation.grant.decode = moved_from.server.clone();
         } else {
             timer::sleep(CONTINUE_PAUSE).await;
         }
