--- a/review/harness/client.rs
+++ b/review/harness/client.rs
@@ -34,6 +34,8 @@
     pub longest_pause_ms: u128,
     pub total_ms: u128,
     pub fault: Option<String>,
+    /// When the caller closes the connection.
+    leaves_at: Option<Instant>,
 }
 
 impl Answer {
@@ -106,9 +108,15 @@
 
 /// Sends a request on a new connection and reads the whole answer.
 pub fn send(address: SocketAddr, host: &str, request: &Request) -> Answer {
+    send_until(address, host, request, Duration::MAX)
+}
+
+/// Sends a request on a new connection, and closes the connection after a time.
+pub fn send_until(address: SocketAddr, host: &str, request: &Request, until: Duration) -> Answer {
     let began = Instant::now();
     let mut answer = Answer::default();
     let limit = Duration::from_millis(request.deadline_ms + 500);
+    answer.leaves_at = began.checked_add(until);
     let outcome = exchange(address, host, request, limit, &mut answer);
     answer.fault = outcome.err().map(|err| err.to_string());
     answer.total_ms = began.elapsed().as_millis();
@@ -160,5 +168,8 @@
             return Ok(());
         }
         answer.body.extend_from_slice(&chunk);
+        if answer.leaves_at.is_some_and(|leaves_at| Instant::now() >= leaves_at) {
+            return Ok(());
+        }
     }
 }
--- a/review/harness/daemon.rs
+++ b/review/harness/daemon.rs
@@ -89,6 +89,18 @@
         Daemon { name: name.into(), addresses, log, file, child, record }
     }
 
+    /// Starts the daemon again after its end, with another value of `bootstrap`.
+    ///
+    /// # Panics
+    /// The settings file can't be replaced.
+    pub fn restart_as(&mut self, bootstrap: bool) {
+        let text = fs::read_to_string(&self.file).expect("the settings file");
+        let before = format!("\"bootstrap\":{}", !bootstrap);
+        let text = text.replace(&before, &format!("\"bootstrap\":{bootstrap}"));
+        fs::write(&self.file, text).expect("the settings file");
+        self.restart();
+    }
+
     /// Starts the daemon again after its end.
     pub fn restart(&mut self) {
         self.child.wait().ok();
