--- a/review/harness/client.rs
+++ b/review/harness/client.rs
@@ -77,8 +77,9 @@
     Request { method: "POST", path: path.into(), id: id.into(), deadline_ms, fields, body }
 }
 
-fn hex(id: &str) -> String {
-    id.bytes().map(|byte| format!("{byte:02x}")).collect::<String>()[..8].to_owned()
+/// The last eight digits of an id, as that of the part that the request alone has.
+fn hex(id: &str) -> &str {
+    &id[id.len().saturating_sub(8)..]
 }
 
 /// A request without a body or a model.
--- a/review/harness/lib.rs
+++ b/review/harness/lib.rs
@@ -8,4 +8,5 @@
 pub mod record;
 pub mod site;
 pub mod store;
+pub mod takeup;
 pub mod worker;
