--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -5,7 +5,7 @@
 scratch=$(mktemp -d) || exit 2
 trap 'rm -rf "$scratch"' EXIT
 [ -x target/review-2/case-10 ] || exit 2
-timeout 115 target/review-2/case-10 review/10 "$scratch"
+timeout -k 3 110 target/review-2/case-10 review/10 "$scratch"
 code=$?
 [ "$code" -le 1 ] && exit "$code"
 exit 2
