Copy to the store where streams began while several versions serve

Callers got 503 for each try, "it is not known which software version began the stream", while new streams began.

Cause: where a stream began was kept in the memory of four daemons and nowhere else. After a kill of all daemons only the list of servers is left, which tells nothing while two versions are possible. The same is lost when a daemon was stopped, so that it got no copies, and the others end.

Change: each daemon copies to the store, in one object a process, where its streams began that run or broke off lately, 20 ms after a stream has begun and then at a bound that leaves three quarters of the store's writes to others; only while the list does not tell the only version. A take-up that no daemon knows reads all copies in one call for all that wait. What they hold was true when it was written, so a restored, late or cut write can only lack streams, which are refused as before. Logs tell known_by=archive and what was read and written.

--- a/crates/ffw-control/src/origin.rs
+++ b/crates/ffw-control/src/origin.rs
@@ -3,8 +3,9 @@
 //! The daemon that relays a stream's first event records the version and sends the record to the
 //! first daemons in the order of [`placement`]. A daemon whose caller takes the stream up asks the
 //! daemons of that order, as the one that relayed the stream may have ended. What none of them
-//! knows is unknown.
+//! knows is looked up in the [`archive`], which outlives all daemons, and is unknown otherwise.
 
+pub mod archive;
 mod lookup;
 mod outbox;
 
@@ -13,6 +14,7 @@
     ffw_decide::{
         origin::{
             Memory,
+            began::Began,
             placement::{self, Targets},
         },
         retry,
@@ -24,10 +26,11 @@
         software::Version,
         time::Moment,
     },
+    ffw_runtime::{clock, signal::Signal},
     outbox::Outboxes,
     std::{
         net::SocketAddr,
-        sync::{Arc, Mutex, MutexGuard, PoisonError},
+        sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError},
         time::Duration,
     },
 };
@@ -53,6 +56,12 @@
     answering: Answering,
     /// Daemons that failed without having answered before.
     silent: Mutex<Vec<Silent>>,
+    /// Streams of this daemon that may be taken up. Times are of [`clock::boot_time`].
+    began: Mutex<Began>,
+    /// Tells that a stream has begun, or that the versions of listed servers have changed.
+    changed: Signal,
+    /// Questions to the task that reads the archive; none is set if there is no archive.
+    questions: OnceLock<smol::channel::Sender<archive::Question>>,
 }
 
 /// A daemon that failed without having answered before. It may be starting, or of an earlier build.
@@ -71,6 +80,9 @@
             outboxes: Outboxes::default(),
             answering: Answering::default(),
             silent: Mutex::default(),
+            began: Mutex::new(Began::new(LIFETIME)),
+            changed: Signal::default(),
+            questions: OnceLock::new(),
         }
     }
 }
@@ -80,20 +92,48 @@
 }
 
 /// Records the version of the server that wrote the first event of an attempt, here and, in the
-/// background, at the replicas. Does nothing for a server that states no version: where no server
-/// states one, there is nothing to tell apart.
+/// background, at the replicas and in the archive. Does nothing for a server that states no version:
+/// where no server states one, there is nothing to tell apart.
 pub fn record(daemon: &Arc<Daemon>, pool: &Arc<str>, request: &str, software: Version) {
     if software == Version::Unstated {
         return;
     }
     let record = Record { key: Key::new(pool, request), software };
     remember(daemon, std::slice::from_ref(&record));
+    lock(&daemon.origins.began).record(clock::boot_time(), pool, &record);
+    daemon.origins.changed.notify();
     let ranked = ranked(daemon, record.key);
     let own = &daemon.identity.instance;
     let Targets { replicas, spares } = placement::targets(&ranked, own, &passed_over(daemon));
     outbox::send(daemon, record, replicas, spares);
 }
 
+/// Records that the stream of an attempt has come to its end, so that its caller won't take it up.
+pub fn record_end(daemon: &Daemon, pool: &str, request: &str) {
+    let mut began = lock(&daemon.origins.began);
+    if !began.is_empty() {
+        began.remove(Key::new(pool, request));
+    }
+}
+
+/// Records that the versions of listed servers have changed: streams that began before may have to
+/// be archived now.
+pub(crate) fn record_versions_changed(daemon: &Daemon) {
+    daemon.origins.changed.notify();
+}
+
+/// The version at which the stream of an attempt began, as the archive has it; `None` if it is not
+/// known, or not within `limit`.
+pub async fn find_archived(
+    daemon: &Daemon,
+    pool: &str,
+    request: &str,
+    limit: Duration,
+) -> Option<Version> {
+    archive::read(daemon, limit).await;
+    recall(daemon, Key::new(pool, request))
+}
+
 /// The version at which the stream of an attempt began; `None` if it is not known, or not within
 /// `limit`. Asks other daemons unless this one knows, so it is for pools only of which at least one
 /// server states a version.
--- a/crates/ffw-control/src/software.rs
+++ b/crates/ffw-control/src/software.rs
@@ -7,7 +7,7 @@
 pub mod record;
 
 use {
-    crate::{belief::Beliefs, daemon::Daemon},
+    crate::{belief::Beliefs, daemon::Daemon, origin},
     ffw_decide::affinity::{
         Origin,
         history::{self, History, Listed},
@@ -33,6 +33,10 @@
 /// serves may last that long.
 const KEEP_UNLISTED: Duration = Duration::from_secs(600);
 
+/// Time in which the record of versions is mostly read after changes of the list may have been
+/// missed.
+const RECORD_READ_TIME: Duration = Duration::from_secs(1);
+
 /// Timeout of a call to a peer.
 const ASK_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -81,6 +85,22 @@
         self.history().sole(clock::boot_time(), pool)
     }
 
+    /// Whether the lists that this daemon has seen tell the only version at which such a stream can
+    /// have begun, whatever their age. Shortly after changes of the list may have been missed, it
+    /// counts as told: the record of versions, which tells what was missed, is about to be read.
+    pub fn is_sole_known(&self, pool: &str) -> bool {
+        let now = clock::boot_time();
+        let history = self.history();
+        let is_read_due =
+            history.observed_since().is_none_or(|since| now.since(since) < RECORD_READ_TIME);
+        history.sole(now, pool).is_some() || is_read_due && !history.has_several(now, pool)
+    }
+
+    /// Whether a server is known that states a version.
+    pub fn is_any_stated(&self) -> bool {
+        self.known().iter().any(|known| known.version != Version::Unstated)
+    }
+
     /// Records the version of a server that a list or a change of it holds.
     pub fn record_server(&self, server: &Instance, version: Version) {
         let now = clock::boot_time();
@@ -186,8 +206,12 @@
         });
         listed.collect()
     };
-    for change in history.record_list(now, &list) {
-        let history::Change { pool, version, is_listed } = change;
+    let changes = history.record_list(now, &list);
+    drop(history);
+    if !changes.is_empty() {
+        origin::record_versions_changed(daemon);
+    }
+    for history::Change { pool, version, is_listed } in changes {
         info!("event=software_listed pool={pool} version={version} is_listed={is_listed}");
     }
     software.forget(now, &list);
--- a/crates/ffw-decide/src/affinity/history.rs
+++ b/crates/ffw-decide/src/affinity/history.rs
@@ -178,6 +178,11 @@
         (is_sole && self.knows_all(now, pool)).then(|| sole.clone())
     }
 
+    /// Whether several versions are known at which such a stream can have begun.
+    pub fn has_several(&self, now: Moment, pool: &str) -> bool {
+        self.find(pool).is_some_and(|pool| self.versions(now, pool).nth(1).is_some())
+    }
+
     /// Versions that a pool's record in the store should hold, sorted, in place of `stored`;
     /// `None` if it needs no write.
     pub fn plan(
--- a/crates/ffw-decide/src/origin.rs
+++ b/crates/ffw-decide/src/origin.rs
@@ -4,6 +4,7 @@
 //! up only if it broke off, soon after. Records are kept in two generations, so that the oldest go
 //! together and at no cost, and in buckets by key, so that an insertion moves few entries.
 
+pub mod began;
 pub mod placement;
 
 use {
--- a/crates/ffw-route/src/stream.rs
+++ b/crates/ffw-route/src/stream.rs
@@ -127,6 +127,7 @@
             reservations += 1;
             match self.run_attempt(&mut reservation).await {
                 Ok(persistence) => {
+                    affinity::record_end(self.router, self.request);
                     self.record_served(&reservation);
                     reservation.release(self.relay.emitted_tokens(), true, None);
                     return Outcome::Complete(persistence);
--- a/crates/ffw-route/src/stream/affinity.rs
+++ b/crates/ffw-route/src/stream/affinity.rs
@@ -21,6 +21,9 @@
 /// Longest time for which other daemons are asked where a stream began.
 const FIND_TIMEOUT: Duration = Duration::from_millis(400);
 
+/// Longest time for the archive to be read, which outlives all daemons.
+const ARCHIVE_TIMEOUT: Duration = Duration::from_millis(1_000);
+
 /// Retry-After of a stream that no server may go on with now.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 
@@ -43,6 +46,13 @@
     }
 }
 
+/// Records that a stream has come to its end.
+pub(super) fn record_end(router: &Router, request: &RoutedRequest) {
+    if request.route.is_resumable {
+        origin::record_end(&router.daemon, &request.pool, first_request(request));
+    }
+}
+
 /// Id of the request that brought, or brings, the first event of the stream.
 fn first_request(request: &RoutedRequest) -> &str {
     let info = &request.request_info;
@@ -81,10 +91,15 @@
             return (Origin::At(version), "record");
         }
         // Without a record, the version is certain only if no other one can have begun it.
-        match daemon.software.sole(pool) {
-            Some(version) => (Origin::At(version), "sole_version"),
-            None => (Origin::Unknown, "none"),
+        if let Some(version) = daemon.software.sole(pool) {
+            return (Origin::At(version), "sole_version");
+        }
+        if let Some(first) = &self.request.request_info.resumes
+            && let Some(version) = origin::find_archived(daemon, pool, first, ARCHIVE_TIMEOUT).await
+        {
+            return (Origin::At(version), "archive");
         }
+        (Origin::Unknown, "none")
     }
 
     /// Why no server may go on with the stream now; `None` if one may. A request that waits in the
--- a/crates/ffw-soak/src/daemon.rs
+++ b/crates/ffw-soak/src/daemon.rs
@@ -18,6 +18,9 @@
 /// Longest time in seconds between SIGTERM and the exit of a daemon (its setting `graceS`).
 pub const SHUTDOWN_GRACE_S: u64 = 4;
 
+/// Key that daemons share unless one of them is given another.
+const PEER_SECRET: &str = "a-shared-key-for-the-soak";
+
 /// A daemon and its process, if it is running.
 #[derive(Debug)]
 pub struct Daemon {
@@ -31,6 +34,7 @@
     ports: Ports,
     settings: PathBuf,
     log: PathBuf,
+    peer_secret: &'static str,
     child: Option<Child>,
 }
 
@@ -89,7 +93,22 @@
         fs::write(&settings, node_file.to_string()).wrap_err("settings")?;
         let log = folder.join(format!("{name}.log"));
         let (caller_address, readiness_address) = (ports.callers(), ports.readiness());
-        Ok(Daemon { name, caller_address, readiness_address, ports, settings, log, child: None })
+        Ok(Daemon {
+            name,
+            caller_address,
+            readiness_address,
+            ports,
+            settings,
+            log,
+            peer_secret: PEER_SECRET,
+            child: None,
+        })
+    }
+
+    /// Gives the daemon a key of its own from its next start on, so that it and the others refuse
+    /// each other's connections.
+    pub fn set_peer_secret(&mut self, secret: &'static str) {
+        self.peer_secret = secret;
     }
 
     /// Changes the settings file; a running process reads it again within seconds, or on SIGHUP.
@@ -111,7 +130,7 @@
         let child = Command::new(program)
             .arg("route")
             .env("FIREFLYWORKS_NODE_FILE", &self.settings)
-            .env("FIREFLYWORKS_PEER_SECRET", "a-shared-key-for-the-soak")
+            .env("FIREFLYWORKS_PEER_SECRET", self.peer_secret)
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()
--- a/crates/fireflyworks/src/command/route.rs
+++ b/crates/fireflyworks/src/command/route.rs
@@ -10,6 +10,7 @@
     ffw_control::{
         announce, calls,
         daemon::{Daemon, Mode, Setup},
+        origin::archive,
         owner, quarantine, relay,
         software::record,
     },
@@ -28,7 +29,7 @@
         timer,
     },
     fireflyworks_platform::{
-        announce::storage, dialect::DIALECT, follow, lease, settings::Settings, software,
+        announce::storage, dialect::DIALECT, follow, lease, origin, settings::Settings, software,
         store::Store,
     },
     log::{LevelFilter, info, warn},
@@ -143,6 +144,8 @@
     follow::start(&daemon, &store);
     let records = software::storage(&store);
     executor::detach(record::run(daemon.clone(), records, settings.is_first_start));
+    let copies = origin::storage(&store);
+    executor::detach(archive::run(daemon.clone(), copies, settings.store_writes_per_s));
     let entries = storage(&store);
     let own = own_instance(&settings);
     let announcing = executor::spawn(announce::announce(entries.clone(), daemon.clone(), own));
--- a/crates/fireflyworks/tests/software_versions.rs
+++ b/crates/fireflyworks/tests/software_versions.rs
@@ -8,13 +8,13 @@
 mod streams;
 
 use {
-    ffw_runtime::{executor, timer},
+    ffw_runtime::timer,
     ffw_soak::worker::{EVENT_COUNT, Worker},
     ffw_support::permit,
     rstest::rstest,
     smol::Task,
     std::{num::NonZero, sync::atomic::Ordering, time::Duration},
-    streams::{Call, Fleet, LIST_TIME, Part, RESUMABLE, all, begin_streams, busiest},
+    streams::{EVENTS_SEEN, Fleet, LIST_TIME, Part, RESUMABLE, all, begin_streams, busiest},
 };
 
 /// Processor cores for each run.
@@ -30,9 +30,6 @@
 /// Servers of the new version, which have more room than those of the old one.
 const NEW_SERVERS: usize = 4;
 
-/// Events that a caller has got of a stream when its connection breaks.
-const EVENTS_SEEN: u32 = 5;
-
 /// Time from the start of a stream in which its first events arrive.
 const BEGIN_TIME: Duration = Duration::from_millis(300);
 
@@ -52,30 +49,6 @@
     assert!(unserved.is_empty(), "{unserved_count} of {count} did not go on: {unserved:?}");
 }
 
-/// Gets the first events of streams at a daemon. Their connections end at the same time.
-async fn first_parts(fleet: &Fleet, daemon: usize) -> Vec<Part> {
-    let address = fleet.address(daemon);
-    let begin = |number: usize| async move {
-        Call::new(&format!("first-{number}")).begin(address, EVENTS_SEEN).await
-    };
-    let tasks = (0..STREAMS).map(|number| executor::spawn(begin(number))).collect();
-    let parts = all(tasks).await;
-    assert!(parts.iter().all(|part| part.ids().len() == EVENTS_SEEN as usize), "{parts:?}");
-    parts
-}
-
-/// Takes all streams up at a daemon.
-async fn take_up(fleet: &Fleet, daemon: usize) -> Vec<Part> {
-    let address = fleet.address(daemon);
-    let take_up = |number: usize| async move {
-        let (id, resumes) = (format!("again-{number}"), format!("first-{number}"));
-        let last_event = Some(EVENTS_SEEN - 1);
-        let call = Call { last_event, resumes: Some(&resumes), ..Call::new(&id) };
-        call.send(address).await
-    };
-    all((0..STREAMS).map(|number| executor::spawn(take_up(number))).collect()).await
-}
-
 /// Streams begin at servers of the old version, and servers of the new one come, with more room.
 async fn begin_before_release(fleet: &mut Fleet) -> Vec<Task<Part>> {
     let streams = begin_streams(fleet.address(0), RESUMABLE, "stream", STREAMS);
@@ -108,10 +81,10 @@
     smol::block_on(async {
         let _permit = permit::acquire(CORES).await;
         let mut fleet = Fleet::start("taken-up", Some(OLD)).await;
-        first_parts(&fleet, 0).await;
+        fleet.first_parts(0, STREAMS).await;
         fleet.add_servers(Some(NEW), NEW_SERVERS).await;
         timer::sleep(LIST_TIME).await;
-        let parts = take_up(&fleet, 1).await;
+        let parts = fleet.take_up(1, STREAMS).await;
         assert_one_version(&parts, OLD);
         assert_rest(&parts, Some(EVENTS_SEEN - 1));
     });
@@ -124,11 +97,11 @@
     smol::block_on(async {
         let _permit = permit::acquire(CORES).await;
         let mut fleet = Fleet::start("daemon-killed", Some(OLD)).await;
-        first_parts(&fleet, 0).await;
+        fleet.first_parts(0, STREAMS).await;
         fleet.kill(0);
         fleet.add_servers(Some(NEW), NEW_SERVERS).await;
         timer::sleep(LIST_TIME).await;
-        let parts = take_up(&fleet, 2).await;
+        let parts = fleet.take_up(2, STREAMS).await;
         assert_one_version(&parts, OLD);
         assert_rest(&parts, Some(EVENTS_SEEN - 1));
     });
@@ -149,11 +122,11 @@
         let mut fleet = Fleet::start(name, Some(OLD)).await;
         fleet.add_servers(Some(NEW), 2).await;
         timer::sleep(LIST_TIME).await;
-        let first = first_parts(&fleet, 0).await;
+        let first = fleet.first_parts(0, STREAMS).await;
         if is_killed {
             fleet.kill(0);
         }
-        let rest = take_up(&fleet, 1).await;
+        let rest = fleet.take_up(1, STREAMS).await;
         for (first, rest) in first.iter().zip(&rest) {
             let served = rest.versions();
             assert!(served.is_empty() || first.versions() == served, "{first:?} {rest:?}");
@@ -220,8 +193,8 @@
     Unfinished,
 }
 
-/// All daemons are killed while there are two versions, so that nothing tells at which one a stream
-/// began. It may be refused; it may go on at its own version only.
+/// All daemons are killed during a release. A stream may be refused then; it may go on at its own
+/// version only.
 #[rstest]
 #[case::begun("release-begun", Release::Begun)]
 #[case::unseen("release-unseen", Release::Unseen)]
@@ -233,7 +206,7 @@
     smol::block_on(async {
         let _permit = permit::acquire(CORES).await;
         let mut fleet = Fleet::start(name, Some(OLD)).await;
-        first_parts(&fleet, 0).await;
+        fleet.first_parts(0, STREAMS).await;
         if release != Release::Unseen {
             fleet.add_servers(Some(NEW), NEW_SERVERS).await;
         }
@@ -247,7 +220,7 @@
         }
         fleet.start_again().await;
         for daemon in 0..fleet.daemons.len() {
-            let parts = take_up(&fleet, daemon).await;
+            let parts = fleet.take_up(daemon, STREAMS).await;
             assert_one_version(&parts, OLD);
             let is_refused = |part: &Part| part.status != Some(200);
             assert!(release == Release::Unfinished || parts.iter().all(is_refused), "{parts:?}");
@@ -267,11 +240,11 @@
     smol::block_on(async {
         let _permit = permit::acquire(CORES).await;
         let mut fleet = Fleet::start(name, version).await;
-        first_parts(&fleet, 0).await;
+        fleet.first_parts(0, STREAMS).await;
         timer::sleep(KNOWN_TIME).await;
         fleet.kill_all().await;
         fleet.start_again().await;
-        let parts = take_up(&fleet, 1).await;
+        let parts = fleet.take_up(1, STREAMS).await;
         assert_one_version(&parts, version.unwrap_or_default());
         assert_rest(&parts, Some(EVENTS_SEEN - 1));
         assert!(parts.iter().all(|part| part.ids().last() == Some(&(EVENT_COUNT - 1))));
--- a/crates/fireflyworks/tests/support/streams.rs
+++ b/crates/fireflyworks/tests/support/streams.rs
@@ -10,6 +10,7 @@
     ffw_soak::{
         client,
         daemon::{Daemon, Ports},
+        proxy::Proxy,
         store::Store,
         wire::IO_TIMEOUT,
         worker::{EVENT_COUNT, Log, Role, Worker},
@@ -44,9 +45,15 @@
 /// Time in which daemons that have started find each other and learn what the others know.
 const SETTLING_TIME: Duration = Duration::from_secs(3);
 
+/// Age up to which daemons that can't reach each other use a list of servers.
+const LIST_AGE_MAX_MS: u64 = 4_000;
+
 /// Timeout of the routes, and deadline of the requests.
 const TIMEOUT_MS: u64 = 15_000;
 
+/// Events that a caller has got of a stream when its connection breaks.
+pub(crate) const EVENTS_SEEN: u32 = 5;
+
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
 fn configuration() -> Value {
@@ -72,38 +79,87 @@
     daemon.change_settings(change).expect("settings");
 }
 
-/// Three daemons before a store and servers of one service.
+/// Daemons before a store and servers of one service.
 pub(crate) struct Fleet {
     pub(crate) daemons: Vec<Daemon>,
     pub(crate) store: Store,
+    /// Connections of each daemon to the store.
+    pub(crate) store_links: Vec<Proxy>,
     pub(crate) servers: Vec<Worker>,
     log: Log,
 }
 
 impl Fleet {
-    /// Starts daemons, and two decode servers and a prefill server of a version.
+    /// Starts three daemons, and two decode servers and a prefill server of a version.
     pub(crate) async fn start(name: &str, version: Option<&str>) -> Fleet {
+        let mut fleet = Fleet::prepare(name, DAEMONS).await;
+        fleet.add_servers(version, 2).await;
+        fleet.start_daemons();
+        fleet.wait_until_it_serves().await;
+        fleet
+    }
+
+    /// The same, with servers that come once the daemons have listed none.
+    pub(crate) async fn start_before_servers(name: &str, version: Option<&str>) -> Fleet {
+        let mut fleet = Fleet::prepare(name, DAEMONS).await;
+        fleet.start_daemons();
+        timer::sleep(LIST_TIME).await;
+        fleet.add_servers(version, 2).await;
+        fleet.wait_until_it_serves().await;
+        fleet
+    }
+
+    /// Starts two daemons that can't reach each other, with lists of servers that may be as old as the
+    /// limits of the deployments allow.
+    pub(crate) async fn start_apart(name: &str, version: Option<&str>) -> Fleet {
+        let mut fleet = Fleet::prepare(name, 2).await;
+        fleet.daemons[1].set_peer_secret("another-key-than-the-others");
+        for daemon in &fleet.daemons {
+            let set_limits = |file: &mut Value| {
+                file["bounds"]["configApplyMs"] = json!(LIST_AGE_MAX_MS);
+                file["bounds"]["drainMs"] = json!(LIST_AGE_MAX_MS);
+            };
+            daemon.change_settings(set_limits).expect("settings");
+        }
+        fleet.add_servers(version, 2).await;
+        fleet.start_daemons();
+        fleet.wait_until_it_serves().await;
+        fleet
+    }
+
+    /// A store with a configuration, and daemons of a first start that are not running yet.
+    async fn prepare(name: &str, daemon_count: usize) -> Fleet {
         let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("streams-{name}"));
         drop(fs::remove_dir_all(&folder));
         fs::create_dir_all(&folder).expect("a folder");
         let (store, store_address) = Store::start().await.expect("a store");
         store.put("config", "main", configuration());
-        let mut fleet =
-            Fleet { daemons: Vec::new(), store, servers: Vec::new(), log: Log::default() };
-        fleet.add_servers(version, 2).await;
-        let ports: Vec<Ports> = (0..DAEMONS).map(|_| Ports::choose().expect("ports")).collect();
+        let mut fleet = Fleet {
+            daemons: Vec::new(),
+            store,
+            store_links: Vec::new(),
+            servers: Vec::new(),
+            log: Log::default(),
+        };
+        let ports: Vec<Ports> =
+            (0..daemon_count).map(|_| Ports::choose().expect("ports")).collect();
         let seeds: Vec<SocketAddr> = ports.iter().map(Ports::peers).collect();
         for (number, ports) in ports.into_iter().enumerate() {
-            let daemon = Daemon::new(&folder, number, ports, &seeds, store_address);
-            let mut daemon = daemon.expect("settings");
+            let link = Proxy::start(store_address).await.expect("a proxy");
+            let daemon = Daemon::new(&folder, number, ports, &seeds, link.address);
+            let daemon = daemon.expect("settings");
             set_first_start(&daemon, true);
-            daemon.start(Path::new(PROGRAM)).expect("a daemon");
             fleet.daemons.push(daemon);
+            fleet.store_links.push(link);
         }
-        fleet.wait_until_it_serves().await;
         fleet
     }
 
+    fn start_daemons(&mut self) {
+        let start = |daemon: &mut Daemon| daemon.start(Path::new(PROGRAM)).expect("a daemon");
+        self.daemons.iter_mut().for_each(start);
+    }
+
     /// Adds a prefill server and this many decode servers of a version.
     pub(crate) async fn add_servers(&mut self, version: Option<&str>, decode_count: usize) {
         let roles = [vec![Role::Prefill], vec![Role::Decode; decode_count]].concat();
@@ -168,12 +224,35 @@
         for daemon in &mut self.daemons {
             daemon.take_exit_code();
             set_first_start(daemon, false);
-            daemon.start(Path::new(PROGRAM)).expect("a daemon");
         }
+        self.start_daemons();
         self.wait_until_it_serves().await;
     }
 
-    async fn wait_until_it_serves(&self) {
+    /// Gets the first events of streams at a daemon. Their connections end at the same time.
+    pub(crate) async fn first_parts(&self, daemon: usize, count: usize) -> Vec<Part> {
+        let address = self.address(daemon);
+        let begin = |number: usize| async move {
+            Call::new(&format!("first-{number}")).begin(address, EVENTS_SEEN).await
+        };
+        let parts = all((0..count).map(|number| executor::spawn(begin(number))).collect()).await;
+        assert!(parts.iter().all(|part| part.ids().len() == EVENTS_SEEN as usize), "{parts:?}");
+        parts
+    }
+
+    /// Takes these streams up at a daemon.
+    pub(crate) async fn take_up(&self, daemon: usize, count: usize) -> Vec<Part> {
+        let address = self.address(daemon);
+        let take_up = |number: usize| async move {
+            let (id, resumes) = (format!("again-{number}"), format!("first-{number}"));
+            let last_event = Some(EVENTS_SEEN - 1);
+            let call = Call { last_event, resumes: Some(&resumes), ..Call::new(&id) };
+            call.send(address).await
+        };
+        all((0..count).map(|number| executor::spawn(take_up(number))).collect()).await
+    }
+
+    pub(crate) async fn wait_until_it_serves(&self) {
         for daemon in &self.daemons {
             let started_at = Instant::now();
             let mut tries = 0;
