Know the past of pools that get servers after the first start

Cause: `bootstrap` tells that nothing was listed before. It was taken for the pools that had servers when the records were read first, 0.25 s after the first list, and then given up. For a pool that was empty then, that a later configuration adds, or that was emptied meanwhile, no daemon created the record for 60 s, and daemons that start in that time know no only version. The reverse fault was there, too: a daemon whose first list came late took that list for the beginning, although versions may have come and gone at daemons that reached the store.

Change: the history records the first start for all pools, if its first list was read within 2 s of the start, and gives it up with the first change that may have been missed.

--- a/crates/ffw-control/src/software/record.rs
+++ b/crates/ffw-control/src/software/record.rs
@@ -77,7 +77,7 @@
     let mut keeper = Keeper {
         daemon,
         storage,
-        is_first_start,
+        first_started_at: is_first_start.then(clock::boot_time),
         records: Vec::new(),
         read_in: None,
         overdue: Vec::new(),
@@ -98,7 +98,9 @@
 struct Keeper {
     daemon: Arc<Daemon>,
     storage: Storage,
-    is_first_start: bool,
+    /// When this daemon started, if the whole system started for the first time then; `None` once
+    /// that is recorded.
+    first_started_at: Option<Moment>,
     /// What was read or written last, in order of name.
     records: Vec<Record>,
     /// Era of the store, and start of the observation of the list, in which the records were read.
@@ -120,6 +122,10 @@
         let Some(observed_since) = self.daemon.software.history().observed_since() else {
             return Ok(());
         };
+        if let Some(started_at) = self.first_started_at.take() {
+            info!("event=software_first_start");
+            self.daemon.software.history().record_first_start(started_at);
+        }
         if self.read_in != Some(((self.storage.era)(), observed_since)) {
             self.read_all(observed_since).await?;
         }
@@ -136,21 +142,16 @@
         let mut history = self.daemon.software.history();
         let contents = records.iter().filter_map(|record| record.content.as_ref());
         for Content { pool, versions } in contents {
-            history.record_stored(now, Some(observed_since), pool, Some(versions), false);
+            history.record_stored(now, Some(observed_since), pool, Some(versions));
         }
         let pools: Vec<Arc<str>> = history.pools().cloned().collect();
         for pool in pools {
             if !records.iter().any(|record| record.name == name(&pool)) {
-                history.record_stored(now, Some(observed_since), &pool, None, self.is_first_start);
+                history.record_stored(now, Some(observed_since), &pool, None);
             }
         }
         drop(history);
-        info!(
-            "event=software_records_read records={} is_first_start={}",
-            records.len(),
-            self.is_first_start
-        );
-        self.is_first_start = false;
+        info!("event=software_records_read records={}", records.len());
         self.replace_records(records);
         self.read_in = Some(((self.storage.era)(), observed_since));
         Ok(())
@@ -168,7 +169,7 @@
             let before = self.versions(pool).unwrap_or_default();
             let new = versions.iter().filter(|version| !before.contains(version));
             let new: Vec<Version> = new.cloned().collect();
-            history.record_stored(now, Some(observed_since), pool, Some(&new), false);
+            history.record_stored(now, Some(observed_since), pool, Some(&new));
         }
         drop(history);
         self.replace_records(records);
--- a/crates/ffw-decide/src/affinity/history.rs
+++ b/crates/ffw-decide/src/affinity/history.rs
@@ -22,6 +22,10 @@
 /// that a configuration may bring later.
 const FORGET_AFTER: Duration = Duration::from_secs(24 * 3_600);
 
+/// Longest time from the first start of the system to the first list that a daemon reads, in which no
+/// server can have come, served and left. A server that leaves stays listed for longer.
+const FIRST_LIST_MAX: Duration = Duration::from_secs(2);
+
 /// Longest time from a stream's first event until a caller may take it up: twice the longest
 /// timeout of a stream route, since the first attempt and its continuation have one each.
 pub fn lifetime(deployment: &Deployment) -> Duration {
@@ -58,6 +62,8 @@
     lifetime: Duration,
     /// Since when no change of the list can have been missed; `None` before the first list.
     observed_since: Option<Moment>,
+    /// Whether nothing was listed before `observed_since`, in any pool.
+    is_from_start: bool,
     /// In order of name.
     pools: Vec<Pool>,
 }
@@ -100,7 +106,12 @@
 
 impl Default for History {
     fn default() -> History {
-        History { lifetime: LIFETIME_MIN, observed_since: None, pools: Vec::new() }
+        History {
+            lifetime: LIFETIME_MIN,
+            observed_since: None,
+            is_from_start: false,
+            pools: Vec::new(),
+        }
     }
 }
 
@@ -118,9 +129,18 @@
     /// Records that changes of the list before `now` may have been missed.
     pub fn record_gap(&mut self, now: Moment) {
         self.observed_since = Some(now);
+        self.is_from_start = false;
         self.pools.iter_mut().for_each(|pool| pool.is_past_known = false);
     }
 
+    /// Records that the whole system started for the first time at `started_at`. Then the past of
+    /// every pool is known, also of those that come later, as long as no change is missed. This
+    /// holds only if the list was read soon: a version may have come and gone before a later one.
+    pub fn record_first_start(&mut self, started_at: Moment) {
+        let Some(since) = self.observed_since else { return };
+        self.is_from_start = since.since(started_at) <= FIRST_LIST_MAX;
+    }
+
     /// Records that a server was listed, if only for a moment.
     pub fn record_server(&mut self, now: Moment, listed: &Listed) {
         self.pool(&listed.pool).record(now, listed, false);
@@ -144,9 +164,8 @@
         changes
     }
 
-    /// Records what the store held for a pool at `now`; `None` if it held no record. Before the
-    /// system's first start nothing was listed, and a pool whose servers have never stated a
-    /// version has no record. `observed_since` is the value from before the read; the read counts
+    /// Records what the store held for a pool at `now`; `None` if it held no record, as a pool whose
+    /// servers have never stated a version has none. `observed_since` is the value from before the read; the read counts
     /// for nothing if changes have been missed since then.
     pub fn record_stored(
         &mut self,
@@ -154,7 +173,6 @@
         observed_since: Option<Moment>,
         pool: &Arc<str>,
         stored: Option<&[Version]>,
-        is_first_start: bool,
     ) {
         if observed_since != self.observed_since {
             return;
@@ -165,7 +183,7 @@
         }
         let is_unstated = pool.unknown.is_empty()
             && pool.versions.iter().all(|seen| seen.what == Version::Unstated);
-        pool.is_past_known |= stored.is_some() || is_first_start || is_unstated;
+        pool.is_past_known |= stored.is_some() || is_unstated;
     }
 
     /// The only version at which a stream of a pool that callers may still take up can have begun;
@@ -221,7 +239,7 @@
 
     fn knows_all(&self, now: Moment, pool: &Pool) -> bool {
         let Some(since) = self.observed_since else { return false };
-        (pool.is_past_known || now.since(since) >= self.lifetime)
+        (self.is_from_start || pool.is_past_known || now.since(since) >= self.lifetime)
             && !pool.unknown.iter().any(|seen| seen.counts(now, self.lifetime))
     }
 
--- a/crates/ffw-decide/tests/affinity_history.rs
+++ b/crates/ffw-decide/tests/affinity_history.rs
@@ -48,7 +48,10 @@
 /// The same, with what the store held for the pool.
 fn started_with(names: &[&str], stored: Option<&[Version]>, is_first_start: bool) -> History {
     let mut history = started(names);
-    history.record_stored(at(0), Some(at(0)), &"llm".into(), stored, is_first_start);
+    if is_first_start {
+        history.record_first_start(at(0));
+    }
+    history.record_stored(at(0), Some(at(0)), &"llm".into(), stored);
     history
 }
 
@@ -95,6 +98,38 @@
     assert_eq!(history.sole(at(1), "llm"), expected.map(version));
 }
 
+/// Guards against a first minute in which no daemon creates the record of a pool that was empty at the
+/// first start, and none that starts meanwhile knows its only version.
+#[test]
+fn the_past_of_a_pool_that_gets_servers_later_is_known_from_the_first_start() {
+    let mut history = started_with(&[], None, true);
+    history.record_list(at(10), &list(&["v1-a"]));
+    assert_eq!(history.sole(at(10), "llm"), Some(version("v1")));
+    assert_eq!(history.plan(at(10), "llm", None), Some(vec![version("v1")]));
+    history.record_list(at(20), &[]);
+    history.record_list(at(30), &list(&["v2-a"]));
+    assert_eq!(history.sole(at(30), "llm"), None, "v1 was listed within the lifetime");
+    history.record_gap(at(40));
+    history.record_list(at(40), &list(&["v2-a"]));
+    assert_eq!(history.sole(at(20 + LIFETIME_S), "llm"), None, "something may have been missed");
+}
+
+/// A version may have come and gone before a list that was read late.
+#[rstest]
+#[case::in_time(2, Some("v1"))]
+#[case::late(3, None)]
+fn a_first_list_that_comes_late_tells_nothing_of_before(
+    #[case] list_at_s: u64,
+    #[case] expected: Option<&str>,
+) {
+    let mut history = History::default();
+    history.set_lifetime(Duration::from_secs(LIFETIME_S));
+    history.record_gap(at(list_at_s));
+    history.record_list(at(list_at_s), &list(&["v1-a"]));
+    history.record_first_start(at(0));
+    assert_eq!(history.sole(at(list_at_s), "llm"), expected.map(version));
+}
+
 #[test]
 fn without_a_record_the_list_is_observed_for_a_lifetime() {
     let history = started(&["v2-a"]);
@@ -121,9 +156,9 @@
     history.record_list(at(500), &list(&["v1-a"]));
     assert_eq!(history.sole(at(501), "llm"), None, "another version may have come and gone");
     // The answer to a read of before the gap tells nothing about the gap.
-    history.record_stored(at(501), Some(at(0)), &"llm".into(), Some(&[version("v1")]), false);
+    history.record_stored(at(501), Some(at(0)), &"llm".into(), Some(&[version("v1")]));
     assert_eq!(history.sole(at(501), "llm"), None);
-    history.record_stored(at(502), Some(at(500)), &"llm".into(), Some(&[version("v1")]), false);
+    history.record_stored(at(502), Some(at(500)), &"llm".into(), Some(&[version("v1")]));
     assert_eq!(history.sole(at(502), "llm"), Some(version("v1")));
 }
 
@@ -228,7 +263,7 @@
                     history.record_gap(at(now_s));
                     history.record_list(at(now_s), &servers(&listed));
                     let (since, pool) = (Some(at(now_s)), "llm".into());
-                    history.record_stored(at(now_s), since, &pool, stored.as_deref(), false);
+                    history.record_stored(at(now_s), since, &pool, stored.as_deref());
                 }
             }
             if let Some(versions) = history.plan(at(now_s), "llm", stored.as_deref()) {
--- a/crates/fireflyworks/tests/release_recovery.rs
+++ b/crates/fireflyworks/tests/release_recovery.rs
@@ -116,3 +116,18 @@
         assert_go_on(&first, &fleet.take_up(2, STREAMS).await);
     });
 }
+
+/// The servers come after the daemons, of a first start, have listed none. All daemons are killed
+/// within a minute. Without a record of the only version, each take-up is refused. The copies of where
+/// streams began would do as well; `software_record` shows the record alone.
+#[test]
+fn streams_go_on_after_a_kill_in_the_first_minute_of_servers_that_came_late() {
+    smol::block_on(async {
+        let _permit = permit::acquire(CORES).await;
+        let mut fleet = Fleet::start_before_servers("late-servers", Some(OLD)).await;
+        let first = fleet.first_parts(0, STREAMS).await;
+        fleet.kill_all().await;
+        fleet.start_again().await;
+        assert_go_on(&first, &fleet.take_up(1, STREAMS).await);
+    });
+}
