Confirm the list of servers after a take-up before it tells where a stream began

Cause: where no daemon remembers a stream, the only listed version was taken for the one that began it, if the list was younger than 2 to 4 s. Another version may have been listed and have begun the stream within that time, and a process may stand still after it has looked at the age.

Change: the list tells it only if the store has confirmed it by a call that was sent after the take-up arrived. A server is listed before it gets a request, so such a list has the stream's version, and nothing that happens later changes that. One call serves all take-ups that wait. Without an answer within a second the take-up is refused, not run, for another daemon to serve (known_by=unconfirmed). Related: a list that replaces missed changes makes the record of versions needed again, and for 2.5 s after a restore of the store no version is the only one.

--- a/crates/ffw-control/src/belief.rs
+++ b/crates/ffw-control/src/belief.rs
@@ -51,6 +51,9 @@
 /// Parts of the bound: the pause after a question to the store or the checker.
 const QUESTIONS_PER_BOUND: u32 = 16;
 
+/// Pause between two looks at whether a list of servers that is wanted is confirmed.
+const CONFIRMATION_POLL: Duration = Duration::from_millis(10);
+
 /// Longest pause of a reader between two reads.
 pub const READER_PAUSE_MAX: Duration = Duration::from_millis(500);
 
@@ -100,6 +103,36 @@
     latency_ms: AtomicU64,
     /// Daemons that know the call for confirmations.
     answering: Answering,
+    /// Wishes for a younger confirmation of the list of servers.
+    wanted: Wanted,
+}
+
+/// Wishes for a confirmation by a call that is still to be sent.
+#[derive(Debug)]
+struct Wanted {
+    channel: (Sender<()>, Receiver<()>),
+    /// When the latest call that was answered for such a wish was sent.
+    asked_at: Mutex<Option<Moment>>,
+}
+
+impl Default for Wanted {
+    fn default() -> Wanted {
+        Wanted { channel: channel::bounded(1), asked_at: Mutex::default() }
+    }
+}
+
+impl Wanted {
+    /// When the latest call that was answered for such a wish was sent.
+    fn asked_at(&self) -> MutexGuard<'_, Option<Moment>> {
+        self.asked_at.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Asks for a call, unless one that was sent at `since` or later has been answered.
+    fn add(&self, since: Moment) {
+        if self.asked_at().is_none_or(|asked_at| asked_at < since) {
+            self.channel.0.try_send(()).ok();
+        }
+    }
 }
 
 /// The state of the task that reads one kind from the store.
@@ -171,6 +204,19 @@
         self.age(kind).is_none_or(|age| age > self.bound())
     }
 
+    /// Waits until the list of servers is confirmed by a call to the store that was sent at `since`
+    /// or later; returns false if it is not within `limit`. No time bound on the age would do
+    /// instead, as the process may stand still between a look at the age and what follows from it.
+    pub async fn confirm_servers(&self, since: Moment, limit: Duration) -> bool {
+        let confirming = async {
+            while !self.of(Kind::Servers).is_confirmed_since(since) {
+                self.wanted.add(since);
+                timer::sleep(CONFIRMATION_POLL).await;
+            }
+        };
+        timer::timeout(limit, confirming).await.is_some()
+    }
+
     /// Sets the bound on the ages; a shorter one than [`BOUND_MIN`] counts as that.
     pub fn set_bound(&self, bound: Duration) {
         let millis = u64::try_from(bound.max(BOUND_MIN).as_millis()).unwrap_or(u64::MAX);
@@ -227,10 +273,14 @@
 }
 
 /// Keeps the beliefs younger than their bound, and confirms the configuration when a request names
-/// something that it lacks, for as long as the daemon runs.
+/// something that it lacks, and the list of servers when it is to tell where a stream began, for as
+/// long as the daemon runs.
 pub async fn run(daemon: Arc<Daemon>, ask: Ask) {
-    let confirming =
-        smol::future::or(keep_confirmed(&daemon, &ask), confirm_on_demand(&daemon, &ask));
+    let on_demand = smol::future::or(
+        confirm_on_demand(&daemon, &ask),
+        confirm_servers_on_demand(&daemon, &ask),
+    );
+    let confirming = smol::future::or(keep_confirmed(&daemon, &ask), on_demand);
     smol::future::or(confirming, log_overdue(&daemon)).await;
 }
 
@@ -310,6 +360,24 @@
     }
 }
 
+/// Asks the store each time that a younger confirmation of the list of servers is wanted. Never
+/// returns.
+async fn confirm_servers_on_demand(daemon: &Arc<Daemon>, ask: &Ask) {
+    let wanted = &daemon.beliefs.wanted;
+    loop {
+        wanted.channel.1.recv().await.ok();
+        let bound = daemon.beliefs.bound();
+        let asked_at = clock::boot_time();
+        match ask_store(daemon, ask, Kind::Servers, bound).await {
+            Ok(()) => *wanted.asked_at() = Some(asked_at),
+            Err(error) => {
+                debug!("event=servers_unconfirmed error=\"{error}\"");
+                timer::sleep(bound / QUESTIONS_PER_BOUND).await;
+            }
+        }
+    }
+}
+
 /// The daemon that asks the store on behalf of this one; `None` if this daemon asks for itself.
 fn find_checker(daemon: &Daemon) -> Option<Instance> {
     let first = relay::relays_of(daemon, &daemon.identity.data_centre).into_iter().next();
--- a/crates/ffw-control/src/metrics/routed.rs
+++ b/crates/ffw-control/src/metrics/routed.rs
@@ -270,8 +270,9 @@
         self.runs.with_label_values(&[pool, framing, yes_or_no(is_moved), end]).inc();
     }
 
-    /// Counts a stream that its caller took up; `known_by` is *record*, *sole_version*, *unstated* if
-    /// no server states a version, or *none* if its origin is not known.
+    /// Counts a stream that its caller took up; `known_by` is *record*, *sole_version*, *archive*,
+    /// *unstated* if no server states a version, or, if its origin is not known, *unconfirmed* if the
+    /// store did not confirm the list of servers, and *none* else.
     pub fn record_resumed(&self, pool: &str, known_by: &str) {
         self.resumed.with_label_values(&[pool, known_by]).inc();
     }
--- a/crates/ffw-control/src/software.rs
+++ b/crates/ffw-control/src/software.rs
@@ -77,11 +77,17 @@
 
     /// The only version at which a stream of a pool that callers may still take up can have begun;
     /// `None` if there are several, if not all are known, or if the list of servers is older than
-    /// its bound, since servers of another version may have come meanwhile.
+    /// its bound. It holds for streams that began before the list was confirmed, see
+    /// [`sole_before`].
     pub fn sole(&self, pool: &str) -> Option<Version> {
         if self.beliefs.is_overdue(Kind::Servers) {
             return None;
         }
+        self.sole_listed(pool)
+    }
+
+    /// The same, however old the list of servers is.
+    fn sole_listed(&self, pool: &str) -> Option<Version> {
         self.history().sole(clock::boot_time(), pool)
     }
 
@@ -132,6 +138,11 @@
         self.history().record_gap(clock::boot_time());
     }
 
+    /// Records a list from a store that was restored from an earlier copy of itself.
+    pub fn record_restore(&self) {
+        self.history().record_restore(clock::boot_time());
+    }
+
     pub(crate) fn history(&self) -> MutexGuard<'_, History> {
         self.history.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -162,6 +173,32 @@
     found.ok().map(|index| &known[index].version)
 }
 
+/// What the list of servers tells about where a stream began.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Sole {
+    /// At this version: no other one can have begun it.
+    Version(Version),
+    /// Nothing: several versions can have begun it, or not all are known.
+    Unknown,
+    /// Nothing: the store has not confirmed in time that there is no further version.
+    Unconfirmed,
+}
+
+/// What the list of servers tells about streams of a pool that began before `since`, within `limit`.
+///
+/// A server is listed before it gets a request, so a list that the store has confirmed by a call that
+/// was sent at `since` or later has the version of each such stream. Whatever this daemon missed
+/// before, and however long it stands still afterwards, does not change that.
+pub async fn sole_before(daemon: &Daemon, pool: &str, since: Moment, limit: Duration) -> Sole {
+    if daemon.software.sole_listed(pool).is_none() {
+        return Sole::Unknown;
+    }
+    if !daemon.beliefs.confirm_servers(since, limit).await {
+        return Sole::Unconfirmed;
+    }
+    daemon.software.sole_listed(pool).map_or(Sole::Unknown, Sole::Version)
+}
+
 /// Names of the listed decode servers of a pool, in order.
 pub fn decode_servers(daemon: &Daemon, pool: &str) -> Vec<Arc<str>> {
     let roster = daemon.view.roster();
--- a/crates/ffw-decide/src/affinity/history.rs
+++ b/crates/ffw-decide/src/affinity/history.rs
@@ -22,6 +22,9 @@
 /// that a configuration may bring later.
 const FORGET_AFTER: Duration = Duration::from_secs(24 * 3_600);
 
+/// Time after a restore of the store in which servers that it has lost write their entries again.
+const RESTORE_SETTLE_TIME: Duration = Duration::from_millis(2_500);
+
 /// Longest time from the first start of the system to the first list that a daemon reads, in which no
 /// server can have come, served and left. A server that leaves stays listed for longer.
 const FIRST_LIST_MAX: Duration = Duration::from_secs(2);
@@ -64,6 +67,9 @@
     observed_since: Option<Moment>,
     /// Whether nothing was listed before `observed_since`, in any pool.
     is_from_start: bool,
+    /// Time until which servers may be missing in the list that the copy lacked from which the
+    /// store was restored; `None` before the first restore.
+    settles_at: Option<Moment>,
     /// In order of name.
     pools: Vec<Pool>,
 }
@@ -110,6 +116,7 @@
             lifetime: LIFETIME_MIN,
             observed_since: None,
             is_from_start: false,
+            settles_at: None,
             pools: Vec::new(),
         }
     }
@@ -133,6 +140,12 @@
         self.pools.iter_mut().for_each(|pool| pool.is_past_known = false);
     }
 
+    /// Records a list from a store that was restored from an earlier copy of itself. It lacks the
+    /// servers that came since the copy, until they have written their entries again.
+    pub fn record_restore(&mut self, now: Moment) {
+        self.settles_at = Some(now + RESTORE_SETTLE_TIME);
+    }
+
     /// Records that the whole system started for the first time at `started_at`. Then the past of
     /// every pool is known, also of those that come later, as long as no change is missed. This
     /// holds only if the list was read soon: a version may have come and gone before a later one.
@@ -239,6 +252,9 @@
 
     fn knows_all(&self, now: Moment, pool: &Pool) -> bool {
         let Some(since) = self.observed_since else { return false };
+        if self.settles_at.is_some_and(|at| now < at) {
+            return false;
+        }
         (self.is_from_start || pool.is_past_known || now.since(since) >= self.lifetime)
             && !pool.unknown.iter().any(|seen| seen.counts(now, self.lifetime))
     }
@@ -247,6 +263,7 @@
     fn is_past(&self, now: Moment, pool: &Pool, version: &Version) -> bool {
         let Some(since) = self.observed_since else { return false };
         now.since(since) >= self.lifetime
+            && self.settles_at.is_none_or(|at| now >= at)
             && !pool.unknown.iter().any(|seen| seen.counts(now, self.lifetime))
             && !self.versions(now, pool).any(|counting| counting == version)
     }
--- a/crates/ffw-decide/src/belief.rs
+++ b/crates/ffw-decide/src/belief.rs
@@ -150,6 +150,11 @@
         self.confirmed_at.map(|at| now.since(at))
     }
 
+    /// Whether the latest confirmation is by a call that was sent at `since` or later.
+    pub fn is_confirmed_since(&self, since: Moment) -> bool {
+        self.confirmed_at.is_some_and(|at| at >= since)
+    }
+
     /// Records a list of all objects of the kind, read at a revision by a call sent at `asked_at`.
     pub fn record_list(&mut self, era: u64, revision: u64, asked_at: Moment) {
         self.span = Span { era, since: revision, until: revision };
--- a/crates/ffw-decide/tests/affinity_history.rs
+++ b/crates/ffw-decide/tests/affinity_history.rs
@@ -130,6 +130,18 @@
     assert_eq!(history.sole(at(list_at_s), "llm"), expected.map(version));
 }
 
+/// A restored store lacks the servers that came after its copy, until they have registered again.
+#[test]
+fn shortly_after_a_restore_no_version_is_the_only_one() {
+    let mut history = started_with(&["v1-a"], None, true);
+    history.record_restore(at(200));
+    history.record_list(at(200), &list(&["v1-a"]));
+    assert_eq!(history.sole(at(202), "llm"), None);
+    assert_eq!(history.plan(at(202), "llm", None), None);
+    assert_eq!(history.sole(at(203), "llm"), Some(version("v1")));
+    assert_eq!(history.plan(at(203), "llm", None), Some(vec![version("v1")]));
+}
+
 #[test]
 fn without_a_record_the_list_is_observed_for_a_lifetime() {
     let history = started(&["v2-a"]);
--- a/crates/ffw-route/src/stream/affinity.rs
+++ b/crates/ffw-route/src/stream/affinity.rs
@@ -8,21 +8,28 @@
 use {
     super::{Stream, failure::AttemptFailure},
     crate::{caller::RoutedRequest, router::Router},
-    ffw_control::{admission::Reservation, identity, origin, software},
+    ffw_control::{
+        admission::Reservation,
+        identity, origin,
+        software::{self, Sole},
+    },
     ffw_decide::affinity::Origin,
     ffw_protocol::{
+        belief::Kind as Followed,
         error::{Error, Kind},
         software::Version,
     },
+    ffw_runtime::clock,
     log::info,
-    std::time::Duration,
+    std::time::{Duration, Instant},
 };
 
 /// Longest time for which other daemons are asked where a stream began.
 const FIND_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Longest time for the archive to be read, which outlives all daemons.
-const ARCHIVE_TIMEOUT: Duration = Duration::from_millis(1_000);
+/// Longest time for which the store is asked where a stream began, after the daemons: for a
+/// confirmation of the list of servers, and for the archive.
+const STORE_TIMEOUT: Duration = Duration::from_millis(1_000);
 
 /// Retry-After of a stream that no server may go on with now.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -67,14 +74,18 @@
             return;
         }
         let (daemon, pool) = (&self.router.daemon, &self.request.pool);
+        let began_at = Instant::now();
         let (origin, source) = self.look_up_origin().await;
         daemon.metrics.routed.record_resumed(pool, source);
+        let list_age = daemon.beliefs.age(Followed::Servers);
         info!(
             "event=stream_resumed request={} resumes={} last_event={:?} origin={origin} \
-             known_by={source}",
+             known_by={source} lookup_ms={} list_age_ms={:?}",
             info.id,
             info.resumes.as_deref().unwrap_or("none"),
             info.last_event_id,
+            began_at.elapsed().as_millis(),
+            list_age.map(|age| age.as_millis()),
         );
         self.relay.set_origin(origin);
     }
@@ -82,6 +93,8 @@
     /// Where the stream that the caller takes up began, and how that is known.
     async fn look_up_origin(&self) -> (Origin, &'static str) {
         let (daemon, pool) = (&self.router.daemon, &self.request.pool);
+        // The stream began before its caller sent this request.
+        let arrived_at = clock::boot_time();
         if software::is_unstated(daemon, pool) {
             return (Origin::At(Version::Unstated), "unstated");
         }
@@ -91,15 +104,20 @@
             return (Origin::At(version), "record");
         }
         // Without a record, the version is certain only if no other one can have begun it.
-        if let Some(version) = daemon.software.sole(pool) {
-            return (Origin::At(version), "sole_version");
-        }
+        let asked_at = Instant::now();
+        let unknown_by = match software::sole_before(daemon, pool, arrived_at, STORE_TIMEOUT).await
+        {
+            Sole::Version(version) => return (Origin::At(version), "sole_version"),
+            Sole::Unconfirmed => "unconfirmed",
+            Sole::Unknown => "none",
+        };
+        let time_left = STORE_TIMEOUT.saturating_sub(asked_at.elapsed());
         if let Some(first) = &self.request.request_info.resumes
-            && let Some(version) = origin::find_archived(daemon, pool, first, ARCHIVE_TIMEOUT).await
+            && let Some(version) = origin::find_archived(daemon, pool, first, time_left).await
         {
             return (Origin::At(version), "archive");
         }
-        (Origin::Unknown, "none")
+        (Origin::Unknown, unknown_by)
     }
 
     /// Why no server may go on with the stream now; `None` if one may. A request that waits in the
--- a/crates/fireflyworks/tests/release_recovery.rs
+++ b/crates/fireflyworks/tests/release_recovery.rs
@@ -10,14 +10,16 @@
 
 use {
     ffw_runtime::timer,
+    ffw_soak::proxy::Fault,
     ffw_support::permit,
     rstest::rstest,
     rustix::process::Signal,
     std::{
         num::NonZero,
+        sync::atomic::Ordering,
         time::{Duration, Instant},
     },
-    streams::{EVENTS_SEEN, Fleet, LIST_TIME, Part},
+    streams::{Call, EVENTS_SEEN, Fleet, LIST_TIME, Part},
 };
 
 /// Processor cores for each run.
@@ -40,6 +42,9 @@
 /// Time for which a daemon is stopped: longer than the age up to which a list is used.
 const STOP_TIME: Duration = Duration::from_millis(2_500);
 
+/// Longest time in which a stream whose version can't be known is refused.
+const REFUSAL_LIMIT: Duration = Duration::from_secs(3);
+
 /// Asserts that the rest of each stream came from the version that began it.
 fn assert_go_on(first: &[Part], rest: &[Part]) {
     assert_not_joined(first, rest);
@@ -49,10 +54,38 @@
 }
 
 fn assert_not_joined(first: &[Part], rest: &[Part]) {
-    for (first, rest) in first.iter().zip(rest) {
-        let served = rest.versions();
-        assert!(served.is_empty() || first.versions() == served, "{first:?} {rest:?}");
+    let is_joined = |(first, rest): &(&Part, &Part)| {
+        !rest.versions().is_empty() && first.versions() != rest.versions()
+    };
+    let joined: Vec<_> = first.iter().zip(rest).filter(is_joined).collect();
+    assert!(
+        joined.is_empty(),
+        "{} of {} streams were joined: {joined:?}",
+        joined.len(),
+        first.len()
+    );
+}
+
+/// Adds servers of the new version, and begins streams there at the first daemon.
+async fn begin_at_new_servers(fleet: &mut Fleet) -> Vec<Part> {
+    let old = fleet.decode_servers(OLD);
+    let set_full = |is_full| {
+        old.iter().for_each(|server| server.is_full.store(is_full, Ordering::SeqCst));
+    };
+    set_full(true);
+    fleet.add_servers(Some(NEW), 2).await;
+    let listed_at = Instant::now();
+    let mut number = 0;
+    while Call::new(&format!("probe-{number}")).begin(fleet.address(0), 1).await.versions() != [NEW]
+    {
+        assert!(listed_at.elapsed() < STOP_TIME, "no stream begins at the new servers");
+        timer::sleep(Duration::from_millis(20)).await;
+        number += 1;
     }
+    let first = fleet.first_parts(0, STREAMS).await;
+    assert!(first.iter().all(|part| part.versions() == [NEW]), "{first:?}");
+    set_full(false);
+    first
 }
 
 /// Both versions serve, streams begin at either, and all daemons are killed once, or again after the
@@ -131,3 +164,55 @@
         assert_go_on(&first, &fleet.take_up(1, STREAMS).await);
     });
 }
+
+/// A daemon that the others can't reach is cut off from the store as servers of another version
+/// come. Streams begin there at the other daemon and are taken up at the one that is cut off, whose
+/// list is not overdue yet and knows the old version only. They are refused at once, and go on once
+/// the daemon reaches the store.
+#[rstest]
+#[case::silent("cut-silent", Fault::Silence)]
+#[case::reset("cut-reset", Fault::Reset)]
+#[case::answers_lost("cut-answers-lost", Fault::LossOfAnswers)]
+fn a_stream_is_not_joined_at_a_daemon_that_is_cut_off_during_a_release(
+    #[case] name: &str,
+    #[case] fault: Fault,
+) {
+    smol::block_on(async {
+        let _permit = permit::acquire(CORES).await;
+        let mut fleet = Fleet::start_apart(name, Some(OLD)).await;
+        fleet.store_links[1].set_fault(fault);
+        let first = begin_at_new_servers(&mut fleet).await;
+        let asked_at = Instant::now();
+        let rest = fleet.take_up(1, STREAMS).await;
+        assert_not_joined(&first, &rest);
+        let is_refused = |part: &Part| part.status == Some(503);
+        assert!(rest.iter().all(is_refused), "{rest:?}");
+        assert!(asked_at.elapsed() < REFUSAL_LIMIT, "{:?}", asked_at.elapsed());
+        fleet.store_links[1].set_fault(Fault::None);
+        timer::sleep(STOP_TIME).await;
+        assert_go_on(&first, &fleet.take_up(1, STREAMS).await);
+    });
+}
+
+/// A daemon that the others can't reach is stopped as servers of another version come, and goes on
+/// when streams that began there are taken up at it. Neither its clock nor its list has moved.
+#[rstest]
+#[case::shortly("stopped-shortly", Duration::ZERO)]
+#[case::long("stopped-long", STOP_TIME)]
+fn a_stream_is_not_joined_at_a_daemon_that_was_stopped_during_a_release(
+    #[case] name: &str,
+    #[case] stopped_longer: Duration,
+) {
+    smol::block_on(async {
+        let _permit = permit::acquire(CORES).await;
+        let mut fleet = Fleet::start_apart(name, Some(OLD)).await;
+        fleet.daemons[1].signal(Signal::STOP);
+        let first = begin_at_new_servers(&mut fleet).await;
+        timer::sleep(stopped_longer).await;
+        fleet.daemons[1].signal(Signal::CONT);
+        let rest = fleet.take_up(1, STREAMS).await;
+        assert_not_joined(&first, &rest);
+        timer::sleep(LIST_TIME).await;
+        assert_go_on(&first, &fleet.take_up(1, STREAMS).await);
+    });
+}
