Read and write the daemons' own objects of the store in one place

The records of versions and the copies of where streams began were read, written and decoded by two modules of the same shape. Both use ffw_control::stored::Stored and one module of the platform now, and what a list of servers hides is recorded where the history is kept.

--- a/crates/ffw-control/src/lib.rs
+++ b/crates/ffw-control/src/lib.rs
@@ -26,5 +26,6 @@
 pub mod report;
 pub mod snapshot;
 pub mod software;
+pub mod stored;
 pub mod suspect;
 pub mod sweep;
--- a/crates/ffw-control/src/origin/archive.rs
+++ b/crates/ffw-control/src/origin/archive.rs
@@ -10,7 +10,7 @@
 
 use {
     super::{LIFETIME, lock, remember},
-    crate::{announce::StoreFuture, daemon::Daemon},
+    crate::{announce::StoreFuture, daemon::Daemon, stored::Stored},
     ffw_decide::origin::began,
     ffw_protocol::{
         digest,
@@ -47,15 +47,7 @@
 const KEY_DIGITS: usize = 16;
 
 /// A daemon's copy, as an object of the store.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Copy {
-    /// Name of the object.
-    pub name: Arc<str>,
-    /// Revision of the object; `None` if it is not known.
-    pub revision: Option<u64>,
-    /// Its content; `None` if it can't be read.
-    pub content: Option<Content>,
-}
+pub type Copy = Stored<Content>;
 
 /// Content of a copy, as the store holds it; daemons of neighbouring builds must be able to read it.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/ffw-control/src/software.rs
+++ b/crates/ffw-control/src/software.rs
@@ -133,14 +133,18 @@
         }
     }
 
-    /// Records that changes of the list may have been missed until now.
-    pub fn record_gap(&self) {
-        self.history().record_gap(clock::boot_time());
-    }
-
-    /// Records a list from a store that was restored from an earlier copy of itself.
-    pub fn record_restore(&self) {
-        self.history().record_restore(clock::boot_time());
+    /// Records that the whole list is read in place of its changes, so that a server that came and went
+    /// since the last read is missed. `is_restored` states that the store was restored from an earlier
+    /// copy of itself: then servers may be missing for a time that came after the copy.
+    pub fn record_list_read(&self, is_restored: bool) {
+        let now = clock::boot_time();
+        let mut history = self.history();
+        if is_restored {
+            history.record_restore(now);
+        }
+        if !is_restored || self.beliefs.is_overdue(Kind::Servers) {
+            history.record_gap(now);
+        }
     }
 
     pub(crate) fn history(&self) -> MutexGuard<'_, History> {
--- a/crates/ffw-control/src/software/record.rs
+++ b/crates/ffw-control/src/software/record.rs
@@ -10,7 +10,7 @@
 
 use {
     super::Version,
-    crate::{announce::StoreFuture, daemon::Daemon},
+    crate::{announce::StoreFuture, daemon::Daemon, stored::Stored},
     ffw_protocol::{digest, error::Result, time::Moment},
     ffw_runtime::{clock, timer},
     log::{debug, info},
@@ -35,15 +35,7 @@
 const RETRY_MAX: Duration = Duration::from_secs(3);
 
 /// The versions of a pool's servers, as an object of the store holds them.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Record {
-    /// Name of the object.
-    pub name: Arc<str>,
-    /// Revision of the object; `None` if there is none yet.
-    pub revision: Option<u64>,
-    /// Its content; `None` if it can't be read.
-    pub content: Option<Content>,
-}
+pub type Record = Stored<Content>;
 
 /// Content of a record, as the store holds it; daemons of neighbouring builds must be able to read
 /// it.
