Kill daemons during releases in the soak

The soak had kills of all daemons and releases, but its check of take-ups looked only at streams that were taken up after the faults, whose daemons lived.

--- a/crates/ffw-soak/src/caller.rs
+++ b/crates/ffw-soak/src/caller.rs
@@ -141,6 +141,8 @@
     pub only_bookings: bool,
     /// Whether they leave some streams, and take those that ended early up at other daemons.
     pub takes_up: bool,
+    /// Whether they come back to daemons that have just started.
+    pub persists: bool,
 }
 
 /// Outcomes of the requests of all callers. Clones share the list.
@@ -189,7 +191,7 @@
             outcome.leaves_after = take_up::draw_departure(&mut departures);
         }
         attempt(&mut open_connection, daemon, &mut outcome, habits).await;
-        while let Some(take_up) = TakeUp::after(&outcome).filter(|_| habits.takes_up) {
+        while let Some(take_up) = TakeUp::after(&outcome, habits).filter(|_| habits.takes_up) {
             sequence += 1;
             let mut next =
                 Outcome::new(format!("{caller_index:x}-{sequence:x}"), kind, is_poisonous);
--- a/crates/ffw-soak/src/caller/take_up.rs
+++ b/crates/ffw-soak/src/caller/take_up.rs
@@ -1,7 +1,7 @@
 //! Streams that ended early, which their callers take up at another daemon.
 
 use {
-    super::{Kind, Outcome},
+    super::{Habits, Kind, Outcome},
     crate::worker::EVENT_COUNT,
     rand::Rng as _,
     rand_chacha::ChaCha8Rng,
@@ -11,6 +11,9 @@
 /// Largest number of times that a stream is taken up.
 const TRIES_MAX: u32 = 4;
 
+/// The same with [`Habits::persists`], for daemons that take seconds to start.
+const PERSISTENT_TRIES_MAX: u32 = 12;
+
 /// Of the streams that may be resumed, one in this number is left by its caller.
 const DEPARTURE_SHARE: u32 = 2;
 
@@ -34,13 +37,14 @@
 impl TakeUp {
     /// How a caller takes up the stream of a request, or that which the request took up; `None` if
     /// it has ended, did not begin, or was taken up often enough.
-    pub(super) fn after(outcome: &Outcome) -> Option<TakeUp> {
+    pub(super) fn after(outcome: &Outcome, habits: Habits) -> Option<TakeUp> {
         let before = outcome.take_up.as_ref();
         let has_ended = outcome.status == Some(200) && outcome.is_whole;
         let last_event =
             outcome.events().last().map(|event| event.0).or(before.map(|one| one.last_event))?;
         let tries = before.map_or(0, |one| one.tries) + 1;
-        let may_follow = outcome.kind == Kind::Resumable && !has_ended && tries <= TRIES_MAX;
+        let tries_max = if habits.persists { PERSISTENT_TRIES_MAX } else { TRIES_MAX };
+        let may_follow = outcome.kind == Kind::Resumable && !has_ended && tries <= tries_max;
         let has_rest = last_event + 1 < EVENT_COUNT;
         let origin = outcome.origin().to_owned();
         (may_follow && has_rest).then_some(TakeUp { origin, last_event, tries })
--- a/crates/ffw-soak/src/check.rs
+++ b/crates/ffw-soak/src/check.rs
@@ -6,6 +6,8 @@
 
 mod streams;
 
+pub use streams::check_kills;
+
 use {
     crate::{
         caller::{Kind, Outcome, RESPONSE_TIMEOUT, ROUTE_TIMEOUT},
@@ -43,6 +45,15 @@
     pub forgets: bool,
 }
 
+/// A kill of all daemons that served.
+#[derive(Clone, Debug)]
+pub struct Kill {
+    /// When they were killed.
+    pub at: Instant,
+    /// Software versions of which several decode servers took work then.
+    pub versions: Vec<String>,
+}
+
 /// Share of the requests sent in the stable phase after the faults that must get a complete
 /// response with status 200.
 const MIN_SERVED_SHARE: f64 = 0.9;
--- a/crates/ffw-soak/src/check/streams.rs
+++ b/crates/ffw-soak/src/check/streams.rs
@@ -2,8 +2,15 @@
 //! of a caller too, and streams that are taken up go on.
 
 use {
-    crate::{caller::Outcome, worker::EVENT_COUNT},
-    std::{collections::BTreeMap, time::Instant},
+    super::Kill,
+    crate::{
+        caller::{Kind, Outcome},
+        worker::EVENT_COUNT,
+    },
+    std::{
+        collections::BTreeMap,
+        time::{Duration, Instant},
+    },
 };
 
 /// Fewest take-ups after the faults of which a share is checked.
@@ -71,6 +78,40 @@
     }
 }
 
+/// Fewest streams cut by kills of which a share is checked.
+const CUT_STREAMS_MIN: usize = 12;
+
+/// Time after a kill in which the connections of its streams end.
+const CUT_TIME: Duration = Duration::from_millis(200);
+
+/// Checks that streams that were cut by kills of the daemons go on at a later try of their callers.
+pub fn check_kills(outcomes: &[Outcome], kills: &[Kill], violations: &mut Vec<String>) {
+    let is_cut = |outcome: &&Outcome| kills.iter().any(|kill| is_cut_by(outcome, kill));
+    let cut: Vec<&Outcome> = outcomes.iter().filter(is_cut).collect();
+    let goes_on = |cut: &&Outcome| {
+        let is_later =
+            |other: &&Outcome| other.origin() == cut.origin() && other.sent_at > cut.sent_at;
+        outcomes.iter().filter(is_later).any(|other| other.events().next().is_some())
+    };
+    let going_on = cut.iter().filter(|cut| goes_on(cut)).count();
+    let is_too_few = (going_on as f64) < cut.len() as f64 * MIN_TAKEN_UP_SHARE;
+    if cut.len() >= CUT_STREAMS_MIN && is_too_few {
+        violations.push(format!("{going_on} of {} streams cut by kills went on", cut.len()));
+    }
+}
+
+/// Whether a kill has cut a stream that may be resumed, of a version that went on serving.
+fn is_cut_by(outcome: &Outcome, kill: &Kill) -> bool {
+    let ended_at = outcome.sent_at + outcome.took;
+    let is_in_time = ended_at >= kill.at && ended_at < kill.at + CUT_TIME;
+    let is_broken = !outcome.is_whole && !outcome.has_left && !outcome.is_poisonous;
+    let last = outcome.events().last();
+    let has_rest = last.is_some_and(|(number, _)| number + 1 < EVENT_COUNT);
+    let version = last.and_then(|(_, data)| data.split_once(' ')).map(|parts| parts.1);
+    let serves = version.is_some_and(|one| kill.versions.iter().any(|version| version == one));
+    outcome.kind == Kind::Resumable && is_in_time && is_broken && has_rest && serves
+}
+
 /// Checks that streams that are taken up after the faults go on.
 pub(super) fn check_take_ups(
     outcomes: &[Outcome],
--- a/crates/ffw-soak/src/main.rs
+++ b/crates/ffw-soak/src/main.rs
@@ -33,6 +33,10 @@
         .arg(flag("only-restarts", "Restart the daemons one after the other, without any fault"))
         .arg(flag("rate-limits", "Also let plain servers state rate limits"))
         .arg(flag("releases", "Also release new versions of the servers' software"))
+        .arg(flag(
+            "release-kills",
+            "Also kill all daemons, or all but one that was stopped, during releases",
+        ))
         .arg(option("store-delay-ms", "0", "Time by which each response of the store is late"))
         .arg(option("program", "target/release/fireflyworks", "Path of the daemons' program"))
         .arg(option("folder", "target/soak", "Folder for settings, plans and logs"))
@@ -54,7 +58,8 @@
             cut_answers: matches.get_flag("cut-answers"),
             only_restarts: matches.get_flag("only-restarts"),
             rate_limits: matches.get_flag("rate-limits"),
-            releases: matches.get_flag("releases"),
+            releases: matches.get_flag("releases") || matches.get_flag("release-kills"),
+            release_kills: matches.get_flag("release-kills"),
             store_delay: Duration::from_millis(number(&matches, "store-delay-ms")?),
             daemons: number(&matches, "processes")? as usize,
             program: text(&matches, "program").into(),
--- a/crates/ffw-soak/src/plan.rs
+++ b/crates/ffw-soak/src/plan.rs
@@ -17,6 +17,8 @@
     Kill(usize),
     /// All daemons get SIGKILL at once and are started again.
     KillAll,
+    /// A daemon is stopped by SIGSTOP for a time. When it is continued, the others get SIGKILL.
+    OutOfStep(usize, Duration),
     /// A daemon is stopped by SIGSTOP for a time, then continued.
     Pause(usize, Duration),
     /// A daemon gets SIGHUP, on which it reloads its settings.
@@ -111,6 +113,25 @@
     upgrades.into_iter().zip(steps).flat_map(|(upgrade, step)| [upgrade, step]).collect()
 }
 
+/// Number of steps before each kill that [`add_release_kills`] adds. Streams begin meanwhile.
+const STEPS_PER_KILL: usize = 3;
+
+/// Adds kills of all daemons, and of all but one that was stopped before, to a plan, from a generator of
+/// their own.
+pub fn add_release_kills(seed: u64, steps: Vec<Step>, daemons: usize) -> Vec<Step> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed.rotate_left(16));
+    let mut with_kills = Vec::new();
+    for chunk in steps.chunks(STEPS_PER_KILL) {
+        with_kills.extend_from_slice(chunk);
+        with_kills.push(Step::Rest(Duration::from_millis(random.gen_range(500..2_500))));
+        let stopped = random.gen_range(0..daemons);
+        let duration = Duration::from_millis(random.gen_range(300..4_000));
+        let kill = if random.r#gen() { Step::KillAll } else { Step::OutOfStep(stopped, duration) };
+        with_kills.push(kill);
+    }
+    with_kills
+}
+
 /// Number of steps after each odd one.
 const STEPS_PER_ODDITY: usize = 2;
 
--- a/crates/ffw-soak/src/run.rs
+++ b/crates/ffw-soak/src/run.rs
@@ -12,7 +12,7 @@
 use {
     crate::{
         caller::{self, Habits, Outcomes},
-        check::{self, Disturbance, Removal, Reroute},
+        check::{self, Disturbance, Kill, Removal, Reroute},
         daemon::{Daemon, Ports, SHUTDOWN_GRACE_S},
         plan::{self, Step},
         proxy::{Fault, Proxy},
@@ -73,6 +73,9 @@
     /// Whether new software versions of the servers are released, and callers take broken streams up
     /// at other daemons.
     pub releases: bool,
+    /// Whether all daemons are killed, or all but one that was stopped, in the middle of releases, and
+    /// callers come back until their streams go on.
+    pub release_kills: bool,
     /// Time by which each response of the store is late. If there is one, the configuration is
     /// nearly as large as an object of the store may be.
     pub store_delay: Duration,
@@ -110,6 +113,7 @@
     /// Time until which the daemons count as disturbed by a fault.
     disturbed_until: Instant,
     disturbances: Vec<Disturbance>,
+    kills: Vec<Kill>,
     limits: Vec<limits::Limit>,
 }
 
@@ -142,6 +146,7 @@
             sends_crashing_part: harness.options.crashing_part,
             only_bookings: harness.options.only_restarts,
             takes_up: harness.options.releases,
+            persists: harness.options.release_kills,
         };
         callers
             .push(executor::spawn(caller::run(number, addresses, outcomes, stop, random, habits)));
@@ -188,6 +193,7 @@
             last_server_number: 0,
             disturbed_until: Instant::now(),
             disturbances: Vec::new(),
+            kills: Vec::new(),
             limits: Vec::new(),
             options,
         };
@@ -230,6 +236,9 @@
         if self.options.releases {
             steps = plan::add_releases(seed, steps);
         }
+        if self.options.release_kills {
+            steps = plan::add_release_kills(seed, steps, self.daemons.len());
+        }
         if self.options.oddities {
             steps = plan::add_oddities(seed, steps, self.servers.len());
         }
@@ -368,6 +377,9 @@
         let mut violations =
             check::find_violations(&outcomes, &runs, &self.removals, &self.reroutes, stable_since);
         self.check_limits(&mut violations);
+        if self.options.release_kills {
+            check::check_kills(&outcomes, &self.kills, &mut violations);
+        }
         check::check_timeouts(&outcomes, &self.disturbances, &mut violations);
         if self.options.only_restarts {
             check::check_answers(&outcomes, &runs, &mut violations);
--- a/crates/ffw-soak/src/run/releases.rs
+++ b/crates/ffw-soak/src/run/releases.rs
@@ -5,11 +5,11 @@
 use {
     super::{Harness, Server, objects, steps},
     crate::{
-        check,
-        worker::{MoveAnswer, StreamFraming},
+        check::{self, Kill},
+        worker::{MoveAnswer, Role, StreamFraming},
     },
     eyre::Result,
-    std::time::Duration,
+    std::time::{Duration, Instant},
 };
 
 /// Version of the first servers.
@@ -39,6 +39,20 @@
 }
 
 impl Harness {
+    /// Records that the daemons that served are killed, with the versions that may go on with streams:
+    /// those of two servers at least that don't leave.
+    pub(super) fn record_kill(&mut self) {
+        let at = Instant::now();
+        if let Some(last) = self.disturbances.last_mut() {
+            last.forgets = true;
+        }
+        let decode = self.servers.iter().filter(|server| server.worker.role == Role::Decode);
+        let serving: Vec<String> = decode.filter_map(|server| server.worker.version()).collect();
+        let count = |version: &String| serving.iter().filter(|other| *other == version).count();
+        let versions = serving.iter().filter(|version| count(version) > 1).cloned().collect();
+        self.kills.push(Kill { at, versions });
+    }
+
     /// Replaces the next server of the release that is under way, or begins another one. The old
     /// server leaves at once, or a time after it has said so.
     pub(super) async fn upgrade(&mut self, turn: usize, is_announced: bool) -> Result<()> {
--- a/crates/ffw-soak/src/run/steps.rs
+++ b/crates/ffw-soak/src/run/steps.rs
@@ -73,10 +73,17 @@
             }
             Step::KillAll => {
                 self.record_disturbance(Duration::ZERO);
+                self.record_kill();
                 self.daemons.iter().for_each(|daemon| daemon.signal(Signal::KILL));
-                if let Some(last) = self.disturbances.last_mut() {
-                    last.forgets = true;
-                }
+            }
+            Step::OutOfStep(stopped, duration) => {
+                self.record_disturbance(duration);
+                self.daemons[stopped].signal(Signal::STOP);
+                timer::sleep(duration).await;
+                self.record_kill();
+                let others = self.daemons.iter().enumerate().filter(|(index, _)| *index != stopped);
+                others.for_each(|(_, daemon)| daemon.signal(Signal::KILL));
+                self.daemons[stopped].signal(Signal::CONT);
             }
             Step::Pause(index, duration) => {
                 self.record_disturbance(duration);
--- a/crates/fireflyworks/tests/soak.rs
+++ b/crates/fireflyworks/tests/soak.rs
@@ -30,6 +30,7 @@
     only_restarts: bool,
     rate_limits: bool,
     releases: bool,
+    release_kills: bool,
     store_delay_ms: u64,
 }
 
@@ -42,6 +43,7 @@
     only_restarts: false,
     rate_limits: false,
     releases: false,
+    release_kills: false,
     store_delay_ms: 0,
 };
 
@@ -118,6 +120,14 @@
     check_run(seed, 12, Extra { releases: true, ..PLAIN });
 }
 
+/// All daemons are killed during releases, or all but one that was stopped meanwhile. Guards against
+/// streams that don't go on then, and against streams of two versions. On the build before copies of
+/// origins in the store, 0 of 12 streams went on with this seed.
+#[test]
+fn streams_go_on_after_kills_during_releases() {
+    check_run(801, 10, Extra { releases: true, release_kills: true, ..PLAIN });
+}
+
 /// The store takes long for each response, and the configuration has the largest size. Guards
 /// against a version that comes into force too late.
 #[test]
@@ -142,6 +152,7 @@
         only_restarts: extra.only_restarts,
         rate_limits: extra.rate_limits,
         releases: extra.releases,
+        release_kills: extra.release_kills,
         store_delay: Duration::from_millis(extra.store_delay_ms),
         daemons,
         program: PathBuf::from(env!("CARGO_BIN_EXE_fireflyworks")),
