--- a/crates/ffw-control/src/belief.rs
+++ b/crates/ffw-control/src/belief.rs
@@ -6,6 +6,8 @@
 //! its checker, makes them on behalf of the others, which ask it. A reader that has not read what
 //! such a call has found starts anew.
 
+mod demand;
+
 use {
     crate::{daemon::Daemon, relay},
     ffw_decide::belief::{self, Belief, Found, Step, Timeouts},
@@ -51,9 +53,6 @@
 /// Parts of the bound: the pause after a question to the store or the checker.
 const QUESTIONS_PER_BOUND: u32 = 16;
 
-/// Pause between two looks at whether a list of servers that is wanted is confirmed.
-const CONFIRMATION_POLL: Duration = Duration::from_millis(10);
-
 /// Longest pause of a reader between two reads.
 pub const READER_PAUSE_MAX: Duration = Duration::from_millis(500);
 
@@ -103,36 +102,8 @@
     latency_ms: AtomicU64,
     /// Daemons that know the call for confirmations.
     answering: Answering,
-    /// Wishes for a younger confirmation of the list of servers.
-    wanted: Wanted,
-}
-
-/// Wishes for a confirmation by a call that is still to be sent.
-#[derive(Debug)]
-struct Wanted {
-    channel: (Sender<()>, Receiver<()>),
-    /// When the latest call that was answered for such a wish was sent.
-    asked_at: Mutex<Option<Moment>>,
-}
-
-impl Default for Wanted {
-    fn default() -> Wanted {
-        Wanted { channel: channel::bounded(1), asked_at: Mutex::default() }
-    }
-}
-
-impl Wanted {
-    /// When the latest call that was answered for such a wish was sent.
-    fn asked_at(&self) -> MutexGuard<'_, Option<Moment>> {
-        self.asked_at.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Asks for a call, unless one that was sent at `since` or later has been answered.
-    fn add(&self, since: Moment) {
-        if self.asked_at().is_none_or(|asked_at| asked_at < since) {
-            self.channel.0.try_send(()).ok();
-        }
-    }
+    /// Requests for a younger confirmation of the list of servers.
+    wanted: demand::Wanted,
 }
 
 /// The state of the task that reads one kind from the store.
@@ -204,19 +175,6 @@
         self.age(kind).is_none_or(|age| age > self.bound())
     }
 
-    /// Waits until the list of servers is confirmed by a call to the store that was sent at `since`
-    /// or later; returns false if it is not within `limit`. No time bound on the age would do
-    /// instead, as the process may stand still between a look at the age and what follows from it.
-    pub async fn confirm_servers(&self, since: Moment, limit: Duration) -> bool {
-        let confirming = async {
-            while !self.of(Kind::Servers).is_confirmed_since(since) {
-                self.wanted.add(since);
-                timer::sleep(CONFIRMATION_POLL).await;
-            }
-        };
-        timer::timeout(limit, confirming).await.is_some()
-    }
-
     /// Sets the bound on the ages; a shorter one than [`BOUND_MIN`] counts as that.
     pub fn set_bound(&self, bound: Duration) {
         let millis = u64::try_from(bound.max(BOUND_MIN).as_millis()).unwrap_or(u64::MAX);
@@ -276,11 +234,7 @@
 /// something that it lacks, and the list of servers when it is to tell where a stream began, for as
 /// long as the daemon runs.
 pub async fn run(daemon: Arc<Daemon>, ask: Ask) {
-    let on_demand = smol::future::or(
-        confirm_on_demand(&daemon, &ask),
-        confirm_servers_on_demand(&daemon, &ask),
-    );
-    let confirming = smol::future::or(keep_confirmed(&daemon, &ask), on_demand);
+    let confirming = smol::future::or(keep_confirmed(&daemon, &ask), demand::run(&daemon, &ask));
     smol::future::or(confirming, log_overdue(&daemon)).await;
 }
 
@@ -342,42 +296,6 @@
     }
 }
 
-/// Asks the store each time that a confirmation of the configuration is wanted.
-async fn confirm_on_demand(daemon: &Arc<Daemon>, ask: &Ask) {
-    let kind = Kind::Configuration;
-    loop {
-        daemon.freshness().confirmation_wanted().await;
-        let bound = daemon.beliefs.bound();
-        if daemon.beliefs.reader(kind).revision() == 0 {
-            // Its first list confirms it.
-            timer::sleep(bound / PAUSES_PER_BOUND * 2).await;
-            continue;
-        }
-        if let Err(error) = ask_store(daemon, ask, kind, bound).await {
-            warn!("event=config_unconfirmed error=\"{error}\"");
-            daemon.beliefs.reader(kind).restart();
-        }
-    }
-}
-
-/// Asks the store each time that a younger confirmation of the list of servers is wanted. Never
-/// returns.
-async fn confirm_servers_on_demand(daemon: &Arc<Daemon>, ask: &Ask) {
-    let wanted = &daemon.beliefs.wanted;
-    loop {
-        wanted.channel.1.recv().await.ok();
-        let bound = daemon.beliefs.bound();
-        let asked_at = clock::boot_time();
-        match ask_store(daemon, ask, Kind::Servers, bound).await {
-            Ok(()) => *wanted.asked_at() = Some(asked_at),
-            Err(error) => {
-                debug!("event=servers_unconfirmed error=\"{error}\"");
-                timer::sleep(bound / QUESTIONS_PER_BOUND).await;
-            }
-        }
-    }
-}
-
 /// The daemon that asks the store on behalf of this one; `None` if this daemon asks for itself.
 fn find_checker(daemon: &Daemon) -> Option<Instance> {
     let first = relay::relays_of(daemon, &daemon.identity.data_centre).into_iter().next();
