Shorten two comments on the record of versions

Comments only; found while reading the change as a newcomer would. Nothing to measure: no code has changed.

--- a/crates/ffw-control/src/software.rs
+++ b/crates/ffw-control/src/software.rs
@@ -33,7 +33,7 @@
 /// serves may last that long.
 const KEEP_UNLISTED: Duration = Duration::from_secs(600);
 
-/// Time in which the record of versions is mostly read after changes of the list may have been
+/// Time in which the record of versions is usually read after changes of the list may have been
 /// missed.
 const RECORD_READ_TIME: Duration = Duration::from_secs(1);
 
--- a/crates/ffw-decide/src/affinity/history.rs
+++ b/crates/ffw-decide/src/affinity/history.rs
@@ -177,9 +177,9 @@
         changes
     }
 
-    /// Records what the store held for a pool at `now`; `None` if it held no record, as a pool whose
-    /// servers have never stated a version has none. `observed_since` is the value from before the read; the read counts
-    /// for nothing if changes have been missed since then.
+    /// Records what the store held for a pool at `now`; `None` if it held no record, as for a pool
+    /// whose servers have never stated a version. `observed_since` is the value from before the
+    /// read; the read counts for nothing if changes have been missed since then.
     pub fn record_stored(
         &mut self,
         now: Moment,
