--- /dev/null
+++ b/review/tools-3/cases.rs
@@ -0,0 +1,343 @@
+//! The cases.
+
+use {
+    crate::{
+        client::{self, Answer, Ask},
+        daemon::{self, Daemon},
+        json::Json,
+        net::Connection,
+        store::Store,
+        worker::{Arrivals, Behaviour, Pace, Plan, Worker},
+        World,
+    },
+    std::{
+        collections::BTreeSet,
+        io,
+        sync::{
+            atomic::{AtomicU64, Ordering},
+            Arc,
+        },
+        thread,
+        time::{Duration, Instant},
+    },
+};
+
+/// Plays a case; returns whether the rule was broken.
+pub fn play(case: &str, world: &World) -> io::Result<bool> {
+    match case {
+        "11" => silence(world),
+        "12" => refused_move(world),
+        "13" => ended_run(world),
+        "14" => crashing_part(world),
+        "15" => attempts(world),
+        _ => Err(io::Error::other("there is no such case")),
+    }
+}
+
+const STREAMS: &str = "starscribe";
+const PLAIN: &str = "domebook";
+
+/// The configuration of mds-showgrid, with names of its own.
+fn configuration() -> Json {
+    let text = r#"{"version": 7, "routes": [
+{"name": "r-digest", "host": "h.example", "pathPrefix": "/digest/", "type": "streaming", "timeoutMs": 14000,
+ "targetLatencyMs": 900, "priority": 1, "service": "starscribe", "maxAttempts": 1, "sticky": true,
+ "resumable": false, "targetGapMs": 300},
+{"name": "r-caption", "host": "h.example", "pathPrefix": "/caption/", "type": "streaming", "timeoutMs": 14000,
+ "targetLatencyMs": 900, "priority": 1, "service": "starscribe", "maxAttempts": 2, "sticky": true,
+ "resumable": true, "targetGapMs": 300},
+{"name": "r-confirm", "host": "h.example", "pathPrefix": "/confirm/", "type": "non_idempotent",
+ "timeoutMs": 1000, "targetLatencyMs": 100, "priority": 2, "service": "domebook", "maxAttempts": 1},
+{"name": "r-check", "host": "h.example", "pathPrefix": "/check/", "type": "idempotent",
+ "timeoutMs": 1000, "targetLatencyMs": 100, "priority": 2, "service": "domebook", "maxAttempts": 2}],
+"services": [
+{"name": "starscribe", "healthPath": "/health", "maxConnections": 180, "protocol": "h1", "tls": false,
+ "engine": {"slots": 16, "kvCapacity": 72680, "kvTokenBytes": 35136, "linkMbps": 5900000.0, "moves": true,
+  "backups": true, "stride": 61, "most": 12, "kvHoldS": 0.5, "stageSwitchS": 6.0, "pinMs": 4000.0,
+  "holdMs": 2000.0, "models": [{"name": "m"}]}},
+{"name": "domebook", "healthPath": "/health", "maxConnections": 110, "protocol": "h1", "tls": false}],
+"limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}}"#;
+    Json::parse(text).expect("the configuration is JSON")
+}
+
+/// Workers and daemons.
+struct Fleet {
+    arrivals: Arrivals,
+    daemons: Vec<Daemon>,
+    decodes: Vec<Arc<Worker>>,
+}
+
+/// Sizes of a fleet, and how each of its decode workers behaves.
+struct Sizes {
+    daemons: usize,
+    prefills: usize,
+    pace: Pace,
+    behaviours: Vec<Behaviour>,
+}
+
+impl Fleet {
+    fn start(world: &World, sizes: Sizes) -> io::Result<Fleet> {
+        let store = Store::start();
+        store.put("config", "main", configuration());
+        let arrivals = Arrivals::default();
+        let start = |id: String, service, stage, slots, behaviour| {
+            let (work, pace) = (Duration::from_millis(15), sizes.pace);
+            let plan = Plan { id, service, version: "v1", stage, slots, work, pace, behaviour };
+            Worker::start(plan, &store, &arrivals, &world.record)
+        };
+        for n in 1..=sizes.prefills {
+            start(format!("i-prefill{n}"), STREAMS, Some("prefill"), 16, Behaviour::default());
+        }
+        let decodes = (1..)
+            .zip(sizes.behaviours)
+            .map(|(n, behaviour)| {
+                start(format!("i-decode{n}"), STREAMS, Some("decode"), 16, behaviour)
+            })
+            .collect();
+        for n in 1..=3 {
+            start(format!("i-plain{n}"), PLAIN, None, 6, Behaviour::default());
+        }
+        let daemons = daemon::start(world, sizes.daemons, store.address)?;
+        let until = Instant::now() + Duration::from_secs(8);
+        while store.count("fireflyworks-daemons") < sizes.daemons {
+            if Instant::now() > until {
+                return Err(io::Error::other("the daemons don't register"));
+            }
+            thread::sleep(Duration::from_millis(50));
+        }
+        // Daemons learn of each other and take ownership.
+        thread::sleep(Duration::from_millis(3_500));
+        world.record.line("all daemons have registered and are in touch");
+        Ok(Fleet { arrivals, daemons, decodes })
+    }
+}
+
+/// A stream. `parts` are the shared parts of its prompt, which end with a comma.
+fn stream(path: &'static str, id: &str, parts: &str) -> Ask {
+    Ask {
+        method: "POST",
+        path,
+        id: id.into(),
+        fields: format!(
+            "Model: m\r\nToken-Count: 5200,7930\r\nLength-Hint: 2440\r\nPrefix-Hash: {parts}{}:5000\r\n",
+            number_of(id)
+        ),
+        deadline: Duration::from_millis(14_000),
+        // Four times the objective, the longest of the three spans of the pages.
+        patience: Duration::from_millis(3_600),
+    }
+}
+
+/// A hexadecimal number that belongs to an id alone.
+fn number_of(id: &str) -> String {
+    let hash = id.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x100_0000_01b3)
+    });
+    format!("{hash:016x}")
+}
+
+fn check(id: &str) -> Ask {
+    Ask {
+        method: "GET",
+        path: "/check/2f",
+        id: id.into(),
+        fields: String::new(),
+        deadline: Duration::from_millis(1_000),
+        patience: Duration::from_millis(1_200),
+    }
+}
+
+const SHARED: &str = "5c1e07a2:200,";
+
+/// Sends streams to the first daemon, each on a connection that has carried a request before, and a SIGTERM
+/// to the daemon 0.6 s later. Calls `act` just before the SIGTERM. Returns the number of streams that are
+/// lost by the rule.
+fn streams_at_sigterm(
+    world: &World,
+    fleet: &mut Fleet,
+    count: usize,
+    act: impl FnOnce(&Fleet),
+) -> io::Result<usize> {
+    let address = fleet.daemons[0].callers;
+    let mut connections = Vec::new();
+    for n in 1..=count {
+        let mut connection = Connection::open(address)?;
+        if !client::send(&world.record, &mut connection, &check(&format!("look-{n}"))).is_success()
+        {
+            return Err(io::Error::other("a first request was not served"));
+        }
+        connections.push(connection);
+    }
+    let mut threads = Vec::new();
+    for (n, mut connection) in (1..).zip(connections) {
+        let record = world.record.clone();
+        threads.push(thread::spawn(move || {
+            let ask = stream("/digest/2f", &format!("digest-{n}"), SHARED);
+            client::send(&record, &mut connection, &ask)
+        }));
+    }
+    thread::sleep(Duration::from_millis(600));
+    act(fleet);
+    let stopped_ms = world.record.ms();
+    fleet.daemons[0].terminate(world);
+    let (mut lost, mut whole, mut other) = (0, 0, 0);
+    for thread in threads {
+        let answer = thread.join().unwrap();
+        // LOST: the daemon read the whole request and passed it on, and the connection ended without a
+        // complete answer. Excuses: the deadline of 14 s; a worker at work in the last sixth of 8 s.
+        let is_begun = !answer.events.is_empty();
+        let is_excused = answer.ended_ms - answer.sent_ms >= 14_000
+            || answer.ended_ms.saturating_sub(stopped_ms) >= 6_666;
+        match answer.is_whole {
+            true if answer.status == 200 => whole += 1,
+            false if is_begun && !is_excused => lost += 1,
+            _ => other += 1,
+        }
+    }
+    fleet.daemons[0].wait_end(world, Duration::from_secs(8));
+    world.record.line(&format!(
+        "streams around the SIGTERM: {whole} whole, {lost} lost, {other} with another end; one lost breaks \
+         the rule"
+    ));
+    Ok(lost)
+}
+
+/// Case 11: decode workers preempt streams for 2.8 s while the machine that took them has got a SIGTERM.
+fn silence(world: &World) -> io::Result<bool> {
+    let pause = world.trouble.then_some((10, Duration::from_millis(2_800)));
+    let pace = Pace { events: 40, gap: Duration::from_millis(50), pause, bytes: 330 };
+    let behaviours = vec![Behaviour::default(); 2];
+    let mut fleet = Fleet::start(world, Sizes { daemons: 2, prefills: 1, pace, behaviours })?;
+    Ok(streams_at_sigterm(world, &mut fleet, 6, |_| ())? > 0)
+}
+
+/// Case 12: a decode worker leaves, and the other one has no room for copies of its runs.
+fn refused_move(world: &World) -> io::Result<bool> {
+    let pace = Pace { events: 60, gap: Duration::from_millis(50), pause: None, bytes: 330 };
+    let behaviours = vec![Behaviour { is_full_for_copies: true, ..Behaviour::default() }; 2];
+    let mut fleet = Fleet::start(world, Sizes { daemons: 2, prefills: 1, pace, behaviours })?;
+    let leave = |fleet: &Fleet| {
+        if world.trouble {
+            fleet.decodes[0].drain();
+        }
+    };
+    Ok(streams_at_sigterm(world, &mut fleet, 8, leave)? > 0)
+}
+
+/// Case 13: a decode worker leaves while its runs are about to end; its streams end with their connections.
+fn ended_run(world: &World) -> io::Result<bool> {
+    let pace = Pace { events: 20, gap: Duration::from_millis(150), pause: None, bytes: 330 };
+    let behaviours = vec![Behaviour { is_unframed: true, ..Behaviour::default() }; 2];
+    let mut fleet = Fleet::start(world, Sizes { daemons: 2, prefills: 4, pace, behaviours })?;
+    // The first stream ends some 3.1 s after it was sent, the last one some 0.3 s later.
+    let leave = |fleet: &Fleet| {
+        if world.trouble {
+            let worker = fleet.decodes[0].clone();
+            thread::spawn(move || {
+                thread::sleep(Duration::from_millis(2_400));
+                worker.drain();
+            });
+        }
+    };
+    Ok(streams_at_sigterm(world, &mut fleet, 16, leave)? > 0)
+}
+
+/// Part under which workers crash.
+const CRASHING: &str = "bad0c0de";
+
+/// Time between two requests with that part.
+const CRASHING_PERIOD: Duration = Duration::from_millis(2_500);
+
+/// Case 14: workers crash as they begin to write an answer on a part.
+fn crashing_part(world: &World) -> io::Result<bool> {
+    let pace = Pace { events: 20, gap: Duration::from_millis(100), pause: None, bytes: 330 };
+    let crashing_part = world.trouble.then_some(CRASHING);
+    let behaviours = vec![Behaviour { crashing_part, ..Behaviour::default() }; 5];
+    let fleet = Fleet::start(world, Sizes { daemons: 3, prefills: 2, pace, behaviours })?;
+    let began = Instant::now();
+    let (mut number, mut sending, mut last_crashing) = (0, Vec::new(), None::<Instant>);
+    while began.elapsed() < Duration::from_secs(100) {
+        number += 1;
+        let (record, address) = (world.record.clone(), fleet.daemons[number % 3].callers);
+        let is_due = last_crashing.is_none_or(|last| last.elapsed() >= CRASHING_PERIOD);
+        let ask = if is_due {
+            last_crashing = Some(Instant::now());
+            let parts = format!("{SHARED}{CRASHING}:400,");
+            stream("/digest/2f", &format!("crashing-{number}"), &parts)
+        } else {
+            stream("/digest/2f", &format!("sound-{number}"), SHARED)
+        };
+        sending.push(thread::spawn(move || client::send_new(&record, address, &ask)));
+        thread::sleep(Duration::from_millis(250));
+    }
+    let answers: Vec<Answer> = sending.into_iter().map(|sending| sending.join().unwrap()).collect();
+    let sound: Vec<&Answer> =
+        answers.iter().filter(|answer| answer.id.starts_with("sound")).collect();
+    let broken = sound.iter().filter(|answer| !answer.is_success()).count();
+    world.record.line(&format!("sound streams: {broken} of {} not whole", sound.len()));
+    let arrivals = fleet.arrivals.0.lock().unwrap().clone();
+    let with_part = || arrivals.iter().filter(|arrival| arrival.parts.contains(CRASHING));
+    let runs: Vec<u64> =
+        with_part().filter(|arrival| arrival.what == "run").map(|arrival| arrival.at_ms).collect();
+    if !world.trouble {
+        world.record.line(&format!("no worker crashed; {} runs with the part", runs.len()));
+        return Ok(false);
+    }
+    world
+        .record
+        .line(&format!("runs with the part, each of which crashed a worker, at ms {runs:?}"));
+    let Some(fifth) = runs.get(4) else {
+        return Err(io::Error::other("fewer than five crashes"));
+    };
+    // BUDGET: requests with the part that reach workers later than stableWindowMs after the fifth crash. All
+    // machines are in touch.
+    let late: BTreeSet<&str> = with_part()
+        .filter(|arrival| arrival.at_ms > fifth + 3_000)
+        .map(|arrival| arrival.id.as_str())
+        .collect();
+    world.record.line(&format!(
+        "requests with the part that reached workers more than 3 s after the fifth crash: {} ({late:?}); more \
+         than three break the rule",
+        late.len()
+    ));
+    Ok(late.len() > 3)
+}
+
+/// Requests of case 15.
+const CAPTIONS: usize = 600;
+
+/// Case 15: two of five answers of three of the five decode workers are lost, on a route with `maxAttempts` 2.
+fn attempts(world: &World) -> io::Result<bool> {
+    let pace = Pace { events: 20, gap: Duration::from_millis(100), pause: None, bytes: 330 };
+    let behaviour = |n: usize| {
+        let count = AtomicU64::new(0);
+        let loses = move |_: &str| count.fetch_add(1, Ordering::SeqCst) % 5 < 2;
+        let loses = (world.trouble && n < 3).then(|| Arc::new(loses) as _);
+        Behaviour { loses, ..Behaviour::default() }
+    };
+    let behaviours = (0..5).map(behaviour).collect();
+    let fleet = Fleet::start(world, Sizes { daemons: 2, prefills: 2, pace, behaviours })?;
+    let mut sending = Vec::new();
+    for n in 1..=CAPTIONS {
+        let (record, address) = (world.record.clone(), fleet.daemons[n % 2].callers);
+        let ask = stream("/caption/2f", &format!("caption-{n}"), SHARED);
+        sending.push(thread::spawn(move || client::send_new(&record, address, &ask)));
+        thread::sleep(Duration::from_millis(45));
+    }
+    sending.into_iter().for_each(|sending| drop(sending.join()));
+    let arrivals = fleet.arrivals.0.lock().unwrap().clone();
+    let mut over = 0;
+    for n in 1..=CAPTIONS {
+        let id = format!("caption-{n}");
+        let runs = arrivals.iter().filter(|arrival| arrival.id == id && arrival.what == "run");
+        let workers: BTreeSet<&str> = runs.map(|arrival| arrival.worker.as_str()).collect();
+        if workers.len() > 2 {
+            over += 1;
+            world.record.line(&format!("{id} ran on {} workers: {workers:?}", workers.len()));
+        }
+    }
+    world.record.line(&format!(
+        "{over} requests ran on more workers than their route's maxAttempts, 2; more than three break the rule"
+    ));
+    Ok(over > 3)
+}
