--- a/review/tools-3/cases.rs
+++ b/review/tools-3/cases.rs
@@ -25,9 +25,9 @@
 /// Plays a case; returns whether the rule was broken.
 pub fn play(case: &str, world: &World) -> io::Result<bool> {
     match case {
-        "11" => silence(world),
-        "12" => refused_move(world),
-        "13" => ended_run(world),
+        "11" => joined_versions(world),
+        "12" => ended_run(world),
+        "13" => limited_target(world),
         "14" => crashing_part(world),
         "15" => attempts(world),
         _ => Err(io::Error::other("there is no such case")),
@@ -65,6 +65,7 @@
     arrivals: Arrivals,
     daemons: Vec<Daemon>,
     decodes: Vec<Arc<Worker>>,
+    store: Store,
 }
 
 /// Sizes of a fleet, and how each of its decode workers behaves.
@@ -77,7 +78,7 @@
 
 impl Fleet {
     fn start(world: &World, sizes: Sizes) -> io::Result<Fleet> {
-        let store = Store::start();
+        let store = Store::start(&world.record);
         store.put("config", "main", configuration());
         let arrivals = Arrivals::default();
         let start = |id: String, service, stage, slots, behaviour| {
@@ -108,7 +109,7 @@
         // Daemons learn of each other and take ownership.
         thread::sleep(Duration::from_millis(3_500));
         world.record.line("all daemons have registered and are in touch");
-        Ok(Fleet { arrivals, daemons, decodes })
+        Ok(Fleet { arrivals, daemons, decodes, store })
     }
 }
 
@@ -202,29 +203,90 @@
     Ok(lost)
 }
 
-/// Case 11: decode workers preempt streams for 2.8 s while the machine that took them has got a SIGTERM.
-fn silence(world: &World) -> io::Result<bool> {
-    let pause = world.trouble.then_some((10, Duration::from_millis(2_800)));
-    let pace = Pace { events: 40, gap: Duration::from_millis(50), pause, bytes: 330 };
-    let behaviours = vec![Behaviour::default(); 2];
-    let mut fleet = Fleet::start(world, Sizes { daemons: 2, prefills: 1, pace, behaviours })?;
-    Ok(streams_at_sigterm(world, &mut fleet, 6, |_| ())? > 0)
-}
+/// Streams of case 11.
+const JOINABLE: usize = 12;
 
-/// Case 12: a decode worker leaves, and the other one has no room for copies of its runs.
-fn refused_move(world: &World) -> io::Result<bool> {
-    let pace = Pace { events: 60, gap: Duration::from_millis(50), pause: None, bytes: 330 };
-    let behaviours = vec![Behaviour { is_full_for_copies: true, ..Behaviour::default() }; 2];
-    let mut fleet = Fleet::start(world, Sizes { daemons: 2, prefills: 1, pace, behaviours })?;
-    let leave = |fleet: &Fleet| {
-        if world.trouble {
-            fleet.decodes[0].drain();
-        }
-    };
-    Ok(streams_at_sigterm(world, &mut fleet, 8, leave)? > 0)
+/// Case 11: a worker of another software version joins, the store comes back from a copy of before, and all
+/// daemons are killed meanwhile. The daemons are killed in both plays.
+fn joined_versions(world: &World) -> io::Result<bool> {
+    let pace = Pace { events: 100, gap: Duration::from_millis(50), pause: None, bytes: 330 };
+    let behaviours = vec![Behaviour::default(); 2];
+    let mut fleet = Fleet::start(world, Sizes { daemons: 3, prefills: 1, pace, behaviours })?;
+    let copy = fleet.store.copy();
+    thread::sleep(Duration::from_millis(500));
+    // Two workers of the next version, as a release goes on; those of the first one take no more work now.
+    let joined_at = Instant::now();
+    for n in 3..=4 {
+        let (id, work) = (format!("i-decode{n}"), Duration::from_millis(15));
+        let behaviour = Behaviour::default();
+        let stage = Some("decode");
+        let plan =
+            Plan { id, service: STREAMS, version: "v2", stage, slots: 16, work, pace, behaviour };
+        Worker::start(plan, &fleet.store, &fleet.arrivals, &world.record);
+    }
+    thread::sleep(Duration::from_millis(700));
+    let mut threads = Vec::new();
+    for n in 1..=2 * JOINABLE {
+        let (record, address) = (world.record.clone(), fleet.daemons[n % 3].callers);
+        threads.push(thread::spawn(move || {
+            let ask = stream("/caption/2f", &format!("caption-{n}"), SHARED);
+            client::send_new(&record, address, &ask)
+        }));
+    }
+    // The beats of the new workers come each 1.2 s from their start; the store is away for the third one.
+    let until = joined_at + Duration::from_millis(3_400);
+    thread::sleep(until.saturating_duration_since(Instant::now()));
+    if world.trouble {
+        fleet.store.go_away();
+    }
+    for daemon in &mut fleet.daemons {
+        daemon.kill(world);
+    }
+    let first: Vec<Answer> = threads.into_iter().map(|thread| thread.join().unwrap()).collect();
+    let until = joined_at + Duration::from_millis(3_700);
+    thread::sleep(until.saturating_duration_since(Instant::now()));
+    if world.trouble {
+        fleet.store.come_back(Some(&copy));
+    }
+    for daemon in &mut fleet.daemons {
+        daemon.spawn(world)?;
+    }
+    fleet.daemons.iter().try_for_each(Daemon::wait_ready)?;
+    thread::sleep(Duration::from_millis(500));
+    // Each client takes its stream up once.
+    let threads: Vec<_> = first
+        .into_iter()
+        .enumerate()
+        .filter(|(_, answer)| !answer.events.is_empty() && !answer.is_whole)
+        .map(|(n, answer)| {
+            let (record, address) = (world.record.clone(), fleet.daemons[(n + 1) % 3].callers);
+            thread::spawn(move || {
+                let mut ask = stream("/caption/2f", &format!("{}-again", answer.id), SHARED);
+                let last = answer.events.last().copied().unwrap_or_default();
+                ask.fields += &format!("Resumes: {}\r\nLast-Event-Id: {last}\r\n", answer.id);
+                let rest = client::send_new(&record, address, &ask);
+                (answer, rest)
+            })
+        })
+        .collect();
+    let pairs: Vec<(Answer, Answer)> = threads.into_iter().map(|it| it.join().unwrap()).collect();
+    let of_new = pairs.iter().filter(|(first, _)| first.versions.contains("v2")).count();
+    let going_on = pairs.iter().filter(|(_, rest)| !rest.events.is_empty()).count();
+    let joined =
+        pairs.iter().filter(|(first, rest)| first.versions.union(&rest.versions).count() > 1);
+    let joined = joined.count();
+    world.record.line(&format!(
+        "{} streams were taken up, {of_new} of them begun by v2; {going_on} went on; {joined} hold events of \
+         two versions; more than two break the rule",
+        pairs.len()
+    ));
+    if of_new < 3 {
+        return Err(io::Error::other("too few streams began at the new version"));
+    }
+    Ok(joined > 2)
 }
 
-/// Case 13: a decode worker leaves while its runs are about to end; its streams end with their connections.
+/// Case 12: a decode worker leaves while its runs are about to end; its streams end with their connections.
 fn ended_run(world: &World) -> io::Result<bool> {
     let pace = Pace { events: 20, gap: Duration::from_millis(150), pause: None, bytes: 330 };
     let behaviours = vec![Behaviour { is_unframed: true, ..Behaviour::default() }; 2];
@@ -242,6 +304,25 @@
     Ok(streams_at_sigterm(world, &mut fleet, 16, leave)? > 0)
 }
 
+/// Case 13: a decode worker leaves, and the other one, to which its runs are copied, names a limit.
+fn limited_target(world: &World) -> io::Result<bool> {
+    let pace = Pace { events: 60, gap: Duration::from_millis(50), pause: None, bytes: 330 };
+    let limit = world.trouble.then_some("2.0");
+    let behaviours = vec![Behaviour::default(), Behaviour { limit, ..Behaviour::default() }];
+    let mut fleet = Fleet::start(world, Sizes { daemons: 2, prefills: 1, pace, behaviours })?;
+    // The limit becomes known by the answers to these, and binds from stableWindowMs on.
+    let first: Vec<_> = (1..=4)
+        .map(|n| {
+            let (record, address) = (world.record.clone(), fleet.daemons[n % 2].callers);
+            let ask = stream("/digest/2f", &format!("before-{n}"), SHARED);
+            thread::spawn(move || client::send_new(&record, address, &ask))
+        })
+        .collect();
+    first.into_iter().for_each(|sending| drop(sending.join()));
+    thread::sleep(Duration::from_millis(3_000));
+    Ok(streams_at_sigterm(world, &mut fleet, 12, |fleet| fleet.decodes[0].drain())? > 0)
+}
+
 /// Part under which workers crash.
 const CRASHING: &str = "bad0c0de";
 
--- a/review/tools-3/client.rs
+++ b/review/tools-3/client.rs
@@ -5,7 +5,7 @@
         net::{Connection, Head},
         Record,
     },
-    std::{io, net::SocketAddr, time::Duration},
+    std::{collections::BTreeSet, io, net::SocketAddr, time::Duration},
 };
 
 /// A request.
@@ -33,6 +33,8 @@
     pub is_whole: bool,
     /// Ids of the events of a stream.
     pub events: Vec<u64>,
+    /// Versions of the software that wrote them.
+    pub versions: BTreeSet<String>,
     /// Why it ended early.
     pub cause: String,
 }
@@ -53,6 +55,7 @@
         is_signed: false,
         is_whole: false,
         events: Vec::new(),
+        versions: BTreeSet::new(),
         cause: String::new(),
     };
     record.line(&format!("client: sends {} {} as {}", ask.method, ask.path, ask.id));
@@ -63,7 +66,9 @@
     }
     answer.ended_ms = record.ms();
     let events = match (answer.events.first(), answer.events.last()) {
-        (Some(first), Some(last)) => format!(", events {first} to {last}"),
+        (Some(first), Some(last)) => {
+            format!(", events {first} to {last} of {:?}", answer.versions)
+        }
         _ => String::new(),
     };
     let end = match answer.is_whole {
@@ -94,6 +99,7 @@
                 is_signed: false,
                 is_whole: false,
                 events: Vec::new(),
+                versions: BTreeSet::new(),
                 cause: err.to_string(),
             }
         }
@@ -134,6 +140,9 @@
             let event = String::from_utf8_lossy(&event).into_owned();
             let id = event.lines().find_map(|line| line.strip_prefix("id:"));
             answer.events.extend(id.and_then(|id| id.trim().parse::<u64>().ok()));
+            let data = event.lines().find_map(|line| line.strip_prefix("data: "));
+            let version = data.and_then(|data| data.split(' ').next());
+            answer.versions.extend(version.map(str::to_owned));
         }
     }
 }
--- a/review/tools-3/daemon.rs
+++ b/review/tools-3/daemon.rs
@@ -77,7 +77,7 @@
 
 impl Daemon {
     /// Starts its process, as the deploy file says.
-    fn spawn(&mut self, world: &World) -> io::Result<()> {
+    pub fn spawn(&mut self, world: &World) -> io::Result<()> {
         let log = File::options().create(true).append(true).open(&self.log)?;
         let child = Command::new(&self.program)
             .arg("route")
@@ -94,7 +94,7 @@
     }
 
     /// Waits until it says that it is ready.
-    fn wait_ready(&self) -> io::Result<()> {
+    pub fn wait_ready(&self) -> io::Result<()> {
         let until = Instant::now() + Duration::from_secs(10);
         while Instant::now() < until {
             if self.is_ready().unwrap_or(false) {
@@ -112,13 +112,18 @@
     }
 
     /// Kills its process and waits for its end.
-    fn kill(&mut self, world: &World) {
+    pub fn kill(&mut self, world: &World) {
         if let Some(child) = &mut self.child {
             net::signal(child.id(), net::SIGKILL);
             child.wait().ok();
             world.record.line(&format!("daemon {}: killed", self.name));
         }
         self.child = None;
+        // The next start is not the first one of the whole system.
+        if let Ok(text) = fs::read_to_string(&self.settings) {
+            let text = text.replace("\"bootstrap\": true", "\"bootstrap\": false");
+            fs::write(&self.settings, text).ok();
+        }
     }
 
     /// Sends SIGTERM.
--- a/review/tools-3/store.rs
+++ b/review/tools-3/store.rs
@@ -4,6 +4,7 @@
     crate::{
         json::Json,
         net::{Connection, Head, Server},
+        Record,
     },
     std::{
         collections::BTreeMap,
@@ -44,6 +45,13 @@
     }
 }
 
+/// What a restore brings back.
+#[derive(Clone)]
+pub struct Copy {
+    objects: BTreeMap<(String, String), Object>,
+    revision: u64,
+}
+
 struct State {
     objects: BTreeMap<(String, String), Object>,
     revision: u64,
@@ -51,25 +59,37 @@
     history_from: u64,
     /// Changes: the object, and whether it was removed.
     history: Vec<(Object, bool)>,
+    /// Number of restores, and one more.
+    era: u64,
+    is_up: bool,
 }
 
 /// The store. Clones share it.
 #[derive(Clone)]
 pub struct Store {
     state: Arc<(Mutex<State>, Condvar)>,
+    server: Arc<Server>,
+    record: Record,
     pub address: SocketAddr,
 }
 
 impl Store {
-    pub fn start() -> Store {
-        let state =
-            State { objects: BTreeMap::new(), revision: 10, history_from: 10, history: Vec::new() };
+    pub fn start(record: &Record) -> Store {
+        let state = State {
+            objects: BTreeMap::new(),
+            revision: 10,
+            history_from: 10,
+            history: Vec::new(),
+            era: 1,
+            is_up: true,
+        };
         let state = Arc::new((Mutex::new(state), Condvar::new()));
         let served = state.clone();
         let server = Server::start(Arc::new(move |connection| {
             let _ = serve(&served, connection);
         }));
-        Store { state, address: server.address }
+        let address = server.address;
+        Store { state, server: Arc::new(server), record: record.clone(), address }
     }
 
     /// Writes an object as the operator or a worker does; no change if it is the same.
@@ -80,6 +100,41 @@
         changed.notify_all();
     }
 
+    pub fn is_up(&self) -> bool {
+        self.state.0.lock().unwrap().is_up
+    }
+
+    /// A copy, from which it may come back later.
+    pub fn copy(&self) -> Copy {
+        let state = self.state.0.lock().unwrap();
+        self.record.line(&format!("store: a copy is made at revision {}", state.revision));
+        Copy { objects: state.objects.clone(), revision: state.revision }
+    }
+
+    /// Goes away: its listener and connections close.
+    pub fn go_away(&self) {
+        self.record.line("store: away");
+        self.state.0.lock().unwrap().is_up = false;
+        self.server.stop();
+        self.state.1.notify_all();
+    }
+
+    /// Comes back, from a copy if there is one. Then its era rises, and revisions are given out again.
+    pub fn come_back(&self, copy: Option<&Copy>) {
+        let mut state = self.state.0.lock().unwrap();
+        if let Some(copy) = copy {
+            state.objects = copy.objects.clone();
+            state.revision = copy.revision;
+            state.history_from = copy.revision;
+            state.history.clear();
+            state.era += 1;
+        }
+        state.is_up = true;
+        self.record.line(&format!("store: back, Store-Era {}", state.era));
+        drop(state);
+        self.server.restart();
+    }
+
     /// Number of objects of a kind.
     pub fn count(&self, kind: &str) -> usize {
         let state = self.state.0.lock().unwrap();
@@ -129,7 +184,15 @@
         let head = connection.head()?;
         let body = connection.body(&head)?;
         let (status, answer) = answer(shared, &head, &body);
-        connection.respond(status, "Content-Type: application/json\r\n", &answer)?;
+        let (era, is_up) = {
+            let state = shared.0.lock().unwrap();
+            (state.era, state.is_up)
+        };
+        if !is_up {
+            return Ok(());
+        }
+        let fields = format!("Content-Type: application/json\r\nStore-Era: {era}\r\n");
+        connection.respond(status, &fields, &answer)?;
     }
 }
 
@@ -160,15 +223,16 @@
             Some(since) => {
                 let wait = parameter("waitMs").and_then(|text| text.parse().ok()).unwrap_or(0);
                 let until = Instant::now() + Duration::from_millis(wait);
+                let era = state.era;
                 loop {
-                    if since > state.revision || since < state.history_from {
+                    if state.era != era || since > state.revision || since < state.history_from {
                         return ("410 Gone", "{}".into());
                     }
                     let is_news =
                         |entry: &&(Object, bool)| entry.0.kind == kind && entry.0.revision > since;
                     let news: Vec<Json> = state.history.iter().filter(is_news).map(event).collect();
                     let left = until.saturating_duration_since(Instant::now());
-                    if !news.is_empty() || left.is_zero() {
+                    if !news.is_empty() || left.is_zero() || !state.is_up {
                         let at = Json::Number(state.revision.to_string());
                         let page = vec![("events".into(), Json::List(news)), ("at".into(), at)];
                         return ("200 OK", Json::Table(page).write());
--- a/review/tools-3/worker.rs
+++ b/review/tools-3/worker.rs
@@ -46,6 +46,8 @@
     pub crashing_part: Option<&'static str>,
     /// Whether it has no room for copies of runs.
     pub is_full_for_copies: bool,
+    /// The limit that it names in its answers, in requests a second.
+    pub limit: Option<&'static str>,
     /// Whether its streams have neither a length nor chunks, and end with their connection.
     pub is_unframed: bool,
     /// Runs whose answers are lost, by their ids: the connection is reset before the first event.
@@ -162,9 +164,9 @@
         self.server.get().unwrap().address
     }
 
-    /// Writes its entry. Only what differs from the entry is a change.
+    /// Writes its entry, if the store is up. Only what differs from the entry is a change.
     pub fn beat(&self) {
-        if !self.server.get().unwrap().is_up() {
+        if !self.store.is_up() || !self.server.get().unwrap().is_up() {
             return;
         }
         let text = |text: &str| Json::Text(text.into());
@@ -219,10 +221,14 @@
 
     /// Fields that all its answers have.
     fn fields(&self) -> String {
-        match self.is_leaving.load(Ordering::SeqCst) {
-            true => "Server-Leaving: 1\r\n".into(),
-            false => String::new(),
+        let mut fields = String::new();
+        if self.is_leaving.load(Ordering::SeqCst) {
+            fields.push_str("Server-Leaving: 1\r\n");
         }
+        if let Some(limit) = self.behaviour.limit {
+            fields.push_str(&format!("Server-Limit: {limit}\r\n"));
+        }
+        fields
     }
 
     fn arrived(&self, head: &Head, what: &'static str) {
@@ -414,7 +420,8 @@
                 ));
                 return Ok(false);
             }
-            let text = format!("id: {event}\ndata: {}\n\n", "x".repeat(self.pace.bytes));
+            let data = format!("{} {}", self.version, "x".repeat(self.pace.bytes));
+            let text = format!("id: {event}\ndata: {data}\n\n");
             match self.behaviour.is_unframed {
                 true => bytes.extend(text.bytes()),
                 false => bytes.extend(format!("{:x}\r\n{text}\r\n", text.len()).bytes()),
