--- a/review/tools-3/cases.rs
+++ b/review/tools-3/cases.rs
@@ -13,10 +13,7 @@
     std::{
         collections::BTreeSet,
         io,
-        sync::{
-            atomic::{AtomicU64, Ordering},
-            Arc,
-        },
+        sync::Arc,
         thread,
         time::{Duration, Instant},
     },
@@ -26,10 +23,10 @@
 pub fn play(case: &str, world: &World) -> io::Result<bool> {
     match case {
         "11" => joined_versions(world),
-        "12" => ended_run(world),
-        "13" => limited_target(world),
-        "14" => crashing_part(world),
-        "15" => attempts(world),
+        "12" => unstated_versions(world),
+        "13" => ended_run(world),
+        "14" => limited_target(world),
+        "15" => crashing_part(world),
         _ => Err(io::Error::other("there is no such case")),
     }
 }
@@ -286,7 +283,62 @@
     Ok(joined > 2)
 }
 
-/// Case 12: a decode worker leaves while its runs are about to end; its streams end with their connections.
+/// Case 12: entries of all decode workers come from another writer for a moment, without `version`.
+fn unstated_versions(world: &World) -> io::Result<bool> {
+    let pace = Pace { events: 100, gap: Duration::from_millis(50), pause: None, bytes: 330 };
+    let behaviours = vec![Behaviour::default(); 2];
+    let mut fleet = Fleet::start(world, Sizes { daemons: 2, prefills: 1, pace, behaviours })?;
+    let wait_until = |ms: u64| {
+        thread::sleep(Duration::from_millis(ms.saturating_sub(world.record.ms())));
+    };
+    // All workers beat each 1.2 s from their start: the first two from 0 s, the others from 0.1 s later.
+    wait_until(4_900);
+    for n in 3..=4 {
+        let (id, work) = (format!("i-decode{n}"), Duration::from_millis(15));
+        let (behaviour, stage) = (Behaviour::default(), Some("decode"));
+        let plan =
+            Plan { id, service: STREAMS, version: "v2", stage, slots: 16, work, pace, behaviour };
+        fleet.decodes.push(Worker::start(plan, &fleet.store, &fleet.arrivals, &world.record));
+    }
+    wait_until(6_500);
+    let threads: Vec<_> = (1..=24)
+        .map(|n| {
+            let (record, addresses) =
+                (world.record.clone(), [fleet.daemons[0].callers, fleet.daemons[1].callers]);
+            thread::spawn(move || {
+                let ask = stream("/caption/2f", &format!("caption-{n}"), SHARED);
+                // The connections break, in both plays, at 8.9 s.
+                let first = client::send_until(&record, addresses[0], &ask, 8_900);
+                let last = first.events.last().copied().unwrap_or_default();
+                let mut again = stream("/caption/2f", &format!("caption-{n}-again"), SHARED);
+                again.fields += &format!("Resumes: caption-{n}\r\nLast-Event-Id: {last}\r\n");
+                thread::sleep(Duration::from_millis(9_100_u64.saturating_sub(record.ms())));
+                let rest = client::send_new(&record, addresses[1], &again);
+                (first, rest)
+            })
+        })
+        .collect();
+    wait_until(8_700);
+    if world.trouble {
+        world
+            .record
+            .line("another writer writes the entries of the decode workers without version");
+        fleet.decodes.iter().for_each(|worker| worker.write_without_version());
+    }
+    let pairs: Vec<(Answer, Answer)> = threads.into_iter().map(|it| it.join().unwrap()).collect();
+    let of_new = pairs.iter().filter(|(first, _)| first.versions.contains("v2")).count();
+    let going_on = pairs.iter().filter(|(_, rest)| !rest.events.is_empty()).count();
+    let is_joined = |pair: &&(Answer, Answer)| pair.0.versions.union(&pair.1.versions).count() > 1;
+    let joined = pairs.iter().filter(is_joined).count();
+    world.record.line(&format!(
+        "{} streams were taken up, {of_new} of them begun by v2; {going_on} went on; {joined} hold events of \
+         two versions; more than two break the rule",
+        pairs.len()
+    ));
+    Ok(joined > 2)
+}
+
+/// Case 13: a decode worker leaves while its runs are about to end; its streams end with their connections.
 fn ended_run(world: &World) -> io::Result<bool> {
     let pace = Pace { events: 20, gap: Duration::from_millis(150), pause: None, bytes: 330 };
     let behaviours = vec![Behaviour { is_unframed: true, ..Behaviour::default() }; 2];
@@ -304,7 +356,7 @@
     Ok(streams_at_sigterm(world, &mut fleet, 16, leave)? > 0)
 }
 
-/// Case 13: a decode worker leaves, and the other one, to which its runs are copied, names a limit.
+/// Case 14: a decode worker leaves, and the other one, to which its runs are copied, names a limit.
 fn limited_target(world: &World) -> io::Result<bool> {
     let pace = Pace { events: 60, gap: Duration::from_millis(50), pause: None, bytes: 330 };
     let limit = world.trouble.then_some("2.0");
@@ -329,7 +381,7 @@
 /// Time between two requests with that part.
 const CRASHING_PERIOD: Duration = Duration::from_millis(2_500);
 
-/// Case 14: workers crash as they begin to write an answer on a part.
+/// Case 15: workers crash as they begin to write an answer on a part.
 fn crashing_part(world: &World) -> io::Result<bool> {
     let pace = Pace { events: 20, gap: Duration::from_millis(100), pause: None, bytes: 330 };
     let crashing_part = world.trouble.then_some(CRASHING);
@@ -383,42 +435,3 @@
     ));
     Ok(late.len() > 3)
 }
-
-/// Requests of case 15.
-const CAPTIONS: usize = 600;
-
-/// Case 15: two of five answers of three of the five decode workers are lost, on a route with `maxAttempts` 2.
-fn attempts(world: &World) -> io::Result<bool> {
-    let pace = Pace { events: 20, gap: Duration::from_millis(100), pause: None, bytes: 330 };
-    let behaviour = |n: usize| {
-        let count = AtomicU64::new(0);
-        let loses = move |_: &str| count.fetch_add(1, Ordering::SeqCst) % 5 < 2;
-        let loses = (world.trouble && n < 3).then(|| Arc::new(loses) as _);
-        Behaviour { loses, ..Behaviour::default() }
-    };
-    let behaviours = (0..5).map(behaviour).collect();
-    let fleet = Fleet::start(world, Sizes { daemons: 2, prefills: 2, pace, behaviours })?;
-    let mut sending = Vec::new();
-    for n in 1..=CAPTIONS {
-        let (record, address) = (world.record.clone(), fleet.daemons[n % 2].callers);
-        let ask = stream("/caption/2f", &format!("caption-{n}"), SHARED);
-        sending.push(thread::spawn(move || client::send_new(&record, address, &ask)));
-        thread::sleep(Duration::from_millis(45));
-    }
-    sending.into_iter().for_each(|sending| drop(sending.join()));
-    let arrivals = fleet.arrivals.0.lock().unwrap().clone();
-    let mut over = 0;
-    for n in 1..=CAPTIONS {
-        let id = format!("caption-{n}");
-        let runs = arrivals.iter().filter(|arrival| arrival.id == id && arrival.what == "run");
-        let workers: BTreeSet<&str> = runs.map(|arrival| arrival.worker.as_str()).collect();
-        if workers.len() > 2 {
-            over += 1;
-            world.record.line(&format!("{id} ran on {} workers: {workers:?}", workers.len()));
-        }
-    }
-    world.record.line(&format!(
-        "{over} requests ran on more workers than their route's maxAttempts, 2; more than three break the rule"
-    ));
-    Ok(over > 3)
-}
--- a/review/tools-3/client.rs
+++ b/review/tools-3/client.rs
@@ -5,7 +5,13 @@
         net::{Connection, Head},
         Record,
     },
-    std::{collections::BTreeSet, io, net::SocketAddr, time::Duration},
+    std::{
+        collections::BTreeSet,
+        io,
+        net::{Shutdown, SocketAddr},
+        thread,
+        time::Duration,
+    },
 };
 
 /// A request.
@@ -106,6 +112,21 @@
     }
 }
 
+/// As [`send_new`], on a connection that breaks at a time of the record.
+pub fn send_until(record: &Record, address: SocketAddr, ask: &Ask, until_ms: u64) -> Answer {
+    let Ok(mut connection) = Connection::open(address) else {
+        return send_new(record, address, ask);
+    };
+    if let Ok(breaking) = connection.stream.try_clone() {
+        let left = Duration::from_millis(until_ms.saturating_sub(record.ms()));
+        thread::spawn(move || {
+            thread::sleep(left);
+            breaking.shutdown(Shutdown::Both).ok();
+        });
+    }
+    send(record, &mut connection, ask)
+}
+
 fn exchange(connection: &mut Connection, ask: &Ask, answer: &mut Answer) -> io::Result<()> {
     let body = if ask.method == "GET" { "" } else { "body of the request" };
     let length = match ask.method {
--- a/review/tools-3/net.rs
+++ b/review/tools-3/net.rs
@@ -4,7 +4,6 @@
     collections::BTreeMap,
     io::{self, Read as _, Write as _},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
-    os::fd::AsRawFd as _,
     sync::{
         atomic::{AtomicBool, AtomicU32, Ordering},
         Arc, Mutex,
@@ -14,7 +13,6 @@
 };
 
 extern "C" {
-    fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
     fn kill(pid: i32, signal: i32) -> i32;
 }
 
@@ -26,13 +24,6 @@
 pub const SIGKILL: i32 = 9;
 pub const SIGTERM: i32 = 15;
 
-/// Makes closing a socket send a reset.
-pub fn reset_on_close(stream: &TcpStream) {
-    // SOL_SOCKET and SO_LINGER of Linux on x86-64 and arm64; on, 0 s.
-    let value = [1_i32, 0];
-    unsafe { setsockopt(stream.as_raw_fd(), 1, 13, value.as_ptr(), 8) };
-}
-
 /// Head of a message: its first line and its fields.
 #[derive(Clone, Debug)]
 pub struct Head {
--- a/review/tools-3/worker.rs
+++ b/review/tools-3/worker.rs
@@ -50,8 +50,6 @@
     pub limit: Option<&'static str>,
     /// Whether its streams have neither a length nor chunks, and end with their connection.
     pub is_unframed: bool,
-    /// Runs whose answers are lost, by their ids: the connection is reset before the first event.
-    pub loses: Option<Arc<dyn Fn(&str) -> bool + Send + Sync>>,
 }
 
 /// All workers, by their addresses: those to which runs are copied.
@@ -61,7 +59,6 @@
 #[derive(Clone, Debug)]
 pub struct Arrival {
     pub at_ms: u64,
-    pub worker: String,
     pub id: String,
     /// `run`, `prefill`, `go on` or `rejected`.
     pub what: &'static str,
@@ -166,6 +163,15 @@
 
     /// Writes its entry, if the store is up. Only what differs from the entry is a change.
     pub fn beat(&self) {
+        self.write(true);
+    }
+
+    /// Writes its entry as another writer may have it: without `version`.
+    pub fn write_without_version(&self) {
+        self.write(false);
+    }
+
+    fn write(&self, has_version: bool) {
         if !self.store.is_up() || !self.server.get().unwrap().is_up() {
             return;
         }
@@ -183,6 +189,9 @@
             ("born".into(), number(self.born.load(Ordering::SeqCst))),
             ("sequence".into(), number(self.sequence.load(Ordering::SeqCst))),
         ];
+        if !has_version {
+            entry.retain(|(name, _)| name != "version");
+        }
         if let Some(stage) = self.stage {
             let model = vec![
                 ("name".into(), text("m")),
@@ -238,8 +247,8 @@
             .field("last-event-id")
             .map_or(String::new(), |last| format!(" after event {last}"));
         self.record.line(&format!("worker {}: request {id}: {what}{from}", self.id));
-        let (at_ms, worker) = (self.record.ms(), self.id.clone());
-        self.arrivals.0.lock().unwrap().push(Arrival { at_ms, worker, id, what, parts });
+        let at_ms = self.record.ms();
+        self.arrivals.0.lock().unwrap().push(Arrival { at_ms, id, what, parts });
     }
 
     fn serve(self: Arc<Worker>, mut connection: Connection) -> io::Result<()> {
@@ -379,12 +388,6 @@
         let last = head.field("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
         let run = Arc::new(Run { made: AtomicU64::new(last), is_stopped: AtomicBool::new(false) });
         self.runs.lock().unwrap().insert(id.into(), run.clone());
-        if self.behaviour.loses.as_ref().is_some_and(|loses| loses(id)) {
-            thread::sleep(self.pace.gap);
-            self.record.line(&format!("worker {}: request {id}: its answer is lost", self.id));
-            crate::net::reset_on_close(&connection.stream);
-            return Ok(false);
-        }
         let framing = match self.behaviour.is_unframed {
             true => "Connection: close",
             false => "Transfer-Encoding: chunked",
